Thin whole path: daemon, store, instance list and engine as separate processes

Cause: nothing existed. A newcomer could not send one request through the product.

Ruled out: writing all packages before the first request runs; that would prove nothing for an hour and leave the shared types untested.

Before: no program.

--- /dev/null
+++ b/cmd/plumbarrowd/main.go
@@ -0,0 +1,50 @@
+// Command plumbarrowd is the daemon of one entry instance.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/oklog/run"
+
+	"plumbarrow.example/plumbarrow/daemon"
+)
+
+type arguments struct {
+	Settings string `arg:"positional,required" help:"settings file (TOML)"`
+}
+
+// Description heads the help text.
+func (arguments) Description() string {
+	return "plumbarrowd routes requests to model versions and services."
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	if err := serve(args, log); err != nil {
+		log.Error("stopped", "error", err)
+		os.Exit(1)
+	}
+}
+
+func serve(args arguments, log *slog.Logger) error {
+	settings, err := daemon.LoadSettings(args.Settings)
+	if err != nil {
+		return err
+	}
+	instance := daemon.New(settings, log)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group run.Group
+	group.Add(func() error { return instance.Run(ctx) }, func(error) { cancel() })
+	group.Add(run.SignalHandler(ctx, syscall.SIGINT, syscall.SIGTERM))
+	err = group.Run()
+	if _, stopped := err.(run.SignalError); stopped {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,57 @@
+// Package telemetry counts what a daemon did, by reason. Each daemon has a set of its own, so that
+// several can live in one process.
+package telemetry
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+// Counters are the metrics of one daemon. Safe for concurrent use.
+type Counters struct {
+	set *metrics.Set
+}
+
+// New returns counters at zero.
+func New() *Counters { return &Counters{set: metrics.NewSet()} }
+
+// Refused counts a refusal.
+func (c *Counters) Refused(reason verdict.Reason) {
+	c.Add("plumbarrow_refusals_total", "reason", string(reason))
+}
+
+// Retried counts a retry, hedge or cascade step.
+func (c *Counters) Retried(reason verdict.Reason) {
+	c.Add("plumbarrow_retries_total", "reason", string(reason))
+}
+
+// Add increments a counter with one label.
+func (c *Counters) Add(name, label, value string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("%s{%s=%q}", name, label, value)).Inc()
+}
+
+// Inc increments a counter without labels.
+func (c *Counters) Inc(name string) { c.set.GetOrCreateCounter(name).Inc() }
+
+// Value returns a counter's value; label and value may be empty.
+func (c *Counters) Value(name, label, value string) uint64 {
+	if label != "" {
+		name = fmt.Sprintf("%s{%s=%q}", name, label, value)
+	}
+	return c.set.GetOrCreateCounter(name).Get()
+}
+
+// Gauge registers a gauge read from f.
+func (c *Counters) Gauge(name string, f func() float64) { c.set.GetOrCreateGauge(name, f) }
+
+// Observe adds seconds to a histogram.
+func (c *Counters) Observe(name string, seconds float64) {
+	c.set.GetOrCreateHistogram(name).Update(seconds)
+}
+
+// Write writes all metrics in Prometheus text format.
+func (c *Counters) Write(w io.Writer) { c.set.WritePrometheus(w) }
--- /dev/null
+++ b/ledger/types.go
@@ -0,0 +1,117 @@
+// Package ledger keeps what must last: claims of non-idempotent requests, session pins and bills.
+// The platform's key-value store is the authority; entry instances only batch and cache.
+package ledger
+
+import (
+	"context"
+	"crypto/sha256"
+	"time"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+// ClaimKey identifies a non-idempotent request by its caller's idempotency key.
+type ClaimKey struct {
+	Customer string
+	Route    string
+	Key      string
+}
+
+// Digest is the SHA-256 of a request's method, path and body.
+type Digest [sha256.Size]byte
+
+// Claim is the right to dispatch one non-idempotent request.
+type Claim struct {
+	Key       ClaimKey
+	Digest    Digest
+	RequestID string
+	Claimer   machine.Member
+	ClaimedAt time.Time
+}
+
+// Outcome is what a finished request returned; a repeat of its key gets it again.
+type Outcome struct {
+	Verdict     verdict.Verdict
+	Status      int // HTTP status
+	ContentType string
+	Body        []byte // at most MaxOutcomeBytes; empty with Truncated set beyond that
+	Truncated   bool
+}
+
+// MaxOutcomeBytes is the longest answer body that is kept for repeats.
+const MaxOutcomeBytes = 4096
+
+// Standing says what a claim attempt found.
+type Standing uint8
+
+// Standings of a claim.
+const (
+	// Granted: the caller holds the claim and may dispatch once.
+	Granted Standing = iota + 1
+	// InProgress: another request with the key is being served; its claimer confirmed that.
+	InProgress
+	// Finished: the key has an outcome.
+	Finished
+	// Lost: the key was claimed, the claimer is gone and no outcome is known: MayHaveRun.
+	Lost
+	// Mismatch: the key was used with another request body.
+	Mismatch
+)
+
+// ClaimResult is the answer to a claim attempt.
+type ClaimResult struct {
+	Standing Standing
+	Outcome  Outcome // of a Finished claim
+	Claimer  machine.Member
+}
+
+// Claims grants each key at most once within the retry window, over all entry instances.
+type Claims interface {
+	// Claim tries to take the key. An error means that nothing was granted: the refusal has
+	// verdict NotRun and reason ledger_unavailable.
+	Claim(ctx context.Context, claim Claim) (ClaimResult, error)
+	// Finish records the outcome. An outcome with verdict NotRun frees the key. Finish may
+	// return before the store holds the record; the ledger goes on trying.
+	Finish(ctx context.Context, claim Claim, outcome Outcome) error
+}
+
+// Line is one attempt's cost within a bill.
+type Line struct {
+	Version      contract.VersionID
+	Pool         string
+	PromptTokens int64
+	OutputTokens int64
+	Micros       int64 // micro-units of currency
+}
+
+// Bill is what one request costs its customer. A request has at most one bill.
+type Bill struct {
+	RequestID string
+	Customer  string
+	Route     string
+	Lines     []Line
+	At        time.Time
+}
+
+// Total is the sum of the lines in micro-units of currency.
+func (b Bill) Total() int64 {
+	var total int64
+	for _, line := range b.Lines {
+		total += line.Micros
+	}
+	return total
+}
+
+// Bills records each bill exactly once.
+type Bills interface {
+	// Record returns once a second process or the store holds the bill. A repeat of a request id
+	// within this incarnation changes nothing. Errors are refusals.
+	Record(ctx context.Context, bill Bill) error
+	// Admit says whether a new billable request may start: it fails with bills_backlogged when
+	// waiting bills have reached their bound and with budget_exhausted when the customer has
+	// used up its budget. reserve is the most that the request may cost, in micro-units; the
+	// reservation ends with settle, which the caller calls exactly once.
+	Admit(ctx context.Context, customer *contract.Customer, reserve int64) (settle func(), err error)
+}
--- /dev/null
+++ b/standin/kv/http.go
@@ -0,0 +1,189 @@
+package kv
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"plumbarrow.example/plumbarrow/platform"
+)
+
+const (
+	defaultWatchWait = 5 * time.Minute // Consul's default
+	sessionMinTTL    = 10 * time.Second
+)
+
+type pairJSON struct {
+	Key         string
+	Value       []byte
+	ModifyIndex uint64
+	CreateIndex uint64
+	LockIndex   uint64
+	Session     string `json:",omitempty"`
+}
+
+type txnOp struct {
+	KV struct {
+		Verb  string
+		Key   string
+		Value []byte
+		Index uint64
+	}
+}
+
+type server struct {
+	store    *Store
+	sessions sessions
+}
+
+// Handler serves the store under /v1 and its faults under /faults.
+func (s *Store) Handler() http.Handler {
+	srv := &server{store: s, sessions: newSessions()}
+	e := echo.New()
+	e.HideBanner = true
+	e.GET("/v1/kv/*", srv.get)
+	e.DELETE("/v1/kv/*", srv.delete)
+	e.PUT("/v1/kv/*", srv.lock)
+	e.PUT("/v1/txn", srv.txn)
+	e.PUT("/v1/session/create", srv.createSession)
+	e.PUT("/v1/session/renew/:id", srv.renewSession)
+	e.PUT("/v1/session/destroy/:id", srv.destroySession)
+	e.PUT("/faults", srv.setFaults)
+	e.GET("/calls", srv.getCalls)
+	return e
+}
+
+func (s *server) getCalls(c echo.Context) error { return c.JSON(http.StatusOK, s.store.Calls()) }
+
+func (s *server) setFaults(c echo.Context) error {
+	var faults Faults
+	if err := json.NewDecoder(c.Request().Body).Decode(&faults); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	s.store.Fail(faults)
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (s *server) get(c echo.Context) error {
+	key := c.Param("*")
+	if c.QueryParams().Has("recurse") {
+		entries, err := s.store.List(c.Request().Context(), key)
+		return s.pairs(c, entries, err)
+	}
+	if c.QueryParam("index") == "" {
+		entry, err := s.store.Get(c.Request().Context(), key)
+		return s.pairs(c, []platform.Entry{entry}, err)
+	}
+	after, err := strconv.ParseUint(c.QueryParam("index"), 10, 64)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "bad index")
+	}
+	wait, err := time.ParseDuration(c.QueryParam("wait"))
+	if err != nil {
+		wait = defaultWatchWait
+	}
+	entry, err := s.store.Watch(c.Request().Context(), key, platform.Version(after), wait)
+	return s.pairs(c, []platform.Entry{entry}, err)
+}
+
+func (s *server) pairs(c echo.Context, entries []platform.Entry, err error) error {
+	if errors.Is(err, platform.ErrNotFound) || (err == nil && len(entries) == 0) {
+		return c.NoContent(http.StatusNotFound)
+	}
+	if err != nil {
+		return fail(c, err)
+	}
+	pairs := make([]pairJSON, 0, len(entries))
+	var index uint64
+	for _, entry := range entries {
+		pair := pairJSON{Key: entry.Key, Value: entry.Value, ModifyIndex: uint64(entry.Version)}
+		pair.Session, pair.LockIndex = s.store.lockOf(entry.Key)
+		pairs = append(pairs, pair)
+		index = max(index, pair.ModifyIndex)
+	}
+	c.Response().Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
+	return c.JSON(http.StatusOK, pairs)
+}
+
+func (s *server) txn(c echo.Context) error {
+	var ops []txnOp
+	if err := json.NewDecoder(c.Request().Body).Decode(&ops); err != nil || len(ops) != 1 || ops[0].KV.Verb != "cas" {
+		return echo.NewHTTPError(http.StatusBadRequest, "want one cas operation")
+	}
+	op := ops[0].KV
+	version, err := s.store.Swap(c.Request().Context(), op.Key, platform.Version(op.Index), op.Value)
+	if err != nil {
+		return fail(c, err)
+	}
+	pair := pairJSON{Key: op.Key, ModifyIndex: uint64(version)}
+	return c.JSON(http.StatusOK, map[string]any{"Results": []map[string]pairJSON{{"KV": pair}}})
+}
+
+func (s *server) delete(c echo.Context) error {
+	expect, err := strconv.ParseUint(c.QueryParam("cas"), 10, 64)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "want cas")
+	}
+	err = s.store.Delete(c.Request().Context(), c.Param("*"), platform.Version(expect))
+	return boolean(c, err)
+}
+
+func (s *server) lock(c echo.Context) error {
+	key := c.Param("*")
+	ctx := c.Request().Context()
+	if id := c.QueryParam("release"); id != "" {
+		_, fence := s.store.lockOf(key)
+		return boolean(c, s.store.Release(ctx, platform.Lease{Key: key, Session: id, Fence: fence}))
+	}
+	id := c.QueryParam("acquire")
+	ttl, ok := s.sessions.remaining(id)
+	if !ok {
+		return echo.NewHTTPError(http.StatusInternalServerError, "invalid session")
+	}
+	_, err := s.store.Acquire(ctx, key, id, ttl)
+	if err == nil {
+		s.sessions.holds(id, key)
+	}
+	return boolean(c, err)
+}
+
+func boolean(c echo.Context, err error) error {
+	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrLeaseLost) {
+		return c.JSON(http.StatusOK, false)
+	}
+	if err != nil {
+		return fail(c, err)
+	}
+	return c.JSON(http.StatusOK, true)
+}
+
+// fail answers an injected fault. A lost answer closes the connection without one.
+func fail(c echo.Context, err error) error {
+	switch {
+	case errors.Is(err, platform.ErrConflict):
+		return c.String(http.StatusConflict, "index mismatch")
+	case errors.Is(err, platform.ErrOutcomeUnknown):
+		panic(http.ErrAbortHandler)
+	default:
+		return c.String(http.StatusServiceUnavailable, err.Error())
+	}
+}
+
+// lockOf returns the session that holds the key, empty if none, and its fencing number.
+func (s *Store) lockOf(key string) (session string, fence uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rec := s.records[strings.TrimPrefix(key, "/")]
+	if rec == nil {
+		return "", 0
+	}
+	if time.Now().Before(rec.expires) {
+		session = rec.owner
+	}
+	return session, rec.fence
+}
--- /dev/null
+++ b/standin/kv/sessions.go
@@ -0,0 +1,113 @@
+package kv
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+
+	"plumbarrow.example/plumbarrow/platform"
+)
+
+type session struct {
+	ttl     time.Duration
+	expires time.Time
+	keys    []string
+}
+
+// sessions keeps the lease sessions of the HTTP interface.
+type sessions struct {
+	mu   *sync.Mutex
+	byID map[string]*session
+}
+
+func newSessions() sessions {
+	return sessions{mu: new(sync.Mutex), byID: make(map[string]*session)}
+}
+
+func (s sessions) remaining(id string) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.byID[id]
+	if found == nil || !time.Now().Before(found.expires) {
+		return 0, false
+	}
+	return time.Until(found.expires), true
+}
+
+func (s sessions) holds(id, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if found := s.byID[id]; found != nil {
+		found.keys = append(found.keys, key)
+	}
+}
+
+func (s *server) createSession(c echo.Context) error {
+	var body struct{ TTL string }
+	if err := json.NewDecoder(c.Request().Body).Decode(&body); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	ttl, err := time.ParseDuration(body.TTL)
+	if err != nil || ttl < sessionMinTTL {
+		return echo.NewHTTPError(http.StatusBadRequest, "TTL below 10s")
+	}
+	if err := s.store.up(); err != nil {
+		return fail(c, err)
+	}
+	id := uuid.NewString()
+	s.sessions.mu.Lock()
+	s.sessions.byID[id] = &session{ttl: ttl, expires: time.Now().Add(ttl)}
+	s.sessions.mu.Unlock()
+	return c.JSON(http.StatusOK, map[string]string{"ID": id})
+}
+
+func (s *server) renewSession(c echo.Context) error {
+	id := c.Param("id")
+	if err := s.store.up(); err != nil {
+		return fail(c, err)
+	}
+	if _, ok := s.sessions.remaining(id); !ok {
+		return c.NoContent(http.StatusNotFound)
+	}
+	s.sessions.mu.Lock()
+	found := s.sessions.byID[id]
+	found.expires = time.Now().Add(found.ttl)
+	keys := append([]string(nil), found.keys...)
+	s.sessions.mu.Unlock()
+	s.store.extend(id, keys, found.ttl)
+	return c.JSON(http.StatusOK, []map[string]string{{"ID": id}})
+}
+
+func (s *server) destroySession(c echo.Context) error {
+	s.sessions.mu.Lock()
+	delete(s.sessions.byID, c.Param("id"))
+	s.sessions.mu.Unlock()
+	return c.JSON(http.StatusOK, true)
+}
+
+// up fails while the store is down.
+func (s *Store) up() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[OpAcquire]++
+	if s.faults.Down {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+// extend prolongs the locks that a renewed session holds.
+func (s *Store) extend(session string, keys []string, ttl time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, key := range keys {
+		rec := s.records[key]
+		if rec != nil && rec.owner == session {
+			rec.expires = time.Now().Add(ttl)
+		}
+	}
+}
--- /dev/null
+++ b/standin/kv/store.go
@@ -0,0 +1,256 @@
+// Package kv is a stand-in for the platform's key-value service: compare-and-swap, leases and
+// blocking watches in memory, with outages, slow spells and answers lost after the write. It serves
+// the subset of the Consul HTTP API that the platform package uses, and is itself a platform.Store.
+package kv
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"plumbarrow.example/plumbarrow/platform"
+)
+
+type record struct {
+	value   []byte
+	version platform.Version
+	owner   string
+	fence   uint64
+	expires time.Time
+}
+
+// Store is the in-memory service. The zero value is not usable; call New.
+type Store struct {
+	mu      sync.Mutex
+	records map[string]*record
+	last    platform.Version
+	changed chan struct{} // closed and replaced at each write
+	faults  Faults
+	calls   map[Op]int
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// New returns an empty store without faults.
+func New() *Store {
+	return &Store{
+		records: make(map[string]*record),
+		changed: make(chan struct{}),
+		calls:   make(map[Op]int),
+	}
+}
+
+// Calls returns how many calls of each kind the store has received, failed ones included.
+func (s *Store) Calls() map[Op]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls := make(map[Op]int, len(s.calls))
+	for op, n := range s.calls {
+		calls[op] = n
+	}
+	return calls
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if _, err := s.begin(ctx, OpGet, key); err != nil {
+		return platform.Entry{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entry(key)
+}
+
+// List implements platform.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	if _, err := s.begin(ctx, OpList, prefix); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var entries []platform.Entry
+	for key := range s.records {
+		if strings.HasPrefix(key, prefix) {
+			entry, _ := s.entry(key)
+			entries = append(entries, entry)
+		}
+	}
+	sort.Slice(entries, func(i, j int) bool { return entries[i].Key < entries[j].Key })
+	return entries, nil
+}
+
+// Swap implements platform.Store.
+func (s *Store) Swap(ctx context.Context, key string, expect platform.Version, value []byte) (platform.Version, error) {
+	answer, err := s.begin(ctx, OpSwap, key)
+	if err != nil {
+		return 0, err
+	}
+	if len(value) > platform.MaxValueBytes {
+		return 0, errors.New("value too large")
+	}
+	s.mu.Lock()
+	rec := s.records[key]
+	if versionOf(rec) != expect {
+		s.mu.Unlock()
+		return 0, platform.ErrConflict
+	}
+	if rec == nil {
+		rec = &record{}
+		s.records[key] = rec
+	}
+	rec.value = append([]byte(nil), value...)
+	s.touch(rec)
+	version := rec.version
+	s.mu.Unlock()
+	if answer.lost {
+		return 0, platform.ErrOutcomeUnknown
+	}
+	return version, nil
+}
+
+// Delete implements platform.Store.
+func (s *Store) Delete(ctx context.Context, key string, expect platform.Version) error {
+	answer, err := s.begin(ctx, OpDelete, key)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	if versionOf(s.records[key]) != expect {
+		s.mu.Unlock()
+		return platform.ErrConflict
+	}
+	delete(s.records, key)
+	s.last++
+	s.broadcast()
+	s.mu.Unlock()
+	if answer.lost {
+		return platform.ErrOutcomeUnknown
+	}
+	return nil
+}
+
+// Watch implements platform.Store.
+func (s *Store) Watch(ctx context.Context, key string, after platform.Version, wait time.Duration) (platform.Entry, error) {
+	if _, err := s.begin(ctx, OpWatch, key); err != nil {
+		return platform.Entry{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		entry, err := s.entry(key)
+		changed := s.changed
+		silent := s.faults.SilentWatches
+		s.mu.Unlock()
+		if entry.Version != after && !silent {
+			return entry, err
+		}
+		if silent {
+			changed = nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			if silent {
+				<-ctx.Done()
+				return platform.Entry{}, ctx.Err()
+			}
+			return entry, err
+		case <-ctx.Done():
+			return platform.Entry{}, ctx.Err()
+		}
+	}
+}
+
+// Acquire implements platform.Store.
+func (s *Store) Acquire(ctx context.Context, key, owner string, ttl time.Duration) (platform.Lease, error) {
+	asked := time.Now()
+	answer, err := s.begin(ctx, OpAcquire, key)
+	if err != nil {
+		return platform.Lease{}, err
+	}
+	s.mu.Lock()
+	rec := s.records[key]
+	if rec == nil {
+		rec = &record{}
+		s.records[key] = rec
+	}
+	now := time.Now()
+	if rec.owner != "" && rec.owner != owner && now.Before(rec.expires) {
+		s.mu.Unlock()
+		return platform.Lease{}, platform.ErrLeaseLost
+	}
+	if rec.owner != owner || !now.Before(rec.expires) {
+		rec.fence++
+	}
+	rec.owner = owner
+	rec.expires = now.Add(ttl)
+	s.touch(rec)
+	fence := rec.fence
+	s.mu.Unlock()
+	if answer.lost {
+		return platform.Lease{}, platform.ErrOutcomeUnknown
+	}
+	return platform.Lease{Key: key, Session: owner, Fence: fence, Expires: asked.Add(ttl)}, nil
+}
+
+// Release implements platform.Store.
+func (s *Store) Release(ctx context.Context, lease platform.Lease) error {
+	if _, err := s.begin(ctx, OpRelease, lease.Key); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rec := s.records[lease.Key]
+	if rec != nil && rec.owner == lease.Session && rec.fence == lease.Fence {
+		rec.owner = ""
+		s.touch(rec)
+	}
+	return nil
+}
+
+// Put writes a key unconditionally, past all faults; for setting a scene.
+func (s *Store) Put(key string, value []byte) platform.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rec := s.records[key]
+	if rec == nil {
+		rec = &record{}
+		s.records[key] = rec
+	}
+	rec.value = append([]byte(nil), value...)
+	s.touch(rec)
+	return rec.version
+}
+
+// entry reads a key; s.mu is held.
+func (s *Store) entry(key string) (platform.Entry, error) {
+	rec := s.records[key]
+	if rec == nil {
+		return platform.Entry{Key: key}, platform.ErrNotFound
+	}
+	value := append([]byte(nil), rec.value...)
+	return platform.Entry{Key: key, Value: value, Version: rec.version}, nil
+}
+
+// touch gives the record a new version and wakes the watches; s.mu is held.
+func (s *Store) touch(rec *record) {
+	s.last++
+	rec.version = s.last
+	s.broadcast()
+}
+
+func (s *Store) broadcast() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func versionOf(rec *record) platform.Version {
+	if rec == nil {
+		return 0
+	}
+	return rec.version
+}
--- /dev/null
+++ b/verdict/reason.go
@@ -0,0 +1,102 @@
+package verdict
+
+import "net/http"
+
+// Reason names why a request was refused or an attempt was retried. Each value has a counter,
+// plumbarrow_refusals_total{reason="…"} or plumbarrow_retries_total{reason="…"}.
+type Reason string
+
+// Reasons for refusing a request.
+const (
+	BadRequest              Reason = "bad_request"
+	BodyTooLarge            Reason = "body_too_large"
+	CallerGone              Reason = "caller_gone"
+	CallerTooSlow           Reason = "caller_too_slow"
+	MissingKey              Reason = "missing_api_key"
+	UnknownKey              Reason = "unknown_api_key"
+	UnknownModel            Reason = "unknown_model"
+	UnknownRoute            Reason = "unknown_route"
+	ModelNotAllowed         Reason = "model_not_allowed"
+	BudgetExhausted         Reason = "budget_exhausted"
+	RateLimited             Reason = "rate_limited"
+	VersionWithdrawn        Reason = "version_withdrawn"
+	SessionVersionWithdrawn Reason = "session_version_withdrawn"
+	SessionInvalid          Reason = "session_invalid"
+	NoEndpoint              Reason = "no_endpoint"
+	QueueFull               Reason = "queue_full"
+	QueueTimeout            Reason = "queue_timeout"
+	ShedOverload            Reason = "shed_overload"
+	DeadlineExceeded        Reason = "deadline_exceeded"
+	ZoneOutOfService        Reason = "zone_out_of_service"
+	NoConfiguration         Reason = "no_configuration"
+	ConfigUnconfirmed       Reason = "configuration_unconfirmed"
+	Stopping                Reason = "stopping"
+	LedgerUnavailable       Reason = "ledger_unavailable"
+	BillsBacklogged         Reason = "bills_backlogged"
+	IdempotencyMismatch     Reason = "idempotency_key_reused"
+	ClaimInProgress         Reason = "claim_in_progress"
+	ClaimOutcomeUnknown     Reason = "claim_outcome_unknown"
+	ClaimExpired            Reason = "claim_expired"
+	UpstreamError           Reason = "upstream_error"
+	UpstreamRefused         Reason = "upstream_refused"
+	UpstreamTruncated       Reason = "upstream_truncated"
+	VersionMismatch         Reason = "version_mismatch"
+	AttemptMismatch         Reason = "attempt_mismatch"
+	HopLimit                Reason = "hop_limit"
+	Internal                Reason = "internal"
+)
+
+// Reasons for a retry, hedge or cascade step.
+const (
+	RetryNotSent       Reason = "not_sent"
+	RetryConnection    Reason = "connection_lost"
+	RetrySilent        Reason = "connection_silent"
+	RetryUnavailable   Reason = "endpoint_unavailable"
+	RetryOverloaded    Reason = "endpoint_overloaded"
+	RetryTruncated     Reason = "truncated_answer"
+	RetryWrongVersion  Reason = "wrong_version"
+	RetryWrongAttempt  Reason = "wrong_attempt"
+	RetryWithdrawn     Reason = "withdrawn_before_dispatch"
+	RetryPermit        Reason = "permit_lost"
+	RetryServerError   Reason = "server_error"
+	RetryHedge         Reason = "hedge"
+	RetryLowQuality    Reason = "low_quality"
+	RetryStreamResumed Reason = "stream_resumed"
+)
+
+var statusByReason = map[Reason]int{
+	BadRequest:              http.StatusBadRequest,
+	BodyTooLarge:            http.StatusRequestEntityTooLarge,
+	CallerGone:              499, // the caller closed the connection; no reader is left
+	CallerTooSlow:           http.StatusRequestTimeout,
+	MissingKey:              http.StatusUnauthorized,
+	UnknownKey:              http.StatusUnauthorized,
+	UnknownModel:            http.StatusNotFound,
+	UnknownRoute:            http.StatusNotFound,
+	ModelNotAllowed:         http.StatusForbidden,
+	BudgetExhausted:         http.StatusPaymentRequired,
+	RateLimited:             http.StatusTooManyRequests,
+	VersionWithdrawn:        http.StatusGone,
+	SessionVersionWithdrawn: http.StatusGone,
+	SessionInvalid:          http.StatusBadRequest,
+	QueueFull:               http.StatusTooManyRequests,
+	DeadlineExceeded:        http.StatusGatewayTimeout,
+	IdempotencyMismatch:     http.StatusUnprocessableEntity,
+	ClaimInProgress:         http.StatusConflict,
+	ClaimOutcomeUnknown:     http.StatusConflict,
+	ClaimExpired:            http.StatusConflict,
+	UpstreamError:           http.StatusBadGateway,
+	UpstreamTruncated:       http.StatusBadGateway,
+	VersionMismatch:         http.StatusBadGateway,
+	AttemptMismatch:         http.StatusBadGateway,
+	HopLimit:                http.StatusLoopDetected,
+	Internal:                http.StatusInternalServerError,
+}
+
+// Status returns the HTTP status of a refusal for this reason; 503 unless another one fits better.
+func (r Reason) Status() int {
+	if status, ok := statusByReason[r]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
