Complete the stand-ins and run whole deployments in one process

Cause: proofs need engines that fall over cold, break streams, cross answers and report load late, and a service that counts runs per key; the first engine only streamed words.

Ruled out: a cluster simulator; the stand-ins are single handlers, joined on loopback by a small fleet package that the demo, the load tool and the whole-path tests share.

Change: engine with batching, prefix cache, lagging load, cold start, fenced orders and scripted faults; service, rater, weight store; daemon.Listen opens sockets before assembly, so that port 0 works; TestWholePath runs on the fleet and checks each token of the answer once (as strict as the count of words before, whose text is gone).

Before: TestWholePath failed against the new engine, 0 words for 3. After: it passes with -race.

Conclusion: faults can be scripted from Go and over HTTP.

--- a/cmd/plumbarrow/standin.go
+++ b/cmd/plumbarrow/standin.go
@@ -8,12 +8,18 @@
 	"plumbarrow.example/plumbarrow/standin/engine"
 	"plumbarrow.example/plumbarrow/standin/instances"
 	"plumbarrow.example/plumbarrow/standin/kv"
+	"plumbarrow.example/plumbarrow/standin/rater"
+	"plumbarrow.example/plumbarrow/standin/service"
+	"plumbarrow.example/plumbarrow/standin/weights"
 )
 
 type standinCommand struct {
-	Store     *addressed     `arg:"subcommand:store" help:"key-value service"`
-	Instances *listStandin   `arg:"subcommand:instances" help:"instance list"`
-	Engine    *engineStandin `arg:"subcommand:engine" help:"model engine"`
+	Store     *addressed      `arg:"subcommand:store" help:"key-value service"`
+	Instances *listStandin    `arg:"subcommand:instances" help:"instance list"`
+	Engine    *engineStandin  `arg:"subcommand:engine" help:"model engine"`
+	Service   *addressed      `arg:"subcommand:service" help:"plain service that counts its runs"`
+	Rater     *addressed      `arg:"subcommand:rater" help:"service that rates answers"`
+	Weights   *weightsStandin `arg:"subcommand:weights" help:"rate-limited weight store"`
 }
 
 type addressed struct {
@@ -29,10 +35,27 @@
 	addressed
 	Model   string        `arg:"--model,required"`
 	Version string        `arg:"--version,required"`
+	Quality float64       `arg:"--quality" default:"0.9" help:"quality of its answers, 0 to 1"`
 	Tokens  int           `arg:"--tokens" default:"20" help:"tokens per answer"`
-	PerStep time.Duration `arg:"--per-token" default:"10ms" help:"time between tokens"`
+	Step    time.Duration `arg:"--per-token" default:"10ms" help:"time between tokens"`
+	Prefill time.Duration `arg:"--prefill" default:"50ms" help:"time to the first token without a cached prefix"`
+	Cold    int           `arg:"--cold-limit" default:"2" help:"requests at once that it bears while cold; 0 for any"`
+	Warm    int           `arg:"--warm-after" default:"16" help:"completed requests until it is warm"`
+	Fenced  bool          `arg:"--checks-fence" help:"refuse orders with an old fencing number"`
 }
 
+type weightsStandin struct {
+	addressed
+	Rate float64 `arg:"--rate" default:"1" help:"loads per second"`
+	Size int     `arg:"--size" default:"65536" help:"bytes per file"`
+}
+
+const (
+	engineRecovery = 2 * time.Second
+	engineLoadLag  = 500 * time.Millisecond
+	weightsBurst   = 2
+)
+
 func (c *standinCommand) run() error {
 	switch {
 	case c.Store != nil:
@@ -40,8 +63,29 @@
 	case c.Instances != nil:
 		return http.ListenAndServe(c.Instances.Address, instances.New(c.Instances.Lag).Handler())
 	case c.Engine != nil:
-		settings := engine.Settings{Model: c.Engine.Model, Version: c.Engine.Version, Tokens: c.Engine.Tokens, PerStep: c.Engine.PerStep}
-		return http.ListenAndServe(c.Engine.Address, engine.New(settings).Handler())
+		return http.ListenAndServe(c.Engine.Address, engine.New(c.Engine.settings()).Handler())
+	case c.Service != nil:
+		return http.ListenAndServe(c.Service.Address, service.New(service.NewLedger()).Handler())
+	case c.Rater != nil:
+		return http.ListenAndServe(c.Rater.Address, rater.New().Handler())
+	case c.Weights != nil:
+		return http.ListenAndServe(c.Weights.Address, weights.New(c.Weights.Rate, weightsBurst, c.Weights.Size).Handler())
+	}
+	return errors.New("standin needs a subcommand: store, instances, engine, service, rater or weights")
+}
+
+func (e *engineStandin) settings() engine.Settings {
+	return engine.Settings{
+		Model:        e.Model,
+		Version:      e.Version,
+		Quality:      e.Quality,
+		Tokens:       e.Tokens,
+		Step:         e.Step,
+		Prefill:      e.Prefill,
+		ColdLimit:    e.Cold,
+		WarmAfter:    e.Warm,
+		RecoverAfter: engineRecovery,
+		LoadLag:      engineLoadLag,
+		ChecksFence:  e.Fenced,
 	}
-	return errors.New("standin needs a subcommand: store, instances or engine")
 }
--- a/cmd/plumbarrowd/main.go
+++ b/cmd/plumbarrowd/main.go
@@ -37,7 +37,14 @@
 	if err != nil {
 		return err
 	}
-	instance := daemon.New(settings, log)
+	listeners, err := daemon.Listen(&settings)
+	if err != nil {
+		return err
+	}
+	instance, err := daemon.New(settings, listeners, log)
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group run.Group
 	group.Add(func() error { return instance.Run(ctx) }, func(error) { cancel() })
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -33,6 +32,7 @@
 // Daemon is one entry instance.
 type Daemon struct {
 	settings   Settings
+	listeners  Listeners
 	log        *slog.Logger
 	counters   *telemetry.Counters
 	replica    *replica.Replica
@@ -42,8 +42,8 @@
 	peers      *drpcmux.Mux
 }
 
-// New assembles a daemon; nothing runs before Run.
-func New(settings Settings, log *slog.Logger) *Daemon {
+// New assembles a daemon that serves on the listeners; nothing runs before Run.
+func New(settings Settings, listeners Listeners, log *slog.Logger) (*Daemon, error) {
 	counters := telemetry.New()
 	store := platform.NewConsul(settings.StoreAddress, func(op string) { counters.Add("plumbarrow_store_calls_total", "op", op) })
 	list := platform.NewHTTPList(settings.ListAddress, func(op string) { counters.Add("plumbarrow_platform_calls_total", "op", op) })
@@ -55,6 +55,7 @@
 	}
 	d := &Daemon{
 		settings:   settings,
+		listeners:  listeners,
 		log:        log,
 		counters:   counters,
 		replica:    replica.New(store, log),
@@ -80,7 +81,7 @@
 		Log:          log,
 		MaxBodyBytes: settings.MaxBodyBytes,
 	})
-	return d
+	return d, nil
 }
 
 // Run serves until ctx ends, then finishes what has started.
@@ -95,28 +96,16 @@
 	add(d.replica.Run)
 	add(d.membership.Run)
 	add(d.servePeers)
-	if err := d.addServer(&group, d.settings.CallersAddress, d.entry.Handler()); err != nil {
-		return err
-	}
-	if err := d.addServer(&group, d.settings.OperatorsAddress, d.operators()); err != nil {
-		return err
-	}
+	d.addServer(&group, d.listeners.Callers, d.entry.Handler())
+	d.addServer(&group, d.listeners.Operators, d.operators())
 	return group.Run()
 }
 
 func (d *Daemon) servePeers(ctx context.Context) error {
-	listener, err := net.Listen("tcp", d.settings.PeersAddress)
-	if err != nil {
-		return fmt.Errorf("peers address: %w", err)
-	}
-	return link.ServePeers(ctx, listener, d.peers)
+	return link.ServePeers(ctx, d.listeners.Peers, d.peers)
 }
 
-func (d *Daemon) addServer(group *run.Group, address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
+func (d *Daemon) addServer(group *run.Group, listener net.Listener, handler http.Handler) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	group.Add(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -128,7 +117,6 @@
 		defer cancel()
 		_ = server.Shutdown(ctx)
 	})
-	return nil
 }
 
 // operators returns the operators' HTTP surface.
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -1,12 +1,9 @@
 package daemon_test
 
 import (
-	"context"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -14,12 +11,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"plumbarrow.example/plumbarrow/contract"
-	"plumbarrow.example/plumbarrow/daemon"
-	"plumbarrow.example/plumbarrow/platform"
 	"plumbarrow.example/plumbarrow/replica"
 	"plumbarrow.example/plumbarrow/standin/engine"
-	"plumbarrow.example/plumbarrow/standin/instances"
-	"plumbarrow.example/plumbarrow/standin/kv"
+	"plumbarrow.example/plumbarrow/standin/fleet"
 )
 
 const document = `
@@ -51,39 +45,24 @@
 // and checks that the stream arrives whole.
 func TestWholePath(t *testing.T) {
 	c := qt.New(t)
-	store := kv.New()
-	list := instances.New(0)
-	engineServer := httptest.NewServer(engine.New(engine.Settings{Model: "small", Version: "v1", Tokens: 3}).Handler())
-	defer engineServer.Close()
-	storeServer := httptest.NewServer(store.Handler())
-	defer storeServer.Close()
-	listServer := httptest.NewServer(list.Handler())
-	defer listServer.Close()
-
+	f, err := fleet.New(fleet.Options{Log: slog.New(slog.DiscardHandler)})
+	c.Assert(err, qt.IsNil)
+	defer func() { c.Check(f.Close(), qt.IsNil) }()
 	text := strings.Replace(document, "KEYHASH", contract.HashKey("sk-acme"), 1)
-	revision, err := replica.Propose(t.Context(), store, "change-1", []byte(text))
+	revision, err := replica.Propose(t.Context(), f.Store, "change-1", []byte(text))
 	c.Assert(err, qt.IsNil)
 	c.Assert(revision, qt.Equals, contract.Revision(1))
-	list.Set(platform.Instance{ID: "engine-1", Incarnation: "1", Kind: platform.KindEngine, Zone: "nbo-a", Pool: "small-engines",
-		Address: engineServer.Listener.Addr().String(), Model: "small", Version: "v1", State: platform.StateLive})
-
-	settings := daemon.DefaultSettings()
-	settings.Instance = "entry-1"
-	settings.Zone = "nbo-a"
-	settings.CallersAddress = freeAddress(c)
-	settings.OperatorsAddress = freeAddress(c)
-	settings.PeersAddress = freeAddress(c)
-	settings.StoreAddress = storeServer.Listener.Addr().String()
-	settings.ListAddress = listServer.Listener.Addr().String()
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan error, 1)
-	go func() { done <- daemon.New(settings, slog.New(slog.DiscardHandler)).Run(ctx) }()
+	_, err = f.StartEngine("engine-1", "nbo-a", "small-engines", engine.Settings{Model: "small", Version: "v1", Tokens: 3, Quality: 0.5})
+	c.Assert(err, qt.IsNil)
+	d, err := f.StartDaemon("entry-1", "nbo-a")
+	c.Assert(err, qt.IsNil)
 
-	body := eventually(c, "http://"+settings.CallersAddress)
-	c.Assert(strings.Count(body, "word "), qt.Equals, 3)
-	c.Assert(strings.HasSuffix(body, "data: [DONE]\n\n"), qt.IsTrue, qt.Commentf("%s", body))
-	cancel()
-	c.Assert(<-done, qt.IsNil)
+	body := eventually(c, "http://"+d.Settings.CallersAddress)
+	for _, word := range []string{`"[quality=0.500] "`, `"w1 "`, `"w2 "`} {
+		c.Check(strings.Count(body, word), qt.Equals, 1, qt.Commentf("%s in %s", word, body))
+	}
+	c.Check(strings.Contains(body, `"w3 "`), qt.IsFalse)
+	c.Check(strings.HasSuffix(body, "data: [DONE]\n\n"), qt.IsTrue, qt.Commentf("%s", body))
 }
 
 // eventually repeats a chat request until it is served; the test's own deadline bounds it.
@@ -104,10 +83,3 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
-
-func freeAddress(c *qt.C) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer listener.Close()
-	return listener.Addr().String()
-}
