--- a/cmd/plumbarrow/main.go
+++ b/cmd/plumbarrow/main.go
@@ -10,6 +10,7 @@
 
 type arguments struct {
 	Config  *configCommand  `arg:"subcommand:config" help:"check, apply and show the configuration"`
+	Load    *loadCommand    `arg:"subcommand:load" help:"send a mix of requests to a running deployment"`
 	Standin *standinCommand `arg:"subcommand:standin" help:"run a stand-in of the platform, an engine or a service"`
 }
 
@@ -23,6 +24,8 @@
 	switch {
 	case args.Config != nil:
 		err = args.Config.run()
+	case args.Load != nil:
+		err = args.Load.run()
 	case args.Standin != nil:
 		err = args.Standin.run()
 	default:
--- /dev/null
+++ b/limit/customers_test.go
@@ -0,0 +1,46 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/limit"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+type members int
+
+func (m members) Self() machine.Member   { return machine.Member{} }
+func (m members) Live() []machine.Member { return make([]machine.Member, m) }
+
+// TestFleetRate sends far more than the rate to six instances and counts what all of them grant.
+func TestFleetRate(t *testing.T) {
+	c := qt.New(t)
+	const instances = 6
+	const seconds = 30
+	customer := &contract.Customer{Name: "acme", RequestsPerSecond: 12}
+	start := time.Date(2026, 12, 4, 20, 0, 0, 0, time.UTC)
+	granted := 0
+	var refusal *verdict.Refusal
+	for range instances {
+		limits := limit.NewCustomers(members(instances))
+		for ms := 0; ms < seconds*1000; ms += 10 {
+			if r := limits.Allow(customer, start.Add(time.Duration(ms)*time.Millisecond)); r != nil {
+				refusal = r
+				continue
+			}
+			granted++
+		}
+	}
+	c.Assert(granted <= 12*(seconds+2), qt.IsTrue, qt.Commentf("granted %d", granted)) // 2 s of burst
+	c.Assert(granted >= 12*(seconds-1), qt.IsTrue, qt.Commentf("granted %d", granted))
+	c.Assert(refusal.Reason, qt.Equals, verdict.RateLimited)
+	c.Assert(refusal.Verdict, qt.Equals, verdict.NotRun)
+	c.Assert(refusal.RetryAfter > 0, qt.IsTrue)
+	unlimited := limit.NewCustomers(members(1)).Allow(&contract.Customer{Name: "free"}, start)
+	c.Assert(unlimited == nil, qt.IsTrue)
+}
--- /dev/null
+++ b/load/audit.go
@@ -0,0 +1,38 @@
+package load
+
+import "fmt"
+
+// Audit compares what callers were told with what ran. runsByRequest counts executions by request
+// id, runsByKey by idempotency key; either may be nil where the endpoints can't be asked. It
+// returns one line for each broken promise.
+func (r *Report) Audit(runsByRequest, runsByKey map[string]int) []string {
+	var broken []string
+	for i := range r.Samples {
+		sample := &r.Samples[i]
+		key := sample.Request.IdempotencyKey
+		if key != "" && runsByKey[key] > 1 {
+			broken = append(broken, fmt.Sprintf("key %s ran %d times", key, runsByKey[key]))
+		}
+		if sample.Verdict == "not_run" && runsByRequest[sample.RequestID] > 0 {
+			broken = append(broken, fmt.Sprintf("request %s was refused as not run (%s) and ran", sample.RequestID, sample.Reason))
+		}
+		if sample.Whole && key != "" && runsByKey != nil && runsByKey[key] == 0 {
+			broken = append(broken, fmt.Sprintf("key %s was answered and never ran", key))
+		}
+	}
+	if r.Silent > 0 {
+		broken = append(broken, fmt.Sprintf("%d answers ended silently", r.Silent))
+	}
+	return broken
+}
+
+// WholeRequests returns the ids of the requests that were answered whole.
+func (r *Report) WholeRequests() []string {
+	var ids []string
+	for i := range r.Samples {
+		if r.Samples[i].Whole {
+			ids = append(ids, r.Samples[i].RequestID)
+		}
+	}
+	return ids
+}
