Validate the configuration as a whole, with file, line and name

Cause: Build looked only for dangling pool and model names and stopped at the first fault, without a line; every other fault would have reached the instances.

Change: a checker collects all findings; lines come from go-toml's own parser, scanned only when there is a finding. Findings about work that nothing could serve are marked: an order that only takes away (withdrawing the last version) may cause them, so a replica accepts them from the store while an operator's edit with them is refused. Build fills in defaults, so that a document made in code is checked alike.

--- a/contract/build.go
+++ b/contract/build.go
@@ -2,15 +2,37 @@
 
 import "sort"
 
-// Build validates the document as a whole and returns its snapshot at the revision.
+// Build validates the document as a whole and returns its snapshot at the revision. It fills in
+// defaults. An error is *Invalid.
 func Build(document *Document, revision Revision) (*Snapshot, error) {
-	snapshot := index(document, revision)
-	if err := validate(document, snapshot); err != nil {
-		return nil, err
+	snapshot, invalid := check(document, revision)
+	if invalid != nil {
+		return nil, invalid
+	}
+	return snapshot, nil
+}
+
+// BuildAccepted is Build for a document that the store has accepted: an order that only takes away,
+// such as withdrawing a pool's last version, may leave routes that nothing can serve.
+func BuildAccepted(document *Document, revision Revision) (*Snapshot, error) {
+	snapshot, invalid := check(document, revision)
+	if invalid != nil && len(invalid.Broken()) > 0 {
+		return nil, &Invalid{Findings: invalid.Broken()}
 	}
 	return snapshot, nil
 }
 
+func check(document *Document, revision Revision) (*Snapshot, *Invalid) {
+	document.fillDefaults()
+	snapshot := index(document, revision)
+	c := &checker{document: document, snapshot: snapshot}
+	c.run()
+	if len(c.findings) == 0 {
+		return snapshot, nil
+	}
+	return snapshot, &Invalid{Findings: c.located()}
+}
+
 func index(document *Document, revision Revision) *Snapshot {
 	s := &Snapshot{
 		Revision:           revision,
@@ -25,24 +47,24 @@
 		routesByModel:      make(map[string][]*Route),
 	}
 	for i := range document.Zones {
-		s.Zones[document.Zones[i].Name] = &document.Zones[i]
+		setFirst(s.Zones, document.Zones[i].Name, &document.Zones[i])
 	}
 	for i := range document.Customers {
 		customer := &document.Customers[i]
-		s.Customers[customer.Name] = customer
+		setFirst(s.Customers, customer.Name, customer)
 		for _, hash := range customer.KeyHashes {
-			s.customersByKeyHash[hash] = customer
+			setFirst(s.customersByKeyHash, hash, customer)
 		}
 	}
 	for i := range document.Models {
 		model := &document.Models[i]
-		s.Models[model.Name] = model
+		setFirst(s.Models, model.Name, model)
 		for j := range model.Versions {
-			s.Versions[VersionID{model.Name, model.Versions[j].Name}] = &model.Versions[j]
+			setFirst(s.Versions, VersionID{model.Name, model.Versions[j].Name}, &model.Versions[j])
 		}
 	}
 	for i := range document.Pools {
-		s.Pools[document.Pools[i].Name] = &document.Pools[i]
+		setFirst(s.Pools, document.Pools[i].Name, &document.Pools[i])
 	}
 	s.indexRoutes(document)
 	return s
@@ -51,7 +73,7 @@
 func (s *Snapshot) indexRoutes(document *Document) {
 	for i := range document.Routes {
 		route := &document.Routes[i]
-		s.Routes[route.Name] = route
+		setFirst(s.Routes, route.Name, route)
 		if route.Model != "" {
 			s.routesByModel[route.Model] = append(s.routesByModel[route.Model], route)
 		}
@@ -63,3 +85,10 @@
 		return len(s.servicePrefixes[i].PathPrefix) > len(s.servicePrefixes[j].PathPrefix)
 	})
 }
+
+// setFirst keeps the first of several values, so that validation can tell the duplicates.
+func setFirst[K comparable, V any](m map[K]*V, key K, value *V) {
+	if m[key] == nil {
+		m[key] = value
+	}
+}
--- a/contract/document.go
+++ b/contract/document.go
@@ -5,12 +5,15 @@
 // Document is the operators' configuration as written in TOML. Routes and pools refer to each
 // other by name.
 type Document struct {
-	Zones     []Zone     `toml:"zones"`
-	Customers []Customer `toml:"customers"`
-	Models    []Model    `toml:"models"`
-	Pools     []Pool     `toml:"pools"`
-	Routes    []Route    `toml:"routes"`
-	Sessions  Sessions   `toml:"sessions"`
+	Zones     []Zone     `toml:"zones,omitempty"`
+	Customers []Customer `toml:"customers,omitempty"`
+	Models    []Model    `toml:"models,omitempty"`
+	Pools     []Pool     `toml:"pools,omitempty"`
+	Routes    []Route    `toml:"routes,omitempty"`
+	Sessions  Sessions   `toml:"sessions,omitempty"`
+
+	file   string // named in findings; empty for a document that was not parsed
+	source []byte // TOML, for the lines of findings
 }
 
 // Zone is a data centre.
--- a/contract/parse.go
+++ b/contract/parse.go
@@ -3,7 +3,8 @@
 import (
 	"bytes"
 	"errors"
-	"fmt"
+	"strings"
+	"unicode/utf8"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -23,13 +24,16 @@
 
 var defaultIdempotentMethods = []string{"GET", "HEAD", "OPTIONS"}
 
-// Parse reads a document from TOML and fills in defaults. file names it in errors. Unknown fields
-// and wrong types are errors with file, line and field.
+// Parse reads a document from TOML and fills in defaults. file names it in errors, which are
+// *Invalid: not TOML, wrong types, unknown fields.
 func Parse(file string, data []byte) (*Document, error) {
 	if len(data) > MaxDocumentBytes {
-		return nil, fmt.Errorf("%s: %d bytes, at most %d are allowed", file, len(data), MaxDocumentBytes)
+		return nil, invalid(file, 0, "", "the document has %d bytes, at most %d are allowed", len(data), MaxDocumentBytes)
 	}
-	document := &Document{}
+	if at := invalidUTF8(data); at >= 0 {
+		return nil, invalid(file, lineAt(data, at), "", "not valid UTF-8")
+	}
+	document := &Document{file: file, source: data}
 	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
 	if err := decoder.Decode(document); err != nil {
 		return nil, parseError(file, err)
@@ -38,32 +42,42 @@
 	return document, nil
 }
 
+// invalidUTF8 returns the offset of the first byte that is not UTF-8, or -1.
+func invalidUTF8(data []byte) int {
+	if utf8.Valid(data) {
+		return -1
+	}
+	at := 0
+	for at < len(data) {
+		r, size := utf8.DecodeRune(data[at:])
+		if r == utf8.RuneError && size == 1 {
+			return at
+		}
+		at += size
+	}
+	return -1
+}
+
 func parseError(file string, err error) error {
 	var strict *toml.StrictMissingError
 	if errors.As(err, &strict) && len(strict.Errors) > 0 {
-		row, _ := strict.Errors[0].Position()
-		return fmt.Errorf("%s:%d: unknown field %s", file, row, dotted(strict.Errors[0].Key()))
+		all := &Invalid{}
+		for i := range strict.Errors {
+			row, _ := strict.Errors[i].Position()
+			all.Findings = append(all.Findings, Finding{File: file, Line: row, Name: dotted(strict.Errors[i].Key()), Problem: "unknown field"})
+		}
+		return all
 	}
 	var decode *toml.DecodeError
 	if errors.As(err, &decode) {
 		row, _ := decode.Position()
-		return fmt.Errorf("%s:%d: %s: %s", file, row, dotted(decode.Key()), decode.Error())
+		return invalid(file, row, dotted(decode.Key()), "%s", strings.TrimPrefix(decode.Error(), "toml: "))
 	}
-	return fmt.Errorf("%s: %w", file, err)
+	return invalid(file, 0, "", "%s", strings.TrimPrefix(err.Error(), "toml: "))
 }
 
 func dotted(key toml.Key) string {
-	if len(key) == 0 {
-		return "syntax"
-	}
-	var out bytes.Buffer
-	for i, part := range key {
-		if i > 0 {
-			out.WriteByte('.')
-		}
-		out.WriteString(part)
-	}
-	return out.String()
+	return strings.Join(key, ".")
 }
 
 func (d *Document) fillDefaults() {
