--- a/decide/dispatch.go
+++ b/decide/dispatch.go
@@ -1,15 +1,21 @@
 package decide
 
 import (
+	"slices"
+
 	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/verdict"
 )
 
 // Dispatchable checks a choice against the configuration in force at the moment of dispatch: a
-// version withdrawn, a zone taken out or a permission revoked since the choice was made stops it.
-// nil means go; a refusal has the verdict NotRun.
+// version withdrawn or draining, a zone taken out, a permission revoked or a pool taken from the
+// route since the choice was made stops it. It judges by the names in the request and looks the
+// objects up anew. nil means go; a refusal has the verdict NotRun.
 func Dispatchable(snapshot *contract.Snapshot, request *Request, choice *Choice) *verdict.Refusal {
 	zone := choice.Endpoint.Zone
+	if choice.Zone != "" {
+		zone = choice.Zone
+	}
 	if !snapshot.ZoneInService(zone) {
 		return verdict.Refuse(verdict.ZoneOutOfService, "zone %s is out of service", zone)
 	}
@@ -17,15 +23,21 @@
 	if customer == nil {
 		return verdict.Refuse(verdict.UnknownKey, "the customer is no longer configured")
 	}
-	if choice.Version == (contract.VersionID{}) {
-		return nil
+	route := snapshot.Routes[request.Route.Name]
+	if route == nil || !slices.Contains(route.Customers, customer.Name) {
+		return verdict.Refuse(verdict.ModelNotAllowed, "route %s is no longer open to customer %s", request.Route.Name, customer.Name)
 	}
-	version := snapshot.Versions[choice.Version]
-	if version == nil || version.State == contract.VersionWithdrawn {
-		return verdict.Refuse(verdict.VersionWithdrawn, "version %s is withdrawn", choice.Version)
+	pool := snapshot.Pools[choice.Pool]
+	if pool == nil || !slices.Contains(route.Pools, pool.Name) {
+		return verdict.Refuse(verdict.NoEndpoint, "pool %s is no longer on route %s", choice.Pool, route.Name)
+	}
+	if pool.Kind == contract.PoolService {
+		return nil
 	}
-	if !customer.Allows(choice.Version) {
-		return verdict.Refuse(verdict.ModelNotAllowed, "customer %s may not use %s", customer.Name, choice.Version)
+	if choice.Zone == "" && choice.Endpoint.Version != choice.Version {
+		return verdict.Refuse(verdict.VersionMismatch, "endpoint %s serves %s", choice.Endpoint.ID, choice.Endpoint.Version)
 	}
-	return nil
+	current := *request
+	current.Customer, current.Route = customer, route
+	return versionAllowed(snapshot, &current, pool, choice.Version)
 }
--- a/decide/types.go
+++ b/decide/types.go
@@ -27,7 +27,10 @@
 	// PrefixHash identifies the prompt's beginning for cache affinity; 0 means none.
 	PrefixHash uint64
 	// Pin is the version of the request's session; the zero value means no session.
-	Pin      contract.VersionID
+	Pin contract.VersionID
+	// MorePins are the session's versions of further models, which cascade steps have used; at
+	// most one per model.
+	MorePins []contract.VersionID
 	Arrived  time.Time
 	Deadline time.Time // by which the first byte must be with the caller
 	// Hops counts the entry instances the request has already passed.
