--- a/decide/fixture_test.go
+++ b/decide/fixture_test.go
@@ -40,17 +40,21 @@
 	}
 	best := contract.ModelVersion{Name: "v1", State: contract.VersionActive, Weight: weight(1), PromptPrice: 1000, OutputPrice: 1000}
 	return &contract.Document{
-		Zones:     []contract.Zone{{Name: "nbo-a"}, {Name: "nbo-b"}},
-		Customers: []contract.Customer{{Name: "acme", Models: []string{"small", "large"}}},
+		Zones:     []contract.Zone{{Name: "nbo-a", Region: "nairobi"}, {Name: "nbo-b", Region: "nairobi"}},
+		Customers: []contract.Customer{{Name: "acme", KeyHashes: []string{contract.HashKey("sk-acme")}, Models: []string{"small", "large"}}},
 		Models:    []contract.Model{{Name: "small", Versions: versions}, {Name: "large", Versions: []contract.ModelVersion{best}}},
-		Pools:     []contract.Pool{{Name: "cheap", Kind: contract.PoolEngine, Model: "small"}, {Name: "good", Kind: contract.PoolEngine, Model: "large"}},
+		Pools: []contract.Pool{
+			{Name: "cheap", Kind: contract.PoolEngine, Model: "small", Routes: []string{"assistant"}},
+			{Name: "good", Kind: contract.PoolEngine, Model: "large", Routes: []string{"assistant"}},
+		},
 		Routes: []contract.Route{{Name: "assistant", Customers: []string{"acme"}, Model: "assistant", Pools: []string{"cheap", "good"},
 			QualityTarget: 0.8, DeadlineMS: 10_000, OnWithdrawn: contract.WithdrawnRefuse}},
 	}
 }
 
+// build accepts documents in which nothing can serve a route, as orders that only take away leave them.
 func build(document *contract.Document) *contract.Snapshot {
-	snapshot, err := contract.Build(document, 1)
+	snapshot, err := contract.BuildAccepted(document, 1)
 	if err != nil {
 		panic(err)
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 
@@ -36,6 +37,8 @@
 	Version string
 	// Quality is written into each answer, where the stand-in rater finds it. 0 to 1.
 	Quality float64
+	// QualitySpread varies the quality from prompt to prompt by at most this much either way.
+	QualitySpread float64
 	// Tokens per answer unless the request asks for fewer.
 	Tokens int
 	// Step is the time between tokens with one request in the batch; each further request in the
@@ -270,7 +273,7 @@
 	usage := &openai.Usage{PromptTokens: promptTokens(request), CompletionTokens: int64(tokens)}
 	usage.TotalTokens = usage.PromptTokens + usage.CompletionTokens
 	if request.Stream {
-		return g.stream(c, tokens, usage, fault)
+		return g.stream(c, tokens, g.quality(request), usage, fault)
 	}
 	for range tokens {
 		g.step()
@@ -285,7 +288,7 @@
 		Created: time.Now().Unix(),
 		Model:   g.settings.Model,
 		Choices: []openai.Choice{{
-			Message:      &openai.Content{Role: "assistant", Content: g.text(tokens)},
+			Message:      &openai.Content{Role: "assistant", Content: text(tokens, g.quality(request))},
 			FinishReason: &stop,
 		}},
 		Usage: usage,
@@ -304,28 +307,35 @@
 }
 
 // text is the whole answer; its first word carries the quality for the stand-in rater.
-func (g *Engine) text(tokens int) string {
+func text(tokens int, quality float64) string {
 	words := make([]string, tokens)
 	for i := range words {
-		words[i] = g.word(i)
+		words[i] = word(i, quality)
 	}
 	return strings.Join(words, "")
 }
 
-func (g *Engine) word(i int) string {
+func word(i int, quality float64) string {
 	if i == 0 {
-		return fmt.Sprintf("[quality=%.3f] ", g.quality())
+		return fmt.Sprintf("[quality=%.3f] ", quality)
 	}
 	return fmt.Sprintf("w%d ", i)
 }
 
-func (g *Engine) quality() float64 {
+// quality of the answer to a request; the same request always gets the same one.
+func (g *Engine) quality(request openai.ChatRequest) float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.faults.Quality != nil {
 		return *g.faults.Quality
 	}
-	return g.settings.Quality
+	const steps = 1000
+	digest := xxhash.New()
+	for _, message := range request.Messages {
+		_, _ = digest.Write(message.Content)
+	}
+	swing := float64(digest.Sum64()%steps)/steps*2 - 1
+	return min(1, max(0, g.settings.Quality+swing*g.settings.QualitySpread))
 }
 
 func promptTokens(request openai.ChatRequest) int64 {
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -13,7 +13,7 @@
 )
 
 // stream sends the answer token by token; it starts behind the tokens that a resumed caller has.
-func (g *Engine) stream(c echo.Context, tokens int, usage *openai.Usage, fault fault) bool {
+func (g *Engine) stream(c echo.Context, tokens int, quality float64, usage *openai.Usage, fault fault) bool {
 	response := c.Response()
 	response.Header().Set(echo.HeaderContentType, "text/event-stream")
 	response.WriteHeader(http.StatusOK)
@@ -32,7 +32,7 @@
 			return false
 		}
 		g.step()
-		chunk.Choices = []openai.Choice{{Delta: &openai.Content{Content: g.word(i)}}}
+		chunk.Choices = []openai.Choice{{Delta: &openai.Content{Content: word(i, quality)}}}
 		if event(response, chunk) != nil {
 			return false
 		}
--- /dev/null
+++ b/standin/fleet/ready.go
@@ -0,0 +1,36 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+const readyPoll = 20 * time.Millisecond
+
+// WaitReady returns once every daemon says that it is ready.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for _, d := range f.Daemons {
+		for !ready(ctx, d.Settings.OperatorsAddress) {
+			select {
+			case <-time.After(readyPoll):
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
