link: exact verdicts, liveness per connection, forwarding between zones

Cause: non-idempotent work could go on any pooled connection, however long it had been idle; a silent connection could not be told from a silent endpoint; the progress timer went on while the caller read slowly, so that backpressure was taken for silence; an endpoint had no way to declare that it had not run a request; peer connections were neither bounded nor ever given up, and a stopping peer server cut the calls in progress.

Change: three transports (idempotent, idle for at most 3 s, new connection each), behind a RoundTripper that refuses anything net/http would repeat by itself. Failure says whether the connection was new, and condemns an endpoint only after two silences on new connections. The timer runs within reads only. 503 and 429 with Plumbarrow-Verdict: not_run are NotRun. Peer calls share a few connections per member (drpcpool), each with a deadline. Forwarding is a drpc stream of typed frames that the serving side opens, so that a dead link is found before the request leaves (NotRun).

Ruled out: telling silence by TCP keep-alive alone (a middlebox may answer the probes); retiring by a marker per connection in one pool (net/http offers no choice among idle connections, a second pool does).

--- a/link/attempt.go
+++ b/link/attempt.go
@@ -18,6 +18,25 @@
 	HeaderAttemptID = "Plumbarrow-Attempt-Id"
 	HeaderVersion   = "Plumbarrow-Version"
 	HeaderSession   = "Plumbarrow-Session"
+	// HeaderVerdict with the value not_run on a 503 or 429 is an endpoint's declaration that it
+	// has not run the request and will not run it.
+	HeaderVerdict = "Plumbarrow-Verdict"
+	// HeaderReplayed marks the recorded outcome of an earlier request with the same idempotency
+	// key.
+	HeaderReplayed = "Plumbarrow-Replayed"
+	// HeaderResume with the value 1 on a stream's answer says that the engine can resume it.
+	HeaderResume = "Plumbarrow-Resume"
+	// HeaderResumeFrom asks an engine to go on after the given number of events of the stream
+	// that HeaderResumeAttempt names.
+	HeaderResumeFrom    = "Plumbarrow-Resume-From"
+	HeaderResumeAttempt = "Plumbarrow-Resume-Attempt"
+	// Endpoints report load and state in their answers: integers, and 1 for true.
+	HeaderRunning   = "Plumbarrow-Running"
+	HeaderQueued    = "Plumbarrow-Queued"
+	HeaderLeaving   = "Plumbarrow-Leaving"
+	HeaderRestarted = "Plumbarrow-Restarted"
+	// HeaderIdempotencyKey is the caller's key for non-idempotent work.
+	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
 // Attempt is one dispatch of a request to one endpoint.
@@ -29,19 +48,28 @@
 	Path      string // with query
 	Header    http.Header
 	Body      []byte
-	// Idempotent attempts may use any pooled connection.
+	// Idempotent attempts may use any pooled connection; others only a new one or one that
+	// carried a whole answer within the last seconds.
 	Idempotent bool
+	// Fresh asks for a new connection, after an earlier one went silent.
+	Fresh bool
 	// FirstByte bounds the time to the answer's header.
 	FirstByte time.Duration
+	// FirstByteReused bounds the same on a reused connection, which may have gone silent; 0 means
+	// FirstByte.
+	FirstByteReused time.Duration
 	// Progress bounds the silence within the answer's body.
 	Progress time.Duration
 }
 
-// Answer is an endpoint's answer; the caller closes Body.
+// Answer is an endpoint's answer; the caller closes Body. Errors of Body.Read other than io.EOF are
+// *Failure.
 type Answer struct {
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// Length of the body in bytes; -1 if the endpoint did not declare it.
+	Length int64
 }
 
 // Failure says how an attempt failed.
@@ -49,6 +77,15 @@
 	Verdict verdict.Verdict
 	Reason  verdict.Reason // a retry reason
 	Err     error
+	// FreshConnection says that the attempt used a connection of its own.
+	FreshConnection bool
+	// Condemned says that the endpoint's last fresh connections went silent too, so that the
+	// endpoint is at fault and not one connection.
+	Condemned bool
+	// Refused says that nothing listened at the endpoint's address.
+	Refused bool
+	// RetryAfter is the endpoint's own wish; 0 for none.
+	RetryAfter time.Duration
 }
 
 var _ error = (*Failure)(nil)
--- a/link/dispatcher.go
+++ b/link/dispatcher.go
@@ -4,77 +4,126 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync"
-	"sync/atomic"
+	"strconv"
 	"time"
 
 	"plumbarrow.example/plumbarrow/verdict"
 )
 
-const (
-	dialTimeout = 2 * time.Second
-	// idleTimeout stays below the shortest idle timeout usual among middleboxes.
-	idleTimeout     = 30 * time.Second
-	idlePerEndpoint = 64
-)
-
 // Dispatcher sends attempts to endpoints over HTTP. Safe for concurrent use.
 type Dispatcher struct {
-	client *http.Client
+	pooled *http.Transport // for idempotent attempts
+	proved *http.Transport // for other attempts
+	fresh  *http.Transport // for attempts after a silence
+	silent *silences
 }
 
-// NewDispatcher returns a dispatcher with an empty connection pool.
-func NewDispatcher() *Dispatcher {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countedConn{Conn: conn}, nil
-		},
-		MaxIdleConnsPerHost: idlePerEndpoint,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+// NewDispatcher returns a dispatcher with empty connection pools.
+func NewDispatcher() *Dispatcher { return NewDispatcherWith(defaultDial()) }
+
+// NewDispatcherWith returns a dispatcher that opens its connections with dial.
+func NewDispatcherWith(dial DialFunc) *Dispatcher {
+	return &Dispatcher{
+		pooled: newTransport(dial, idleTimeout),
+		proved: newTransport(dial, provedTimeout),
+		fresh:  newTransport(dial, 0),
+		silent: newSilences(),
 	}
-	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Dispatcher{client: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
 }
 
 // Close drops idle connections.
-func (d *Dispatcher) Close() { d.client.CloseIdleConnections() }
+func (d *Dispatcher) Close() {
+	d.pooled.CloseIdleConnections()
+	d.proved.CloseIdleConnections()
+	d.fresh.CloseIdleConnections()
+}
+
+func (d *Dispatcher) transport(attempt *Attempt) http.RoundTripper {
+	switch {
+	case attempt.Fresh:
+		return onceTransport{d.fresh}
+	case attempt.Idempotent:
+		return onceTransport{d.pooled}
+	default:
+		return onceTransport{d.proved}
+	}
+}
 
 // Do sends the attempt once and returns as soon as the answer's header is in. Errors are
-// *Failure.
+// *Failure; an answer by which the endpoint declares that it has not run the request is one too.
 func (d *Dispatcher) Do(ctx context.Context, attempt *Attempt) (*Answer, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
+	caller := ctx
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(caller))
+	detach := context.AfterFunc(caller, func() { cancel(context.Cause(caller)) })
+	timer := time.AfterFunc(attempt.FirstByte, func() { cancel(errSilent) })
+	defer timer.Stop()
 	sent := &sentBytes{}
-	request, err := newRequest(httptrace.WithClientTrace(ctx, sent.trace()), attempt)
+	trace := sent.trace(func() {
+		if attempt.FirstByteReused > 0 {
+			timer.Reset(min(attempt.FirstByteReused, attempt.FirstByte))
+		}
+	})
+	request, err := newRequest(httptrace.WithClientTrace(ctx, trace), attempt)
 	if err != nil {
+		detach()
 		cancel(nil)
 		return nil, &Failure{Verdict: verdict.NotRun, Reason: verdict.RetryNotSent, Err: err}
 	}
-	timer := time.AfterFunc(attempt.FirstByte, func() { cancel(errSilent) })
-	response, err := d.client.Do(request)
+	// RoundTrip instead of Client.Do: no redirects, no cookies.
+	response, err := d.transport(attempt).RoundTrip(request)
 	if err != nil {
-		timer.Stop()
 		failure := sent.failure(ctx, err)
+		detach()
 		cancel(nil)
+		d.noteFailure(attempt, failure)
 		return nil, failure
 	}
-	timer.Stop()
-	body := &watchedBody{body: response.Body, cancel: cancel, progress: attempt.Progress}
-	body.timer = time.AfterFunc(attempt.Progress, func() { cancel(errSilent) })
-	return &Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	d.silent.heard(attempt.Endpoint.Address)
+	body := newWatchedBody(ctx, response.Body, cancel, attempt.Progress)
+	body.detach = detach
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength}
+	if failure := declined(answer); failure != nil {
+		answer.Release()
+		return nil, failure
+	}
+	return answer, nil
 }
 
-// errSilent is the cause of a connection without progress.
-var errSilent = errors.New("connection silent")
+func (d *Dispatcher) noteFailure(attempt *Attempt, failure *Failure) {
+	if failure.Reason == verdict.RetrySilent && failure.FreshConnection {
+		failure.Condemned = d.silent.silent(attempt.Endpoint.Address)
+	}
+}
+
+// declined returns the failure that an endpoint's declaration of not running means, or nil.
+func declined(answer *Answer) *Failure {
+	if answer.Header.Get(HeaderVerdict) != verdict.NotRun.String() {
+		return nil
+	}
+	failure := &Failure{Verdict: verdict.NotRun, RetryAfter: retryAfter(answer.Header)}
+	switch answer.Status {
+	case http.StatusServiceUnavailable:
+		failure.Reason = verdict.RetryUnavailable
+	case http.StatusTooManyRequests:
+		failure.Reason = verdict.RetryOverloaded
+	default:
+		return nil
+	}
+	failure.Err = fmt.Errorf("the endpoint answered %d without running the request", answer.Status)
+	return failure
+}
+
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
 
 func newRequest(ctx context.Context, attempt *Attempt) (*http.Request, error) {
 	url := "http://" + attempt.Endpoint.Address + attempt.Path
@@ -82,6 +131,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if attempt.FirstByte <= 0 || attempt.Progress <= 0 {
+		return nil, errors.New("an attempt needs deadlines")
+	}
 	request.Header = attempt.Header.Clone()
 	if request.Header == nil {
 		request.Header = make(http.Header)
@@ -94,88 +146,3 @@
 	request.ContentLength = int64(len(attempt.Body))
 	return request, nil
 }
-
-// sentBytes tells whether any byte of a request left on a connection.
-type sentBytes struct {
-	mu    sync.Mutex
-	conns []connMark
-}
-
-type connMark struct {
-	conn   *countedConn
-	before int64
-}
-
-func (s *sentBytes) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		conn, ok := info.Conn.(*countedConn)
-		if !ok {
-			return
-		}
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.conns = append(s.conns, connMark{conn: conn, before: conn.written.Load()})
-	}}
-}
-
-func (s *sentBytes) any() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, mark := range s.conns {
-		if mark.conn.written.Load() > mark.before {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *sentBytes) failure(ctx context.Context, err error) *Failure {
-	if !s.any() {
-		return &Failure{Verdict: verdict.NotRun, Reason: verdict.RetryNotSent, Err: err}
-	}
-	reason := verdict.RetryConnection
-	if errors.Is(context.Cause(ctx), errSilent) {
-		reason = verdict.RetrySilent
-	}
-	return &Failure{Verdict: verdict.MayHaveRun, Reason: reason, Err: err}
-}
-
-// countedConn counts the bytes handed to the kernel. It counts before the write, so that a write
-// in progress is never taken for none.
-type countedConn struct {
-	net.Conn
-	written atomic.Int64
-}
-
-// Write implements net.Conn.
-func (c *countedConn) Write(p []byte) (int, error) {
-	c.written.Add(int64(len(p)))
-	return c.Conn.Write(p)
-}
-
-// watchedBody ends an answer whose connection goes silent.
-type watchedBody struct {
-	body     io.ReadCloser
-	cancel   context.CancelCauseFunc
-	timer    *time.Timer
-	progress time.Duration
-}
-
-var _ io.ReadCloser = (*watchedBody)(nil)
-
-// Read implements io.Reader.
-func (b *watchedBody) Read(p []byte) (int, error) {
-	n, err := b.body.Read(p)
-	if n > 0 {
-		b.timer.Reset(b.progress)
-	}
-	return n, err
-}
-
-// Close implements io.Closer.
-func (b *watchedBody) Close() error {
-	b.timer.Stop()
-	err := b.body.Close()
-	b.cancel(nil)
-	return err
-}
--- /dev/null
+++ b/link/forwardclient.go
@@ -0,0 +1,209 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"plumbarrow.example/plumbarrow/link/linkpb"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+const (
+	// keepAliveEvery is the longest time between two frames of a forwarded answer.
+	keepAliveEvery = time.Second
+	// frameTimeout condemns a peer connection on which no frame arrives.
+	frameTimeout = 3 * time.Second
+	// chunkBytes bounds one body chunk.
+	chunkBytes = 64 << 10
+)
+
+// ForwardHead is a caller's request on its way to an entry instance of another zone.
+type ForwardHead struct {
+	RequestID string
+	Customer  string // authenticated by the sender
+	Method    string
+	Path      string // with query
+	Header    http.Header
+	Body      []byte
+	Hops      int // entry instances passed, the sender included
+}
+
+// ForwardClient sends requests to entry instances of other zones. Safe for concurrent use.
+type ForwardClient struct {
+	peers Peers
+}
+
+// NewForwardClient returns a client over the peer links.
+func NewForwardClient(peers Peers) *ForwardClient { return &ForwardClient{peers: peers} }
+
+// Forward sends the request to the member and returns once the answer's head is in. The body ends
+// with io.EOF only after the member's End frame; ForwardVerdict then says what became of the
+// request. Errors, also those of the body, are *Failure: not_run if the member did not confirm the
+// connection, so that the request never left.
+func (f *ForwardClient) Forward(ctx context.Context, member machine.Member, head *ForwardHead) (*Answer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	call := &forwardCall{ctx: ctx, cancel: cancel}
+	call.timer = time.AfterFunc(frameTimeout, func() { cancel(errSilent) })
+	answer, err := call.start(f.peers, member, head)
+	if err != nil {
+		failure := call.failure(err)
+		call.close()
+		return nil, failure
+	}
+	return answer, nil
+}
+
+// forwardCall is one forwarded request; it is the body of its answer.
+type forwardCall struct {
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	timer   *time.Timer
+	stream  linkpb.DRPCForwarding_ForwardClient
+	sent    bool // the request may have left
+	rest    []byte
+	ended   bool
+	verdict verdict.Verdict
+}
+
+var _ io.ReadCloser = (*forwardCall)(nil)
+
+func (c *forwardCall) start(peers Peers, member machine.Member, head *ForwardHead) (*Answer, error) {
+	conn, err := peers.Conn(c.ctx, member)
+	if err != nil {
+		return nil, err
+	}
+	c.stream, err = linkpb.NewDRPCForwardingClient(conn).Forward(c.ctx)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := c.receive(); err != nil {
+		return nil, err
+	}
+	c.sent = true
+	if err := c.send(head); err != nil {
+		return nil, err
+	}
+	for {
+		frame, err := c.receive()
+		if err != nil {
+			return nil, err
+		}
+		if answer := frame.GetAnswer(); answer != nil {
+			return &Answer{Status: int(answer.GetStatus()), Header: fromHeaders(answer.GetHeaders()), Body: c, Length: -1}, nil
+		}
+		if frame.GetEnd() != nil {
+			return nil, errors.New("the answer ended before its head")
+		}
+	}
+}
+
+func (c *forwardCall) send(head *ForwardHead) error {
+	request := &linkpb.RequestHead{
+		RequestId: head.RequestID,
+		Customer:  head.Customer,
+		Method:    head.Method,
+		Path:      head.Path,
+		Headers:   toHeaders(head.Header),
+		BodyBytes: int64(len(head.Body)),
+		Hops:      int32(head.Hops),
+	}
+	if err := c.stream.Send(&linkpb.Frame{Kind: &linkpb.Frame_Request{Request: request}}); err != nil {
+		return err
+	}
+	for body := head.Body; len(body) > 0; {
+		n := min(len(body), chunkBytes)
+		if err := c.stream.Send(&linkpb.Frame{Kind: &linkpb.Frame_Chunk{Chunk: body[:n]}}); err != nil {
+			return err
+		}
+		c.timer.Reset(frameTimeout)
+		body = body[n:]
+	}
+	return nil
+}
+
+// receive waits for one frame; the silence timer runs only meanwhile.
+func (c *forwardCall) receive() (*linkpb.Frame, error) {
+	c.timer.Reset(frameTimeout)
+	defer c.timer.Stop()
+	return c.stream.Recv()
+}
+
+func (c *forwardCall) failure(err error) *Failure {
+	failure := &Failure{Verdict: verdict.MayHaveRun, Reason: verdict.RetryConnection, Err: err}
+	if errors.Is(context.Cause(c.ctx), errSilent) {
+		failure.Reason = verdict.RetrySilent
+	}
+	if !c.sent {
+		failure.Verdict = verdict.NotRun
+	}
+	return failure
+}
+
+// Read implements io.Reader.
+func (c *forwardCall) Read(p []byte) (int, error) {
+	for len(c.rest) == 0 {
+		if c.ended {
+			return 0, io.EOF
+		}
+		frame, err := c.receive()
+		if err != nil {
+			return 0, c.failure(err)
+		}
+		c.rest = frame.GetChunk()
+		if end := frame.GetEnd(); end != nil {
+			if end.GetAborted() {
+				return 0, c.failure(errors.New("the answer broke off at the serving instance"))
+			}
+			c.ended = true
+			_ = c.verdict.UnmarshalText([]byte(end.GetVerdict()))
+		}
+	}
+	n := copy(p, c.rest)
+	c.rest = c.rest[n:]
+	return n, nil
+}
+
+// Close implements io.Closer.
+func (c *forwardCall) Close() error {
+	c.close()
+	return nil
+}
+
+func (c *forwardCall) close() {
+	c.timer.Stop()
+	if c.stream != nil {
+		_ = c.stream.Close()
+	}
+	c.cancel(nil)
+}
+
+// ForwardVerdict returns the serving instance's verdict on a forwarded request whose answer was
+// read to its end; MayHaveRun before that.
+func ForwardVerdict(answer *Answer) verdict.Verdict {
+	if call, ok := answer.Body.(*forwardCall); ok && call.ended {
+		return call.verdict
+	}
+	return verdict.MayHaveRun
+}
+
+func toHeaders(header http.Header) []*linkpb.Header {
+	var headers []*linkpb.Header
+	for name, values := range header {
+		for _, value := range values {
+			headers = append(headers, &linkpb.Header{Name: name, Value: value})
+		}
+	}
+	return headers
+}
+
+func fromHeaders(headers []*linkpb.Header) http.Header {
+	header := make(http.Header, len(headers))
+	for _, one := range headers {
+		header.Add(one.GetName(), one.GetValue())
+	}
+	return header
+}
--- /dev/null
+++ b/link/forwardserver.go
@@ -0,0 +1,195 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"storj.io/drpc"
+
+	"plumbarrow.example/plumbarrow/link/linkpb"
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+// ForwardHandler serves a forwarded request as if its caller had sent it here. It returns what
+// became of the request. A panic with http.ErrAbortHandler breaks the answer off.
+type ForwardHandler interface {
+	ServeForwarded(ctx context.Context, w http.ResponseWriter, head *ForwardHead) verdict.Verdict
+}
+
+// ForwardServer serves requests that entry instances of other zones forward.
+type ForwardServer struct {
+	handler  ForwardHandler
+	maxBytes int64
+}
+
+var _ linkpb.DRPCForwardingServer = (*ForwardServer)(nil)
+
+// NewForwardServer returns a server for requests with bodies of at most maxBytes.
+func NewForwardServer(handler ForwardHandler, maxBytes int64) *ForwardServer {
+	return &ForwardServer{handler: handler, maxBytes: maxBytes}
+}
+
+// Register adds the service to a server's mux.
+func (s *ForwardServer) Register(mux drpc.Mux) error { return linkpb.DRPCRegisterForwarding(mux, s) }
+
+// Forward implements linkpb.DRPCForwardingServer.
+func (s *ForwardServer) Forward(stream linkpb.DRPCForwarding_ForwardStream) error {
+	out := &frameSender{stream: stream}
+	if err := out.keepAlive(); err != nil {
+		return err
+	}
+	head, err := s.receive(stream)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	var alive sync.WaitGroup
+	alive.Go(func() { out.keepAliveUntil(ctx) })
+	end := s.serve(ctx, out, head)
+	cancel()
+	alive.Wait()
+	return out.send(&linkpb.Frame{Kind: &linkpb.Frame_End{End: end}})
+}
+
+func (s *ForwardServer) receive(stream linkpb.DRPCForwarding_ForwardStream) (*ForwardHead, error) {
+	frame, err := stream.Recv()
+	if err != nil {
+		return nil, err
+	}
+	request := frame.GetRequest()
+	if request == nil || request.GetBodyBytes() < 0 || request.GetBodyBytes() > s.maxBytes {
+		return nil, errors.New("the first frame is no acceptable request")
+	}
+	head := &ForwardHead{
+		RequestID: request.GetRequestId(),
+		Customer:  request.GetCustomer(),
+		Method:    request.GetMethod(),
+		Path:      request.GetPath(),
+		Header:    fromHeaders(request.GetHeaders()),
+		Hops:      int(request.GetHops()),
+	}
+	for int64(len(head.Body)) < request.GetBodyBytes() {
+		frame, err := stream.Recv()
+		if err != nil {
+			return nil, err
+		}
+		head.Body = append(head.Body, frame.GetChunk()...)
+	}
+	if int64(len(head.Body)) > request.GetBodyBytes() {
+		return nil, errors.New("the body is longer than declared")
+	}
+	return head, nil
+}
+
+func (s *ForwardServer) serve(ctx context.Context, out *frameSender, head *ForwardHead) (end *linkpb.End) {
+	writer := newFrameWriter(out)
+	defer func() {
+		if cause := recover(); cause != nil {
+			if cause != http.ErrAbortHandler {
+				panic(cause)
+			}
+			end = &linkpb.End{Verdict: verdict.MayHaveRun.String(), Aborted: true}
+		}
+	}()
+	outcome := s.handler.ServeForwarded(ctx, writer, head)
+	writer.WriteHeader(http.StatusOK)
+	writer.Flush()
+	return &linkpb.End{Verdict: outcome.String()}
+}
+
+// frameSender serializes the frames of one answer.
+type frameSender struct {
+	mu     sync.Mutex
+	stream linkpb.DRPCForwarding_ForwardStream
+}
+
+func (s *frameSender) send(frame *linkpb.Frame) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stream.Send(frame)
+}
+
+func (s *frameSender) keepAlive() error {
+	return s.send(&linkpb.Frame{Kind: &linkpb.Frame_KeepAlive{KeepAlive: &linkpb.KeepAlive{}}})
+}
+
+func (s *frameSender) keepAliveUntil(ctx context.Context) {
+	ticker := time.NewTicker(keepAliveEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			if s.keepAlive() != nil {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// frameWriter turns an answer into frames.
+type frameWriter struct {
+	out    *frameSender
+	header http.Header
+	body   *bufio.Writer
+	wrote  bool
+	err    error
+}
+
+var (
+	_ http.ResponseWriter = (*frameWriter)(nil)
+	_ http.Flusher        = (*frameWriter)(nil)
+)
+
+func newFrameWriter(out *frameSender) *frameWriter {
+	w := &frameWriter{out: out, header: make(http.Header)}
+	w.body = bufio.NewWriterSize(chunkWriter{out}, chunkBytes)
+	return w
+}
+
+// Header implements http.ResponseWriter.
+func (w *frameWriter) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *frameWriter) WriteHeader(status int) {
+	if w.wrote {
+		return
+	}
+	w.wrote = true
+	head := &linkpb.AnswerHead{Status: int32(status), Headers: toHeaders(w.header)}
+	w.err = w.out.send(&linkpb.Frame{Kind: &linkpb.Frame_Answer{Answer: head}})
+}
+
+// Write implements http.ResponseWriter.
+func (w *frameWriter) Write(p []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	if w.err != nil {
+		return 0, w.err
+	}
+	return w.body.Write(p)
+}
+
+// Flush implements http.Flusher.
+func (w *frameWriter) Flush() {
+	w.WriteHeader(http.StatusOK)
+	if w.err == nil {
+		w.err = w.body.Flush()
+	}
+}
+
+// chunkWriter sends each write as one frame.
+type chunkWriter struct{ out *frameSender }
+
+// Write implements io.Writer.
+func (w chunkWriter) Write(p []byte) (int, error) {
+	if err := w.out.send(&linkpb.Frame{Kind: &linkpb.Frame_Chunk{Chunk: p}}); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
--- /dev/null
+++ b/link/peer_test.go
@@ -0,0 +1,144 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"storj.io/drpc/drpcmux"
+
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+// forwardFunc adapts a function to ForwardHandler.
+type forwardFunc func(ctx context.Context, w http.ResponseWriter, head *ForwardHead) verdict.Verdict
+
+func (f forwardFunc) ServeForwarded(ctx context.Context, w http.ResponseWriter, head *ForwardHead) verdict.Verdict {
+	return f(ctx, w, head)
+}
+
+var peer = machine.Member{ID: "entry-2", Incarnation: "i2", Zone: "b", Address: "p:1"}
+
+// servePeer serves one peer in memory; stop ends it and waits for it.
+func servePeer(c *qt.C, network *pipeNetwork, handler ForwardHandler) (dialer *PeerDialer, stop func()) {
+	mux := drpcmux.New()
+	c.Assert(NewLiveness(peer).Register(mux), qt.IsNil)
+	c.Assert(NewForwardServer(handler, 1<<20).Register(mux), qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- ServePeers(ctx, network, mux) }()
+	dialer = NewPeerDialerWith(network.dial)
+	return dialer, func() {
+		cancel()
+		c.Assert(<-served, qt.IsNil)
+		dialer.Close()
+	}
+}
+
+// TestSilentPeer loses the path of a peer connection for good: the call on it fails in time, and
+// the next one opens a new connection.
+func TestSilentPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := newPipeNetwork()
+		dialer, stop := servePeer(c, network, nil)
+		defer stop()
+		for range 2 {
+			incarnation, err := Ping(t.Context(), dialer, peer)
+			c.Assert(err, qt.IsNil)
+			c.Assert(incarnation, qt.Equals, peer.Incarnation)
+		}
+		c.Assert(network.dials.Load(), qt.Equals, int64(1))
+		network.cut.Load().silent.Store(true)
+		start := time.Now()
+		_, err := Ping(t.Context(), dialer, peer)
+		c.Assert(err, qt.IsNotNil)
+		c.Assert(time.Since(start), qt.Equals, callTimeout)
+		_, err = Ping(t.Context(), dialer, peer)
+		c.Assert(err, qt.IsNil)
+		c.Assert(network.dials.Load(), qt.Equals, int64(2))
+	})
+}
+
+func forwardHead() *ForwardHead {
+	return &ForwardHead{
+		RequestID: "r1", Customer: "acme", Method: http.MethodPost, Path: "/bookings?x=1",
+		Header: http.Header{"Idempotency-Key": {"k"}}, Body: []byte(strings.Repeat("body", 50_000)), Hops: 1,
+	}
+}
+
+// TestForward checks what a forwarded request's sender learns in each way that it can end. A
+// planned stop of the serving instance must not cut the answer.
+func TestForward(t *testing.T) {
+	whole := func(ctx context.Context, w http.ResponseWriter, head *ForwardHead) verdict.Verdict {
+		w.Header().Set("Content-Type", "text/plain")
+		w.WriteHeader(http.StatusCreated)
+		for range 3 {
+			time.Sleep(5 * time.Second) // longer than frameTimeout: the keep-alives bridge it
+			_, _ = io.WriteString(w, head.Customer+strings.Repeat("x", 40_000))
+			w.(http.Flusher).Flush()
+		}
+		return verdict.Ran
+	}
+	for _, test := range []struct {
+		name    string
+		handler forwardFunc
+		silent  bool                                    // from the first dial
+		during  func(network *pipeNetwork, stop func()) // once the answer's head is in
+		verdict verdict.Verdict
+		reason  verdict.Reason // "" for a whole answer
+	}{
+		{"whole", whole, false, nil, verdict.Ran, ""},
+		{"stop meanwhile", whole, false, func(_ *pipeNetwork, stop func()) { go stop() }, verdict.Ran, ""},
+		{"unreachable", whole, true, nil, verdict.NotRun, verdict.RetrySilent},
+		{"path lost within the answer", whole, false, func(n *pipeNetwork, _ func()) { n.cut.Load().silent.Store(true) }, verdict.MayHaveRun, verdict.RetrySilent},
+		{"link reset within the answer", whole, false, func(n *pipeNetwork, _ func()) { n.cut.Load().Close() }, verdict.MayHaveRun, verdict.RetryConnection},
+		{"aborted", func(_ context.Context, w http.ResponseWriter, _ *ForwardHead) verdict.Verdict {
+			_, _ = io.WriteString(w, "part")
+			panic(http.ErrAbortHandler)
+		}, false, nil, verdict.MayHaveRun, verdict.RetryConnection},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				network := newPipeNetwork()
+				network.silent.Store(test.silent)
+				dialer, stop := servePeer(c, network, test.handler)
+				stopped := false
+				answer, err := NewForwardClient(dialer).Forward(t.Context(), peer, forwardHead())
+				if err == nil && test.during != nil {
+					test.during(network, func() { stopped = true; stop() })
+				}
+				var body []byte
+				if err == nil {
+					body, err = io.ReadAll(answer.Body)
+				}
+				if test.reason == "" {
+					c.Assert(err, qt.IsNil)
+					c.Assert(answer.Status, qt.Equals, http.StatusCreated)
+					c.Assert(len(body), qt.Equals, 3*40_004)
+					c.Assert(ForwardVerdict(answer), qt.Equals, test.verdict)
+				} else {
+					var failure *Failure
+					c.Assert(errors.As(err, &failure), qt.IsTrue, qt.Commentf("%v", err))
+					c.Assert(failure.Verdict, qt.Equals, test.verdict)
+					c.Assert(failure.Reason, qt.Equals, test.reason)
+				}
+				if answer != nil {
+					answer.Body.Close()
+				}
+				if !stopped {
+					stop()
+				}
+				synctest.Wait()
+			})
+		})
+	}
+}
