entry: whole answers, sessions, cascades, claims, forwarding, planned stop

Cause: the thin path made one attempt, believed any answer, delivered events that a cut had truncated, and knew neither services, sessions, claims nor a planned stop.

Change: one flow for chat and one for services over a shared work (place with the last check at dispatch, dispatch, settle, decide.Retry). An answer counts only if it names its own attempt and the version asked; a stream only with [DONE], a body only at its length with usage. A begun stream that breaks is resumed if the engine declares it, else ends in an error event with a verdict. The end is released after the bill. Non-idempotent requests are dispatched once, after a claim if they carry a key, and finished although the caller leaves. Records of recent requests explain what was decided.

--- /dev/null
+++ b/entry/body.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+// readBody reads a caller's body within the limits of size and time.
+func (s *Server) readBody(c echo.Context) ([]byte, error) {
+	request := c.Request()
+	if request.ContentLength > s.MaxBodyBytes {
+		return nil, verdict.Refuse(verdict.BodyTooLarge, "the body is larger than %d bytes", s.MaxBodyBytes)
+	}
+	control := http.NewResponseController(c.Response().Writer)
+	// Forwarded requests and test recorders have no connection of their own to bound.
+	_ = control.SetReadDeadline(time.Now().Add(s.Settings.bodyTimeout()))
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), request.Body, s.MaxBodyBytes))
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	// net/http goes on reading to notice that the caller has left; that must not time out.
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+func bodyError(err error) error {
+	var tooLarge *http.MaxBytesError
+	var timeout net.Error
+	switch {
+	case errors.As(err, &tooLarge):
+		return verdict.Refuse(verdict.BodyTooLarge, "the body is larger than %d bytes", tooLarge.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
+		return verdict.Refuse(verdict.CallerTooSlow, "the body did not arrive in time")
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF), errors.Is(err, context.Canceled),
+		errors.As(err, &timeout), errors.Is(err, net.ErrClosed):
+		return verdict.Refuse(verdict.CallerGone, "the body did not arrive whole")
+	default:
+		return verdict.Refuse(verdict.BadRequest, "the body can't be read: %v", err)
+	}
+}
+
+// checkTarget refuses request targets that an endpoint could read otherwise than the router did.
+func checkTarget(request *http.Request) error {
+	target := request.URL.Path
+	if strings.ContainsFunc(target, func(r rune) bool { return r < ' ' || r == 0x7f || r == '\\' }) {
+		return verdict.Refuse(verdict.BadRequest, "the path holds control characters or backslashes")
+	}
+	clean := path.Clean("/" + target)
+	if strings.HasSuffix(target, "/") && clean != "/" {
+		clean += "/"
+	}
+	if clean != target {
+		return verdict.Refuse(verdict.BadRequest, "the path holds dot segments or empty segments")
+	}
+	return nil
+}
+
+// checkHeader refuses headers that two readers could understand in two ways. net/http has already
+// refused invalid names and values, differing lengths and unknown transfer encodings.
+func checkHeader(request *http.Request) error {
+	for _, name := range []string{"Content-Length", "Content-Type", "Host", "Idempotency-Key", "Authorization"} {
+		if len(request.Header[name]) > 1 {
+			return verdict.Refuse(verdict.BadRequest, "the header %s stands more than once", name)
+		}
+	}
+	for _, values := range request.Header {
+		for _, value := range values {
+			if strings.ContainsAny(value, "\r\n\x00") {
+				return verdict.Refuse(verdict.BadRequest, "a header value holds a line break")
+			}
+		}
+	}
+	return nil
+}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -1,149 +1,156 @@
 package entry
 
 import (
-	"encoding/json"
-	"errors"
-	"io"
+	"context"
 	"net/http"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 
 	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/decide"
 	"plumbarrow.example/plumbarrow/internal/openai"
-	"plumbarrow.example/plumbarrow/ledger"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/verdict"
 )
 
-// bytesPerToken estimates prompt tokens before an engine has counted them.
-const bytesPerToken = 4
+const chatPath = "/v1/chat/completions"
+
+// chatFlow is one chat request.
+type chatFlow struct {
+	*work
+	context echo.Context
+	chat    *openai.ChatBody
+	live    *liveSink // nil for an answer that is not streamed
+	// abandoned says that the caller left within a stream.
+	abandoned bool
+}
 
 func (s *Server) chat(c echo.Context) error {
-	snapshot, customer, err := s.customer(c)
+	snapshot, customer, err := s.authenticate(c)
 	if err != nil {
 		return err
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, s.MaxBodyBytes))
+	if err := checkHeader(c.Request()); err != nil {
+		return err
+	}
+	body, err := s.readBody(c)
 	if err != nil {
-		return bodyError(err)
+		return err
 	}
-	var chat openai.ChatRequest
-	if err := json.Unmarshal(body, &chat); err != nil {
+	chat, err := openai.ParseChat(body)
+	if err != nil {
 		return verdict.Refuse(verdict.BadRequest, "the body is not a chat request: %v", err)
 	}
-	route, known := snapshot.ModelRoute(chat.Model, customer.Name)
+	route, known := snapshot.ModelRoute(chat.Read.Model, customer.Name)
 	if !known {
-		return verdict.Refuse(verdict.UnknownModel, "model %q is not known", chat.Model)
+		return verdict.Refuse(verdict.UnknownModel, "model %q is not known", chat.Read.Model)
 	}
 	if route == nil {
-		return verdict.Refuse(verdict.ModelNotAllowed, "customer %s may not use model %s", customer.Name, chat.Model)
+		return verdict.Refuse(verdict.ModelNotAllowed, "customer %s may not use model %s", customer.Name, chat.Read.Model)
+	}
+	if err := s.confirmed(route); err != nil {
+		return err
+	}
+	request := s.newRequest(c, customer, route, len(body))
+	request.MaxOutputTokens = max(chat.Read.MaxTokens, chat.Read.MaxCompletionTokens)
+	session, err := readSession(c.Request().Header.Get(link.HeaderSession), customer,
+		signingKeys(&snapshot.Document.Sessions), s.Pins, time.Now())
+	if err != nil {
+		return err
 	}
+	flow := &chatFlow{work: s.newWork(snapshot, request, session, &exchangeOf(c).record), context: c, chat: chat}
+	if !snapshot.ZoneInService(s.Self.Zone) {
+		return s.forward(flow.work, c, "", body)
+	}
+	if err := flow.serve(c.Request().Context()); err != nil {
+		if elsewhere := forwardZone(err); elsewhere != "" {
+			return s.forward(flow.work, c, elsewhere, body)
+		}
+		return flow.broken(err)
+	}
+	return nil
+}
+
+func (s *Server) newRequest(c echo.Context, customer *contract.Customer, route *contract.Route, bodyBytes int) *decide.Request {
 	now := time.Now()
-	request := &decide.Request{
-		ID:              requestID(c),
-		Customer:        customer,
-		Route:           route,
-		Method:          http.MethodPost,
-		Idempotent:      true,
-		PromptTokens:    len(body) / bytesPerToken,
-		MaxOutputTokens: max(chat.MaxTokens, chat.MaxCompletionTokens),
-		Arrived:         now,
-		Deadline:        now.Add(route.Deadline()),
-	}
-	return s.serveChat(c, snapshot, request, body, chat.Stream)
+	return &decide.Request{
+		ID:           requestID(c),
+		Customer:     customer,
+		Route:        route,
+		Method:       c.Request().Method,
+		Idempotent:   route.Idempotent(c.Request().Method),
+		PromptTokens: bodyBytes / bytesPerToken,
+		Arrived:      now,
+		Deadline:     now.Add(route.Deadline()),
+		Hops:         exchangeOf(c).record.Hops,
+	}
 }
 
-func bodyError(err error) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return verdict.Refuse(verdict.BodyTooLarge, "the body is larger than %d bytes", tooLarge.Limit)
+// broken ends an answer that has begun with an error event.
+func (f *chatFlow) broken(err error) error {
+	err = f.fail(err)
+	if f.live != nil && f.live.begun {
+		f.live.fail(err)
 	}
-	return verdict.Refuse(verdict.CallerGone, "the body did not arrive whole")
+	return err
 }
 
-// serveChat sends the request to one endpoint and streams the answer to the caller.
-func (s *Server) serveChat(c echo.Context, snapshot *contract.Snapshot, request *decide.Request, body []byte, stream bool) error {
-	settle, err := s.Bills.Admit(c.Request().Context(), request.Customer, 0)
+// serve runs the route's cascade and delivers its answer.
+func (f *chatFlow) serve(ctx context.Context) error {
+	settle, err := f.server.Bills.Admit(ctx, f.request.Customer, reserve(f.snapshot, f.request, f.server.Settings.MaxOutputTokens))
 	if err != nil {
 		return err
 	}
 	defer settle()
-	choice, err := s.choose(snapshot, request)
-	if err != nil {
-		return err
-	}
-	release, ok := s.Table.Acquire(choice.Endpoint)
-	if !ok {
-		return verdict.Refuse(verdict.NoEndpoint, "the endpoint's permits are taken")
-	}
-	defer release()
-	if refusal := decide.Dispatchable(s.Source.Current(), request, &choice); refusal != nil {
-		return refusal
-	}
-	attempt := &link.Attempt{
-		ID:         uuid.NewString(),
-		RequestID:  request.ID,
-		Endpoint:   choice.Endpoint,
-		Method:     request.Method,
-		Path:       c.Request().URL.RequestURI(),
-		Header:     http.Header{echo.HeaderContentType: {echo.MIMEApplicationJSON}},
-		Body:       body,
-		Idempotent: request.Idempotent,
-		FirstByte:  request.Route.Deadline(),
-		Progress:   request.Route.Progress(),
-	}
-	answer, err := s.Dispatcher.Do(c.Request().Context(), attempt)
-	if err != nil {
-		return err
+	if f.chat.Read.Stream {
+		f.live = newLiveSink(f.context, f.server.Settings.writeTimeout(), f.head)
 	}
-	defer answer.Body.Close()
-	if stream {
-		return s.relayStream(c, request, &choice, answer)
+	f.started()
+	return f.cascade(ctx)
+}
+
+// head sets the header of the answer, with the token that continues the session.
+func (f *chatFlow) head(t *trial) {
+	version := t.placed.choice.Version
+	f.session.keep(version)
+	sessions := &f.snapshot.Document.Sessions
+	header := f.context.Response().Header()
+	header.Set(link.HeaderVersion, version.String())
+	issued := f.session.issue(f.request.Customer.Name, signingKeys(sessions), sessionLifetime(sessions), time.Now())
+	if issued != "" {
+		header.Set(link.HeaderSession, issued)
 	}
-	return s.relayWhole(c, request, &choice, answer)
 }
 
-func (s *Server) choose(snapshot *contract.Snapshot, request *decide.Request) (decide.Choice, error) {
-	random := s.random()
-	pool := snapshot.Pools[request.Route.Pools[0]]
-	version, refusal := decide.Version(snapshot, request, pool, random)
-	if refusal != nil {
-		return decide.Choice{}, refusal
-	}
-	seen := &decide.Observation{
-		Now:  request.Arrived,
-		Zone: s.Self.Zone,
-		Pool: func(name string) decide.Candidates { return s.Table.Pool(name) },
-	}
-	choice, refusal := s.Picker.Pick(snapshot, request, pool.Name, version, seen, nil, random)
-	if refusal != nil {
-		return decide.Choice{}, refusal
-	}
-	return choice, nil
+// endLive sends what is held of a stream, and its end.
+func (f *chatFlow) endLive(answer *stepAnswer) error {
+	f.live.begin(answer.whole.trial)
+	if answer.held != nil {
+		for _, data := range answer.held.events {
+			if err := f.live.event(data, false); err != nil {
+				return err
+			}
+		}
+	}
+	return f.live.done()
 }
 
-// bill returns the bill of a whole answer.
-func bill(snapshot *contract.Snapshot, request *decide.Request, choice *decide.Choice, usage openai.Usage) ledger.Bill {
-	version := snapshot.Versions[choice.Version]
-	line := ledger.Line{
-		Version:      choice.Version,
-		Pool:         choice.Pool,
-		PromptTokens: usage.PromptTokens,
-		OutputTokens: usage.CompletionTokens,
-	}
-	if version != nil {
-		line.Micros = (usage.PromptTokens*version.PromptPrice + usage.CompletionTokens*version.OutputPrice) / tokensPerPrice
-	}
-	return ledger.Bill{
-		RequestID: request.ID,
-		Customer:  request.Customer.Name,
-		Route:     request.Route.Name,
-		Lines:     []ledger.Line{line},
-		At:        request.Arrived,
+// deliver bills the request and releases the answer, or its end if it was streamed live.
+func (f *chatFlow) deliver(ctx context.Context, answer *stepAnswer) error {
+	if err := f.bill(ctx); err != nil {
+		return err
 	}
+	f.record.Verdict = verdict.Ran
+	if f.live != nil {
+		return f.endLive(answer)
+	}
+	f.head(answer.whole.trial)
+	control := http.NewResponseController(f.context.Response().Writer)
+	_ = control.SetWriteDeadline(time.Now().Add(f.server.Settings.writeTimeout()))
+	if err := f.context.Blob(http.StatusOK, echo.MIMEApplicationJSON, answer.whole.body); err != nil {
+		return writeRefusal(err)
+	}
+	_ = control.SetWriteDeadline(time.Time{})
+	return nil
 }
-
-const tokensPerPrice = 1000 // prices are per 1,000 tokens
--- /dev/null
+++ b/entry/place.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/decide"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+// maxPlacements bounds the picks that fail without waiting: permits lost to others and versions
+// withdrawn meanwhile.
+const maxPlacements = 8
+
+// placement is an endpoint chosen for one attempt, with the permit to use it; or a zone that should
+// serve the request.
+type placement struct {
+	choice decide.Choice
+	permit machine.Permit
+}
+
+// place chooses version and endpoint in the pool and takes a permit, waiting in the queue while the
+// pool is full. Its last step checks the choice against the configuration in force at that moment.
+func (w *work) place(ctx context.Context, pool string) (*placement, error) {
+	var last *verdict.Refusal
+	for tries := 0; tries < maxPlacements; tries++ {
+		if ctx.Err() != nil {
+			return nil, verdict.Refuse(verdict.CallerGone, "the caller left")
+		}
+		if refusal := w.refresh(); refusal != nil {
+			return nil, refusal
+		}
+		choice, refusal := w.choose(ctx, pool)
+		if refusal != nil && refusal.Reason == verdict.NoEndpoint && w.server.Queue != nil {
+			if waited := w.wait(ctx, pool); waited != nil {
+				return nil, waited
+			}
+			tries--
+			continue
+		}
+		if refusal != nil {
+			return nil, refusal
+		}
+		if choice.Zone != "" {
+			return &placement{choice: choice}, nil
+		}
+		placed, refusal := w.acquire(ctx, choice)
+		if refusal == nil {
+			return placed, nil
+		}
+		last = refusal
+	}
+	return nil, last
+}
+
+// acquire takes a permit and then checks the choice for the last time before its dispatch.
+func (w *work) acquire(ctx context.Context, choice decide.Choice) (*placement, *verdict.Refusal) {
+	permit, refusal := w.server.Permits.Acquire(ctx, &choice.Endpoint)
+	if refusal != nil {
+		w.server.Counters.Retried(verdict.RetryPermit)
+		w.note(decide.Note{Stage: "permit", Endpoint: choice.Endpoint.ID, Reason: string(refusal.Reason)})
+		return nil, verdict.Refuse(verdict.NoEndpoint, "the endpoint's permits are taken")
+	}
+	if refusal := decide.Dispatchable(w.server.Source.Current(), w.request, &choice); refusal != nil {
+		permit.Done(machine.Result{})
+		w.server.Counters.Retried(verdict.RetryWithdrawn)
+		w.note(decide.Note{Stage: "dispatch", Endpoint: choice.Endpoint.ID, Reason: string(refusal.Reason)})
+		return nil, refusal
+	}
+	return &placement{choice: choice, permit: permit}, nil
+}
+
+func (w *work) wait(ctx context.Context, pool string) *verdict.Refusal {
+	w.note(decide.Note{Stage: "queue", Reason: "pool_full"})
+	priority := w.request.Customer.Priority + w.request.Route.Priority
+	return w.server.Queue.Wait(ctx, pool, priority, w.request.Deadline)
+}
+
+// choose picks a version of the pool's model and an endpoint that serves it.
+func (w *work) choose(ctx context.Context, name string) (decide.Choice, *verdict.Refusal) {
+	pool := w.snapshot.Pools[name]
+	if pool == nil {
+		return decide.Choice{}, verdict.Refuse(verdict.NoEndpoint, "pool %s is no longer configured", name)
+	}
+	version, refusal := w.chooseVersion(ctx, pool)
+	if refusal != nil {
+		return decide.Choice{}, refusal
+	}
+	choice, refusal := w.pick(name, version, w.excluded)
+	if refusal != nil && len(w.excluded) > 0 {
+		// Better an endpoint that failed once than none.
+		choice, refusal = w.pick(name, version, nil)
+	}
+	if refusal != nil {
+		return choice, refusal
+	}
+	w.note(choice.Notes...)
+	return choice, nil
+}
+
+func (w *work) pick(pool string, version contract.VersionID, excluded []machine.EndpointID) (decide.Choice, *verdict.Refusal) {
+	seen := &decide.Observation{
+		Now:  time.Now(),
+		Zone: w.server.Self.Zone,
+		Pool: func(name string) decide.Candidates { return w.server.Table.Pool(name) },
+	}
+	if w.server.Zones != nil && w.server.Forwarder != nil && w.request.Hops == 0 {
+		seen.Zones = w.server.Zones()
+	}
+	return w.server.Picker.Pick(w.snapshot, w.request, pool, version, seen, excluded, w.random)
+}
+
+func (w *work) chooseVersion(ctx context.Context, pool *contract.Pool) (contract.VersionID, *verdict.Refusal) {
+	if pool.Kind == contract.PoolService {
+		return contract.VersionID{}, nil
+	}
+	w.request.Pin = w.session.pin(pool.Model)
+	if w.resume != nil {
+		w.request.Pin = w.resume.version
+	}
+	version, refusal := decide.Version(w.snapshot, w.request, pool, w.random)
+	if refusal != nil {
+		return version, refusal
+	}
+	if w.resume != nil && version != w.resume.version {
+		return version, verdict.Refuse(verdict.VersionWithdrawn, "the stream's version %s is withdrawn", w.resume.version)
+	}
+	if w.session.bareID == "" || w.request.Pin != (contract.VersionID{}) {
+		return version, nil
+	}
+	if err := w.server.pinBare(ctx, w.request.Customer.Name, w.session, version); err != nil {
+		return version, verdict.Of(err)
+	}
+	w.request.Pin = w.session.pin(pool.Model)
+	return decide.Version(w.snapshot, w.request, pool, w.random)
+}
--- /dev/null
+++ b/entry/refuse.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"plumbarrow.example/plumbarrow/internal/openai"
+	"plumbarrow.example/plumbarrow/link"
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+// refuse answers an error as a typed refusal and counts it. An answer that has begun is broken off
+// instead, so that the caller cannot take it for whole.
+func (s *Server) refuse(err error, c echo.Context) {
+	refusal := asRefusal(err)
+	s.Counters.Refused(refusal.Reason)
+	exchangeOf(c).refused(refusal)
+	if c.Response().Committed {
+		return
+	}
+	if refusal.RetryAfter > 0 {
+		seconds := int64((refusal.RetryAfter + time.Second - 1) / time.Second)
+		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
+	}
+	_ = c.JSON(refusal.Reason.Status(), ErrorBody(refusal, requestID(c)))
+}
+
+// ErrorBody returns the JSON form of a refusal.
+func ErrorBody(refusal *verdict.Refusal, requestID string) openai.ErrorBody {
+	return openai.ErrorBody{Error: openai.ErrorDetail{
+		Message:      refusal.Detail,
+		Type:         "plumbarrow_refusal",
+		Code:         string(refusal.Reason),
+		Verdict:      refusal.Verdict.String(),
+		Reason:       string(refusal.Reason),
+		RetryAfterMS: refusal.RetryAfter.Milliseconds(),
+		RequestID:    requestID,
+	}}
+}
+
+func asRefusal(err error) *verdict.Refusal {
+	var failure *link.Failure
+	if errors.As(err, &failure) {
+		return refusalOf(failure)
+	}
+	var httpError *echo.HTTPError
+	if errors.As(err, &httpError) {
+		reason := verdict.UnknownRoute
+		if httpError.Code == http.StatusBadRequest {
+			reason = verdict.BadRequest
+		}
+		return verdict.Refuse(reason, "%v", httpError.Message)
+	}
+	return verdict.Of(err)
+}
+
+// refusalOf words a failed attempt for the caller.
+func refusalOf(failure *link.Failure) *verdict.Refusal {
+	refusal := &verdict.Refusal{
+		Verdict:    failure.Verdict,
+		Reason:     verdict.UpstreamError,
+		Detail:     "the endpoint failed: " + string(failure.Reason),
+		RetryAfter: failure.RetryAfter,
+	}
+	switch failure.Reason {
+	case verdict.RetryTruncated, verdict.RetryConnection, verdict.RetrySilent:
+		refusal.Reason = verdict.UpstreamTruncated
+	case verdict.RetryWrongVersion:
+		refusal.Reason = verdict.VersionMismatch
+	case verdict.RetryWrongAttempt:
+		refusal.Reason = verdict.AttemptMismatch
+	case verdict.RetryUnavailable, verdict.RetryOverloaded, verdict.RetryNotSent:
+		refusal.Reason = verdict.NoEndpoint
+	}
+	return refusal
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"errors"
+	"time"
+)
+
+// Settings bound what callers and answers may take.
+type Settings struct {
+	// BodyTimeoutMS is the time in milliseconds within which a caller must have sent its request
+	// body. Default 30,000.
+	BodyTimeoutMS int `toml:"body_timeout_ms"`
+	// WriteTimeoutMS is the longest time in milliseconds that a caller may leave a part of its
+	// answer unread. Default 30,000.
+	WriteTimeoutMS int `toml:"write_timeout_ms"`
+	// MaxAnswerBytes bounds an answer that is held in memory: a chat completion that is not
+	// streamed, or a judged one. Default 16,777,216.
+	MaxAnswerBytes int64 `toml:"max_answer_bytes"`
+	// ExplainRecords is the number of recent requests whose decisions can be explained.
+	// Default 4,096.
+	ExplainRecords int `toml:"explain_records"`
+	// QuietMS is the time in milliseconds without a request in progress after which a planned stop
+	// is complete. Default 500.
+	QuietMS int `toml:"quiet_ms"`
+	// MaxOutputTokens is the number of output tokens reserved for a chat request that does not
+	// bound them. Default 1,024.
+	MaxOutputTokens int `toml:"max_output_tokens"`
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		BodyTimeoutMS:   30_000,
+		WriteTimeoutMS:  30_000,
+		MaxAnswerBytes:  16 << 20,
+		ExplainRecords:  4_096,
+		QuietMS:         500,
+		MaxOutputTokens: 1_024,
+	}
+}
+
+// Validate returns an error that names the first field out of range.
+func (s Settings) Validate() error {
+	switch {
+	case s.BodyTimeoutMS < 1 || s.WriteTimeoutMS < 1:
+		return errors.New("body_timeout_ms and write_timeout_ms must be positive")
+	case s.MaxAnswerBytes < 1:
+		return errors.New("max_answer_bytes must be positive")
+	case s.ExplainRecords < 0 || s.QuietMS < 0:
+		return errors.New("explain_records and quiet_ms must not be negative")
+	case s.MaxOutputTokens < 1:
+		return errors.New("max_output_tokens must be positive")
+	}
+	return nil
+}
+
+func (s Settings) bodyTimeout() time.Duration  { return millis(s.BodyTimeoutMS) }
+func (s Settings) writeTimeout() time.Duration { return millis(s.WriteTimeoutMS) }
+func (s Settings) quiet() time.Duration        { return millis(s.QuietMS) }
+
+func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
