quality: learn pass chances and steer a route's threshold to its target

Cause: nothing rated answers; a cascade accepted at the target itself, which delivers far better answers than asked for at the price of more escalations.

Change: a learner with fading score histograms per route, kind and step that shrink towards the configured quality; a threshold that follows the delivered scores; while the rater is out, a mix of steps that holds the target by what was learned; a judge with a bounded queue, a fixed number of workers and a breaker.

--- a/decide/cascade.go
+++ b/decide/cascade.go
@@ -51,6 +51,8 @@
 type Step struct {
 	Index int
 	Pool  string
+	// Version that answered; the entry instance sets it before the answer is judged.
+	Version contract.VersionID
 	// Judge says that the answer is held back until it is rated; false for the last step.
 	Judge bool
 	// Accept is the lowest score at which a judged answer is delivered.
--- /dev/null
+++ b/quality/judge_test.go
@@ -0,0 +1,175 @@
+package quality_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/decide"
+	"plumbarrow.example/plumbarrow/internal/telemetry"
+	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/quality"
+)
+
+type fixed struct{ snapshot *contract.Snapshot }
+
+func (f fixed) Current() *contract.Snapshot { return f.snapshot }
+
+func cascade(target float64) *contract.Snapshot {
+	one := 1.0
+	snapshot, err := contract.Build(&contract.Document{
+		Zones:     []contract.Zone{{Name: "nbo-a", Region: "nairobi"}},
+		Customers: []contract.Customer{{Name: "acme", KeyHashes: []string{contract.HashKey("k")}, Models: []string{"small", "large"}}},
+		Models: []contract.Model{
+			{Name: "small", Versions: []contract.ModelVersion{{Name: "v1", State: contract.VersionActive, Weight: &one, Quality: 0.6, OutputPrice: 100}}},
+			{Name: "large", Versions: []contract.ModelVersion{{Name: "v1", State: contract.VersionActive, Weight: &one, Quality: 0.9, OutputPrice: 1000}}},
+		},
+		Pools:  []contract.Pool{{Name: "cheap", Kind: contract.PoolEngine, Model: "small", Routes: []string{"assistant"}}, {Name: "good", Kind: contract.PoolEngine, Model: "large", Routes: []string{"assistant"}}},
+		Routes: []contract.Route{{Name: "assistant", Customers: []string{"acme"}, Model: "assistant", Pools: []string{"cheap", "good"}, QualityTarget: target}},
+	}, 1)
+	if err != nil {
+		panic(err)
+	}
+	return snapshot
+}
+
+// rater answers with a score after a delay, or fails, or says nothing until its caller gives up.
+type rater struct {
+	delay  time.Duration
+	down   atomic.Bool
+	silent bool
+	calls  atomic.Int64
+}
+
+func (r *rater) Rate(ctx context.Context, id, _, _ string) (platform.Rating, error) {
+	r.calls.Add(1)
+	if r.silent {
+		<-ctx.Done()
+		return platform.Rating{}, ctx.Err()
+	}
+	select {
+	case <-time.After(r.delay):
+	case <-ctx.Done():
+		return platform.Rating{}, ctx.Err()
+	}
+	if r.down.Load() {
+		return platform.Rating{}, errors.New("down")
+	}
+	return platform.Rating{RequestID: id, Score: 0.9}, nil
+}
+
+// judged runs f with a judge over the rater in virtual time.
+func judged(t *testing.T, r *rater, f func(c *qt.C, judge *quality.RaterJudge, request *decide.Request, step decide.Step)) {
+	synctest.Test(t, func(t *testing.T) {
+		snapshot := cascade(0.8)
+		judge := quality.NewJudge(quality.DefaultSettings(), fixed{snapshot}, r, nil, telemetry.New(), slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- judge.Run(ctx) }()
+		request := &decide.Request{ID: "r1", Route: snapshot.Routes["assistant"], PromptTokens: 100, Arrived: time.Now()}
+		f(qt.New(t), judge, request, decide.Step{Pool: "cheap", Judge: true, Accept: 0.8})
+		cancel()
+		<-done
+	})
+}
+
+func within(limit time.Duration, judge *quality.RaterJudge, request *decide.Request, step decide.Step) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	_, rated := judge.Rate(ctx, request, step, "prompt", "answer")
+	return rated
+}
+
+// TestLateRatingIsLearned: a rating that comes after its request was served still counts.
+func TestLateRatingIsLearned(t *testing.T) {
+	judged(t, &rater{delay: 2 * time.Second}, func(c *qt.C, judge *quality.RaterJudge, request *decide.Request, step decide.Step) {
+		c.Assert(within(time.Second, judge, request, step), qt.IsFalse)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		_, ratings := judge.PassChance("assistant", decide.KindOf(request), 0)
+		c.Assert(ratings, qt.Equals, 1)
+	})
+}
+
+// TestRaterOutAndBack: a rater that is down is left alone, cascades run on what was learned, and
+// samples find out when it is back.
+func TestRaterOutAndBack(t *testing.T) {
+	one := &rater{}
+	judged(t, one, func(c *qt.C, judge *quality.RaterJudge, request *decide.Request, step decide.Step) {
+		one.down.Store(true)
+		for range 100 {
+			within(time.Second, judge, request, step)
+		}
+		c.Assert(one.calls.Load(), qt.Equals, int64(5))
+		plan := judge.Plan(nil, request.Route, decide.KindOf(request))
+		c.Assert(plan.Blind, qt.IsTrue)
+		c.Assert(plan.Unrated > 0.3 && plan.Unrated < 0.4, qt.IsTrue, qt.Commentf("(0.9-0.8)/(0.9-0.6), got %g", plan.Unrated))
+		one.down.Store(false)
+		time.Sleep(6 * time.Second)
+		judge.Sample(request, step, "prompt", "answer")
+		synctest.Wait()
+		c.Assert(judge.Plan(nil, request.Route, decide.KindOf(request)).Blind, qt.IsFalse)
+	})
+}
+
+// TestSilentRaterIsBounded: a rater that never answers costs a bounded number of calls and no wait
+// beyond the request's own.
+func TestSilentRaterIsBounded(t *testing.T) {
+	one := &rater{silent: true}
+	judged(t, one, func(c *qt.C, judge *quality.RaterJudge, request *decide.Request, step decide.Step) {
+		for range 1000 {
+			judge.Sample(request, step, "prompt", "answer")
+			within(time.Millisecond, judge, request, step)
+		}
+		c.Assert(one.calls.Load() <= 8, qt.IsTrue, qt.Commentf("%d calls", one.calls.Load()))
+	})
+}
+
+// TestTargetIsHeld runs cascades whose cheap step turns worse half-way, and checks that the mean of
+// what is delivered stays within a point of the target in both halves while fewer requests than
+// all pay for the good step.
+func TestTargetIsHeld(t *testing.T) {
+	const target, n = 0.8, 20_000
+	c := qt.New(t)
+	snapshot := cascade(target)
+	learner := quality.NewLearner(quality.DefaultSettings(), fixed{snapshot})
+	route := snapshot.Routes["assistant"]
+	random := rand.New(rand.NewPCG(1, 1))
+	clamp := func(x float64) float64 { return min(max(x, 0), 1) }
+	for _, cheapMean := range []float64{0.75, 0.55} {
+		var sum float64
+		good := 0
+		for range n {
+			request := &decide.Request{Route: route, PromptTokens: 100, Deadline: time.Unix(10, 0)}
+			step := decide.FirstStep(snapshot, request, learner, time.Unix(0, 0), random)
+			score := clamp(0.9 + 0.05*random.NormFloat64())
+			if step.Judge {
+				cheap := clamp(cheapMean + 0.15*random.NormFloat64())
+				learner.Learn("assistant", decide.KindOf(request), 0, cheap)
+				if _, deliver := decide.NextStep(snapshot, request, step, cheap, true, time.Unix(1, 0)); deliver {
+					learner.Delivered(route, cheap)
+					sum += cheap
+					continue
+				}
+			}
+			good++
+			sum += score
+			if random.Float64() < 0.05 {
+				learner.Learn("assistant", decide.KindOf(request), 1, score)
+			}
+			learner.Delivered(route, learner.Mean("assistant", decide.KindOf(request), 1))
+		}
+		mean := sum / n
+		c.Assert(mean > target-0.01 && mean < target+0.01, qt.IsTrue, qt.Commentf("cheap mean %g: delivered mean %.4f", cheapMean, mean))
+		c.Assert(good < n*9/10, qt.IsTrue, qt.Commentf("%d of %d paid for the good step", good, n))
+		c.Logf("cheap mean %g: delivered mean %.4f, good step %.1f%%", cheapMean, mean, 100*float64(good)/n)
+	}
+}
