rollout: shared sequential evidence, quarantine, withdrawal, driven roll-outs

Cause: nothing compared a version with its predecessor, and nothing moved a roll-out along or undid it.

Change: per-incarnation tallies, larger one wins, zone sums between zones; a mixture e-process over the merged counts; a guard that quarantines at once and proposes the withdrawal by a stable change id; records in the store, a driver under one lease, orders with its fence, waiting out the old lease and the longest order for engines that ignore fences, one budget of loads.

Not proved: a holder paused for longer than lease plus order between its last check and the send can still reach an engine that ignores fences.

--- /dev/null
+++ b/rollout/evalue.go
@@ -0,0 +1,93 @@
+package rollout
+
+import "math"
+
+// arm is what was seen of one version by one measure: n outcomes between 0 and 1 and their sum, of
+// which lower is better.
+type arm struct{ n, sum float64 }
+
+// worse measures the evidence that the mean of next exceeds that of previous by more than margin.
+// It returns the logarithm of an e-process: under the hypothesis that it does not, the chance that
+// the value ever reaches log(1/a) is at most a, however often it is looked at. The value depends on
+// the counts alone, so it may be worked out from merged, lagging counts.
+//
+// Each arm contributes a mixture likelihood ratio against its hypothetical mean (Robbins, 1970;
+// Howard et al., 2021, for outcomes between 0 and 1), their product is an e-process for a pair of
+// means (Turner, Ly and Grünwald, 2021), and the least product over all pairs of the hypothesis is
+// one for the hypothesis as a whole.
+func worse(previous, next arm, margin float64) float64 {
+	if previous.n == 0 || next.n == 0 {
+		return 0
+	}
+	mixture := logMixture(previous) + logMixture(next)
+	product := func(mean float64) float64 {
+		other := min(mean+margin, 1)
+		if next.sum <= other*next.n {
+			other = next.sum / next.n
+		}
+		return mixture - logLikelihood(previous, mean) - logLikelihood(next, other)
+	}
+	return product(minimize(product))
+}
+
+// logMixture is the logarithm of the likelihood averaged over Jeffreys' prior for the mean.
+func logMixture(a arm) float64 {
+	const half = 0.5
+	return logBeta(a.sum+half, a.n-a.sum+half) - logBeta(half, half)
+}
+
+func logBeta(a, b float64) float64 {
+	la, _ := math.Lgamma(a)
+	lb, _ := math.Lgamma(b)
+	lab, _ := math.Lgamma(a + b)
+	return la + lb - lab
+}
+
+func logLikelihood(a arm, mean float64) float64 {
+	return xlogy(a.sum, mean) + xlogy(a.n-a.sum, 1-mean)
+}
+
+func xlogy(x, y float64) float64 {
+	if x == 0 {
+		return 0
+	}
+	return x * math.Log(y)
+}
+
+// minimize returns the argument between 0 and 1 at which a convex function is least, by golden
+// section search.
+func minimize(f func(float64) float64) float64 {
+	const (
+		ratio = 0.6180339887498949
+		steps = 48 // an interval of 1e-10
+	)
+	low, high := 0.0, 1.0
+	a, b := high-ratio*(high-low), low+ratio*(high-low)
+	fa, fb := f(a), f(b)
+	for range steps {
+		if fa < fb {
+			high, b, fb = b, a, fa
+			a = high - ratio*(high-low)
+			fa = f(a)
+			continue
+		}
+		low, a, fa = a, b, fb
+		b = low + ratio*(high-low)
+		fb = f(b)
+	}
+	return (low + high) / 2
+}
+
+// meanExp is the logarithm of the mean of e-processes given by their logarithms; it is an
+// e-process itself.
+func meanExp(logs ...float64) float64 {
+	top := math.Inf(-1)
+	for _, one := range logs {
+		top = max(top, one)
+	}
+	var sum float64
+	for _, one := range logs {
+		sum += math.Exp(one - top)
+	}
+	return top + math.Log(sum/float64(len(logs)))
+}
--- /dev/null
+++ b/rollout/record.go
@@ -0,0 +1,204 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/platform"
+)
+
+// RecordPrefix is where the store keeps the records of roll-outs.
+const RecordPrefix = "plumbarrow/rollouts/"
+
+// State is how far a roll-out has come.
+type State string
+
+// States of a roll-out.
+const (
+	Running State = "running"
+	Done    State = "done"
+	// Failed: the version was withdrawn meanwhile; engines go back to the predecessor.
+	Failed State = "failed"
+	// Aborted by an operator; weights and engines go back to the predecessor.
+	Aborted State = "aborted"
+)
+
+// Stage is a share of new sessions and what must be seen before the next stage.
+type Stage struct {
+	// Share of the two versions' new sessions, above 0 and at most 1.
+	Share float64 `json:"share"`
+	// Hold is the least time in this stage.
+	Hold time.Duration `json:"hold_ns"`
+	// Attempts of the new version to be seen in this stage.
+	Attempts uint64 `json:"attempts"`
+}
+
+// Record is a roll-out as the store keeps it. Whoever holds the driver's lease goes on from it.
+type Record struct {
+	ID          string             `json:"id"`
+	Version     contract.VersionID `json:"version"`
+	Predecessor contract.VersionID `json:"predecessor"`
+	Pool        string             `json:"pool"`
+	Stages      []Stage            `json:"stages"`
+	State       State              `json:"state"`
+	// Current stage; its weights are in force since Since, or not yet if Since is zero.
+	Current int       `json:"current"`
+	Since   time.Time `json:"since"`
+	// RolledBack says that a failed or aborted roll-out has been undone.
+	RolledBack bool `json:"rolled_back"`
+	// OrderFence is the fence of the driver that last gave orders to engines; 0 for none. It is
+	// written before its first order.
+	OrderFence uint64 `json:"order_fence"`
+	// Fence and Holder of the last driver that wrote the record.
+	Fence  uint64              `json:"fence"`
+	Holder machine.Incarnation `json:"holder"`
+}
+
+// Validate returns an error that names the first field out of range.
+func (r *Record) Validate() error {
+	if r.ID == "" || r.Pool == "" || len(r.Stages) == 0 {
+		return errors.New("a roll-out needs an id, a pool and stages")
+	}
+	if r.Version.Model != r.Predecessor.Model || r.Version == r.Predecessor {
+		return errors.New("version and predecessor must be two versions of one model")
+	}
+	previous := 0.0
+	for i, stage := range r.Stages {
+		if stage.Share <= previous || stage.Share > 1 {
+			return fmt.Errorf("stage %d: shares must grow and be at most 1", i+1)
+		}
+		previous = stage.Share
+	}
+	return nil
+}
+
+// finished says whether nothing is left to do.
+func (r *Record) finished() bool {
+	return r.State == Done || r.State != Running && r.RolledBack
+}
+
+// ErrSuperseded means that a driver with a higher fence has taken the record over.
+var ErrSuperseded = errors.New("roll-out taken over by another driver")
+
+// Records keeps roll-outs in the platform's store.
+type Records struct{ store platform.Store }
+
+// NewRecords returns the records of a store.
+func NewRecords(store platform.Store) *Records { return &Records{store} }
+
+// stored is a record with the store's version of it.
+type stored struct {
+	Record
+	version platform.Version
+}
+
+// Start creates a record. A lost answer is resolved by reading back.
+func (r *Records) Start(ctx context.Context, record Record) error {
+	record.State = Running
+	if err := record.Validate(); err != nil {
+		return err
+	}
+	return r.write(ctx, stored{Record: record})
+}
+
+// List returns all roll-outs in the order of their ids.
+func (r *Records) List(ctx context.Context) ([]Record, error) {
+	all, err := r.list(ctx)
+	records := make([]Record, len(all))
+	for i := range all {
+		records[i] = all[i].Record
+	}
+	return records, err
+}
+
+func (r *Records) list(ctx context.Context) ([]stored, error) {
+	entries, err := r.store.List(ctx, RecordPrefix)
+	if err != nil {
+		return nil, err
+	}
+	all := make([]stored, 0, len(entries))
+	for _, entry := range entries {
+		record, err := decode(entry)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, record)
+	}
+	return all, nil
+}
+
+// Abort ends a running roll-out; its driver then undoes it.
+func (r *Records) Abort(ctx context.Context, id string) error {
+	return r.set(ctx, id, func(record *Record) error {
+		if record.State == Done {
+			return errors.New("the roll-out is done")
+		}
+		record.State, record.RolledBack = Aborted, false
+		return nil
+	})
+}
+
+// Resume sets an aborted or failed roll-out going again from its first stage.
+func (r *Records) Resume(ctx context.Context, id string) error {
+	return r.set(ctx, id, func(record *Record) error {
+		if record.State == Running || record.State == Done {
+			return fmt.Errorf("the roll-out is %s", record.State)
+		}
+		record.State, record.Current, record.Since, record.RolledBack = Running, 0, time.Time{}, false
+		return nil
+	})
+}
+
+const setAttempts = 5 // lost races with the driver
+
+// set applies an operator's change, again after a lost race.
+func (r *Records) set(ctx context.Context, id string, change func(*Record) error) error {
+	for range setAttempts {
+		entry, err := r.store.Get(ctx, RecordPrefix+id)
+		if err != nil {
+			return err
+		}
+		record, err := decode(entry)
+		if err != nil {
+			return err
+		}
+		if err := change(&record.Record); err != nil {
+			return err
+		}
+		if err := r.write(ctx, record); !errors.Is(err, platform.ErrConflict) {
+			return err
+		}
+	}
+	return platform.ErrConflict
+}
+
+// write swaps a record in; an unknown outcome is resolved by comparing what the store holds.
+func (r *Records) write(ctx context.Context, record stored) error {
+	value, err := json.Marshal(record.Record)
+	if err != nil {
+		return err
+	}
+	key := RecordPrefix + record.ID
+	_, err = r.store.Swap(ctx, key, record.version, value)
+	if !errors.Is(err, platform.ErrOutcomeUnknown) {
+		return err
+	}
+	entry, readErr := r.store.Get(ctx, key)
+	if readErr == nil && string(entry.Value) == string(value) {
+		return nil
+	}
+	return err
+}
+
+func decode(entry platform.Entry) (stored, error) {
+	record := stored{version: entry.Version}
+	if err := json.Unmarshal(entry.Value, &record.Record); err != nil {
+		return record, fmt.Errorf("roll-out record %s: %w", entry.Key, err)
+	}
+	return record, nil
+}
