contract: list settled restrictive orders in the document

Cause: an order given without the store must end by an accepted document and by nothing else. Change: Document.Orders lists the ids of settled orders; additive.

--- a/contract/document.go
+++ b/contract/document.go
@@ -11,6 +11,7 @@
 	Pools     []Pool     `toml:"pools"`
 	Routes    []Route    `toml:"routes"`
 	Sessions  Sessions   `toml:"sessions"`
+	Orders    Orders     `toml:"orders"`
 }
 
 // Zone is a data centre.
