--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -58,7 +58,7 @@
 		log:        log,
 		counters:   counters,
 		replica:    replica.New(store, log),
-		membership: zone.NewMembership(self, list, log),
+		membership: zone.NewMembership(zone.DefaultSettings(), self, list, log),
 		table:      machine.NewTable(),
 		peers:      drpcmux.New(),
 	}
--- /dev/null
+++ b/zone/order.go
@@ -0,0 +1,103 @@
+package zone
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"plumbarrow.example/plumbarrow/contract"
+)
+
+// OrderID names an order: the revision in force where it was given, a dot and a random part.
+type OrderID string
+
+// Order restricts a zone or a version until an accepted document lists its id as cleared.
+type Order struct {
+	ID      OrderID
+	Zone    string             // set for an order that takes a zone out of service
+	Version contract.VersionID // set for an order that withdraws a version
+}
+
+func newOrderID(base contract.Revision) OrderID {
+	return OrderID(fmt.Sprintf("%d.%s", base, uuid.NewString()))
+}
+
+// Base returns the revision in force where the order was given; 0 for a malformed id.
+func (id OrderID) Base() contract.Revision {
+	text, _, _ := strings.Cut(string(id), ".")
+	base, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return contract.Revision(base)
+}
+
+// sameTarget says whether both orders restrict the same zone or version.
+func (o Order) sameTarget(other Order) bool {
+	return o.Zone == other.Zone && o.Version == other.Version
+}
+
+// cleared says whether the document has settled the order.
+func cleared(orders *contract.Orders, id OrderID) bool {
+	return id.Base() < orders.ClearedBefore || slices.Contains(orders.Cleared, string(id))
+}
+
+// maxCleared bounds the ids listed in a document. Beyond it the oldest are dropped and every
+// order given before them counts as cleared.
+const maxCleared = 64
+
+// Settle edits a document so that it holds what the orders say and lists them as cleared. The
+// caller proposes the document as the next revision.
+func Settle(document *contract.Document, orders []Order) {
+	for _, order := range orders {
+		setZone(document, order.Zone, true)
+		withdraw(document, order.Version)
+		clearOrder(&document.Orders, order.ID)
+	}
+}
+
+// BringBack edits a document so that the zone is in service and the orders known to take it out
+// are cleared. An order that is not among them, given elsewhere meanwhile, stays in force.
+func BringBack(document *contract.Document, zone string, orders []Order) {
+	setZone(document, zone, false)
+	for _, order := range orders {
+		if order.Zone == zone {
+			clearOrder(&document.Orders, order.ID)
+		}
+	}
+}
+
+func setZone(document *contract.Document, name string, out bool) {
+	for i := range document.Zones {
+		if document.Zones[i].Name == name {
+			document.Zones[i].OutOfService = out
+		}
+	}
+}
+
+func withdraw(document *contract.Document, id contract.VersionID) {
+	for i := range document.Models {
+		for j := range document.Models[i].Versions {
+			if document.Models[i].Name == id.Model && document.Models[i].Versions[j].Name == id.Name {
+				document.Models[i].Versions[j].State = contract.VersionWithdrawn
+			}
+		}
+	}
+}
+
+func clearOrder(orders *contract.Orders, id OrderID) {
+	if cleared(orders, id) {
+		return
+	}
+	orders.Cleared = append(slices.Clone(orders.Cleared), string(id))
+	for len(orders.Cleared) > maxCleared {
+		oldest := slices.MinFunc(orders.Cleared, func(a, b string) int {
+			return int(int64(OrderID(a).Base()) - int64(OrderID(b).Base()))
+		})
+		orders.ClearedBefore = max(orders.ClearedBefore, OrderID(oldest).Base()+1)
+		orders.Cleared = slices.DeleteFunc(orders.Cleared, func(one string) bool { return OrderID(one).Base() < orders.ClearedBefore })
+	}
+}
