--- a/contract/document.go
+++ b/contract/document.go
@@ -11,6 +11,7 @@
 	Pools     []Pool     `toml:"pools,omitempty"`
 	Routes    []Route    `toml:"routes,omitempty"`
 	Sessions  Sessions   `toml:"sessions,omitempty"`
+	Orders    Orders     `toml:"orders,omitempty"`
 
 	file   string // named in findings; empty for a document that was not parsed
 	source []byte // TOML, for the lines of findings
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,7 +59,7 @@
 		log:        log,
 		counters:   counters,
 		replica:    replica.New(store, log),
-		membership: zone.NewMembership(self, list, log),
+		membership: zone.NewMembership(zone.DefaultSettings(), self, list, log),
 		table:      machine.NewTable(),
 		peers:      drpcmux.New(),
 	}
