Stand-ins: use the header names of link, announce restarts, tell of loads

Cause: link now declares the headers that endpoints share with the router; the stand-ins had private names for load, resumption and restarts. Ruled out: aliases in both places. Change: link's constants; a resumed stream echoes where it starts; a restart is announced once; an order to a version already served does not restart the engine.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -20,17 +20,6 @@
 	"plumbarrow.example/plumbarrow/link"
 )
 
-// Headers that the engine sets beside those of the router.
-const (
-	headerLeaving     = "Plumbarrow-Leaving"
-	headerIncarnation = "Plumbarrow-Incarnation"
-	headerRunning     = "Plumbarrow-Load-Running"
-	headerQueued      = "Plumbarrow-Load-Queued"
-	headerVerdict     = "Plumbarrow-Verdict"
-	headerResume      = "Plumbarrow-Resume"
-	headerResumeFrom  = "Plumbarrow-Resume-From"
-)
-
 // Settings of an engine.
 type Settings struct {
 	Model   string
@@ -60,6 +49,8 @@
 	RecoverAfter time.Duration
 	// LoadLag delays the load report.
 	LoadLag time.Duration
+	// OnLoad, if set, is told the new version and incarnation after an order was carried out.
+	OnLoad func(version, incarnation string)
 	// ChecksFence makes the engine refuse orders with an old fencing number.
 	ChecksFence bool
 }
@@ -86,6 +77,7 @@
 	mu          sync.Mutex
 	version     string
 	incarnation string
+	restarted   bool // not yet told to anyone
 	running     int
 	queued      int
 	completed   int // since the last start
@@ -132,6 +124,7 @@
 
 func (g *Engine) restart() {
 	g.incarnation = uuid.NewString()
+	g.restarted = true
 	g.completed = 0
 	g.prefixes.clear()
 }
@@ -173,7 +166,7 @@
 	}
 	g.setHeaders(c, fault)
 	if !g.enter(c.Request().Header.Get(link.HeaderRequestID)) || fault.refuse {
-		c.Response().Header().Set(headerVerdict, "not_run")
+		c.Response().Header().Set(link.HeaderVerdict, "not_run")
 		return c.String(http.StatusServiceUnavailable, "overloaded")
 	}
 	if err := g.waitForBatch(c); err != nil {
@@ -204,12 +197,15 @@
 	}
 	header.Set(link.HeaderAttemptID, attempt)
 	header.Set(link.HeaderVersion, version)
-	header.Set(headerIncarnation, g.incarnation)
-	header.Set(headerRunning, strconv.Itoa(running))
-	header.Set(headerQueued, strconv.Itoa(queued))
-	header.Set(headerResume, "1")
+	header.Set(link.HeaderRunning, strconv.Itoa(running))
+	header.Set(link.HeaderQueued, strconv.Itoa(queued))
+	header.Set(link.HeaderResume, "1")
 	if g.faults.Leaving {
-		header.Set(headerLeaving, "1")
+		header.Set(link.HeaderLeaving, "1")
+	}
+	if g.restarted {
+		header.Set(link.HeaderRestarted, "1")
+		g.restarted = false
 	}
 }
 
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -19,15 +19,27 @@
 	if err := json.NewDecoder(c.Request().Body).Decode(&order); err != nil {
 		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 	}
+	if !g.load(order) {
+		return c.JSON(http.StatusConflict, order)
+	}
+	if g.settings.OnLoad != nil {
+		g.settings.OnLoad(order.Version, g.Incarnation())
+	}
+	return c.JSON(http.StatusOK, order)
+}
+
+func (g *Engine) load(order Order) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.settings.ChecksFence && order.Fence < g.fence {
-		return c.JSON(http.StatusConflict, Order{Version: g.version, Fence: g.fence})
+		return false
 	}
 	g.fence = max(g.fence, order.Fence)
-	g.version = order.Version
-	g.restart()
-	return c.JSON(http.StatusOK, order)
+	if g.version != order.Version {
+		g.version = order.Version
+		g.restart()
+	}
+	return true
 }
 
 // orderState reports the version served and the highest fencing number seen.
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -16,8 +16,11 @@
 func (g *Engine) stream(c echo.Context, tokens int, quality float64, usage *openai.Usage, fault fault) bool {
 	response := c.Response()
 	response.Header().Set(echo.HeaderContentType, "text/event-stream")
+	from, err := strconv.Atoi(c.Request().Header.Get(link.HeaderResumeFrom))
+	if err == nil {
+		response.Header().Set(link.HeaderResumeFrom, strconv.Itoa(from))
+	}
 	response.WriteHeader(http.StatusOK)
-	from, _ := strconv.Atoi(c.Request().Header.Get(headerResumeFrom))
 	chunk := openai.ChatAnswer{
 		ID:     c.Request().Header.Get(link.HeaderRequestID),
 		Object: "chat.completion.chunk",
@@ -46,7 +49,7 @@
 	if event(response, chunk) != nil {
 		return false
 	}
-	_, err := fmt.Fprintf(response, "data: %s\n\n", openai.Done)
+	_, err = fmt.Fprintf(response, "data: %s\n\n", openai.Done)
 	return err == nil
 }
 
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -99,12 +99,18 @@
 
 // StartEngine starts an engine of a pool in a zone and enters it into the instance list.
 func (f *Fleet) StartEngine(id, zone, pool string, settings engine.Settings) (*Engine, error) {
+	e := &Engine{}
+	settings.OnLoad = func(version, incarnation string) {
+		e.Instance.Version = version
+		e.Instance.Incarnation = incarnation
+		f.List.Set(e.Instance)
+	}
 	stand := engine.New(settings)
 	server, err := f.serve(stand.Handler())
 	if err != nil {
 		return nil, err
 	}
-	e := &Engine{Engine: stand, server: server, Instance: platform.Instance{
+	*e = Engine{Engine: stand, server: server, Instance: platform.Instance{
 		ID:          id,
 		Incarnation: stand.Incarnation(),
 		Kind:        platform.KindEngine,
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -82,7 +82,7 @@
 func (l *Ledger) run(request *http.Request) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if key := request.Header.Get("Idempotency-Key"); key != "" {
+	if key := request.Header.Get(link.HeaderIdempotencyKey); key != "" {
 		l.byKey[key]++
 	}
 	l.byRequest[request.Header.Get(link.HeaderRequestID)]++
@@ -121,7 +121,7 @@
 	refuse := take(&s.faults.Refusals)
 	s.mu.Unlock()
 	if refuse {
-		c.Response().Header().Set("Plumbarrow-Verdict", "not_run")
+		c.Response().Header().Set(link.HeaderVerdict, "not_run")
 		return c.String(http.StatusServiceUnavailable, "busy")
 	}
 	time.Sleep(delay)
