Claim idempotency keys and pin sessions over all entry instances

Cause: ledger.Memory grants a key once per process, so a repeat at another entry instance ran a second time.

A write of unknown outcome is settled by reading the head again for the nonce. A repeat of an unfinished key asks its claimer, then reads the store: in progress, finished, freed because never dispatched, or lost, never a second run. A grant expires after half the retry window, so that a claimer paused for longer doesn't dispatch.

Ruled out: settling a change that finds nothing to change from the cached head. The home may not have seen the claim that another instance wrote, and dropping its outcome freed the key (key-11 ran 2 times, below).

Proofs, each run with its mechanism switched off by an edit: - unknown outcome taken for success: TestClaimsRunAtMostOnce, rapid, "key-11 ran 2 times"; TestPinFirstWriterWins, "one session has the versions map[small@2:6 small@3:10]" - swap without the version read: TestClaimsRunAtMostOnce, "key-11 ran 2 times" - an unreachable claimer's key given out again: TestClaimsRunAtMostOnce, "key-11 ran 2 times"; TestClaimStandings/claimer_killed - updates settled from the cached head: TestClaimsRunAtMostOnce, "key-11 ran 2 times" - a grant without an end: TestPausedClaimer - pins not renewed: TestPinLastsAndMoves Not caught by TestPinFirstWriterWins: a swap without the version read. A first run under -race failed: the tests' peer passed a request on by reference where a network copies it; it clones it now.

--- /dev/null
+++ b/ledger/claims_test.go
@@ -0,0 +1,315 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"plumbarrow.example/plumbarrow/standin/kv"
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+// service counts how often it ran a key and a request.
+type service struct {
+	mu       sync.Mutex
+	keys     map[string]int
+	requests map[string]int
+}
+
+func newService() *service {
+	return &service{keys: make(map[string]int), requests: make(map[string]int)}
+}
+
+func (s *service) run(key, request string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keys[key]++
+	s.requests[request]++
+}
+
+func (s *service) ran(request string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests[request] > 0
+}
+
+func claimOf(n *node, key, request string) Claim {
+	return Claim{
+		Key:       ClaimKey{Customer: "acme", Route: "bookings", Key: key},
+		Digest:    Digest{1},
+		RequestID: request,
+		Claimer:   n.self,
+		ClaimedAt: time.Now(),
+	}
+}
+
+// serve acts as an entry instance would: claim, dispatch at most once, finish.
+func serve(s *service, n *node, key, request string, before, during time.Duration) (verdict.Verdict, string) {
+	claim := claimOf(n, key, request)
+	result, err := n.ledger.Claims.Claim(context.Background(), claim)
+	if err != nil {
+		return verdict.Of(err).Verdict, ""
+	}
+	switch result.Standing {
+	case Finished:
+		return result.Outcome.Verdict, string(result.Outcome.Body)
+	case Granted:
+	default:
+		return verdict.MayHaveRun, ""
+	}
+	time.Sleep(before)
+	if n.is(func(n *node) bool { return n.dead }) {
+		return verdict.MayHaveRun, ""
+	}
+	if time.Now().After(result.Expires) {
+		_ = n.ledger.Claims.Finish(context.Background(), claim, Outcome{Verdict: verdict.NotRun})
+		return verdict.NotRun, ""
+	}
+	s.run(key, request)
+	time.Sleep(during)
+	if n.is(func(n *node) bool { return n.dead }) {
+		return verdict.MayHaveRun, ""
+	}
+	_ = n.ledger.Claims.Finish(context.Background(), claim, Outcome{Verdict: verdict.Ran, Status: 200, Body: []byte(request)})
+	return verdict.Ran, request
+}
+
+// TestClaimsRunAtMostOnce sends repeats of a few keys through instances that are killed, cut off
+// and disagree about the members, over a store that loses answers, drops and delays writes and has
+// outages. No key runs twice, no request that was answered NotRun ran, and all answers of a key
+// that say Ran are the same one.
+func TestClaimsRunAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		chance := rapid.SampledFrom([]float64{0, 0.1, 0.3}).Draw(rt, "fault chance")
+		faults := rapid.IntRange(0, 6).Draw(rt, "faults")
+		var failure string
+		synctest.Test(t, func(*testing.T) { failure = claimUnderFaults(seed, chance, faults) })
+		if failure != "" {
+			rt.Fatal(failure)
+		}
+	})
+}
+
+// claimUnderFaults returns which invariant broke, if any.
+func claimUnderFaults(seed uint64, chance float64, faults int) (failure string) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	f := newFleet(kv.New(), seed, chance, "a", "a", "b", "b")
+	ran := newService()
+	answers := make(map[string]string)
+	keys := keysOfOneShard(f.nodes[0], 4)
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	for i := range 24 {
+		key, node := keys[random.IntN(4)], f.nodes[random.IntN(4)]
+		start, before, during := pause(random, 8000), pause(random, 300), pause(random, 2000)
+		callers.Go(func() {
+			time.Sleep(start)
+			request := fmt.Sprintf("request-%d", i)
+			said, body := serve(ran, node, key, request, before, during)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case said == verdict.NotRun && ran.ran(request):
+				failure = request + " was answered NotRun and ran"
+			case said == verdict.Ran && answers[key] != "" && answers[key] != body:
+				failure = key + " was answered with " + answers[key] + " and " + body
+			case said == verdict.Ran:
+				answers[key] = body
+			}
+		})
+	}
+	for range faults {
+		node, other := f.nodes[random.IntN(4)], f.nodes[random.IntN(4)]
+		fault, at, lasts := random.IntN(5), pause(random, 8000), pause(random, 4000)
+		callers.Go(func() { disturb(f, node, other, fault, at, lasts) })
+	}
+	callers.Wait()
+	closeFleet(f)
+	for key, runs := range ran.keys {
+		if runs > 1 {
+			failure = fmt.Sprintf("%s ran %d times", key, runs)
+		}
+	}
+	return failure
+}
+
+// keysOfOneShard returns keys that meet in one document.
+func keysOfOneShard(n *node, count int) []string {
+	var keys []string
+	for i := 0; len(keys) < count; i++ {
+		key := fmt.Sprintf("key-%d", i)
+		hash := recordKey(keyBytes(claimOf(n, key, "").Key))
+		if n.ledger.Claims.journal.shardOf(hash).number == 0 {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+func pause(random *rand.Rand, ms int) time.Duration {
+	return time.Duration(random.IntN(ms)) * time.Millisecond
+}
+
+// disturb applies one fault for a while; only a kill is for good.
+func disturb(f *fleet, n, other *node, fault int, at, lasts time.Duration) {
+	time.Sleep(at)
+	set := func(on bool) {
+		switch fault {
+		case 0:
+			n.set(func(n *node) { n.dead = true })
+		case 1:
+			n.set(func(n *node) { n.noStore = on })
+		case 2:
+			n.set(func(n *node) { n.noPeers = on })
+		case 3:
+			n.set(func(n *node) { n.unlisted[string(other.self.ID)] = on && other != n })
+		case 4:
+			f.store.Fail(kv.Faults{Down: on})
+		}
+	}
+	set(true)
+	time.Sleep(lasts)
+	set(false)
+}
+
+// closeFleet ends background work and waits for what is in flight.
+func closeFleet(f *fleet) {
+	for _, n := range f.nodes {
+		n.ledger.Claims.Close()
+	}
+	time.Sleep(time.Minute)
+}
+
+// TestClaimStandings walks through what a repeat at another instance finds.
+func TestClaimStandings(t *testing.T) {
+	done := Outcome{Verdict: verdict.Ran, Status: 201, ContentType: "text/plain", Body: []byte("booked")}
+	cases := []struct {
+		name  string
+		first func(f *fleet, claim Claim) // after the first claim was granted at node 0
+		want  ClaimResult                 // of the repeat at node 1
+		fails verdict.Reason
+	}{
+		{name: "in progress", first: func(*fleet, Claim) {}, want: ClaimResult{Standing: InProgress}},
+		{name: "finished", first: func(f *fleet, claim Claim) { finish(f, claim, done) }, want: ClaimResult{Standing: Finished, Outcome: done}},
+		{name: "outcome not in the store yet", first: func(f *fleet, claim Claim) {
+			f.nodes[0].set(func(n *node) { n.noStore = true })
+			f.nodes[0].set(func(n *node) { n.unlisted = map[string]bool{"entry-1": true, "entry-2": true} })
+			finish(f, claim, done)
+		}, want: ClaimResult{Standing: Finished, Outcome: done}},
+		{name: "freed", first: func(f *fleet, claim Claim) { finish(f, claim, Outcome{Verdict: verdict.NotRun}) }, want: ClaimResult{Standing: Granted}},
+		{name: "claimer killed", first: func(f *fleet, _ Claim) { f.nodes[0].set(func(n *node) { n.dead = true }) }, want: ClaimResult{Standing: Lost}},
+		{name: "claimer cut off from peers", first: func(f *fleet, _ Claim) { f.nodes[0].set(func(n *node) { n.noPeers = true }) }, want: ClaimResult{Standing: Lost}},
+		{name: "claimer not in the list", first: func(f *fleet, _ Claim) { f.nodes[1].set(func(n *node) { n.unlisted["entry-0"] = true }) }, want: ClaimResult{Standing: Lost}},
+		{name: "store down", first: func(f *fleet, _ Claim) { f.store.Fail(kv.Faults{Down: true}) }, fails: verdict.LedgerUnavailable},
+		{name: "past the retry window", first: func(*fleet, Claim) { time.Sleep(2 * time.Hour) }, want: ClaimResult{Standing: Granted}},
+	}
+	for _, one := range cases {
+		t.Run(one.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newFleet(kv.New(), 1, 0, "a", "a", "b")
+				defer closeFleet(f)
+				claim := claimOf(f.nodes[0], "key", "first")
+				first, err := f.nodes[0].ledger.Claims.Claim(t.Context(), claim)
+				c.Assert(err, qt.IsNil)
+				c.Assert(first.Standing, qt.Equals, Granted)
+				one.first(f, claim)
+				result, err := f.nodes[1].ledger.Claims.Claim(t.Context(), claimOf(f.nodes[1], "key", "second"))
+				if one.fails != "" {
+					c.Assert(verdict.Of(err).Reason, qt.Equals, one.fails)
+					c.Assert(verdict.Of(err).Verdict, qt.Equals, verdict.NotRun)
+				} else {
+					c.Assert(err, qt.IsNil)
+					c.Assert(result.Standing, qt.Equals, one.want.Standing)
+					c.Assert(result.Outcome, qt.DeepEquals, one.want.Outcome)
+				}
+				f.store.Fail(kv.Faults{})
+				other := claimOf(f.nodes[2], "key", "third")
+				other.Digest = Digest{2}
+				result, err = f.nodes[2].ledger.Claims.Claim(t.Context(), other)
+				c.Assert(err, qt.IsNil)
+				c.Assert(result.Standing, qt.Equals, Mismatch)
+			})
+		})
+	}
+}
+
+func finish(f *fleet, claim Claim, outcome Outcome) {
+	_ = f.nodes[0].ledger.Claims.Finish(context.Background(), claim, outcome)
+	time.Sleep(time.Second)
+}
+
+// TestPausedClaimer pauses a claimer between its grant and its dispatch until the retry window has
+// passed and a repeat has run as a new request.
+func TestPausedClaimer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(kv.New(), 1, 0, "a", "b")
+		defer closeFleet(f)
+		ran := newService()
+		paused := make(chan verdict.Verdict)
+		go func() {
+			said, _ := serve(ran, f.nodes[0], "key", "first", 90*time.Minute, 0)
+			paused <- said
+		}()
+		time.Sleep(75 * time.Minute)
+		said, _ := serve(ran, f.nodes[1], "key", "second", 0, 0)
+		c.Assert(said, qt.Equals, verdict.Ran)
+		c.Assert(<-paused, qt.Equals, verdict.NotRun)
+		c.Assert(ran.keys["key"], qt.Equals, 1)
+	})
+}
+
+// TestClaimsSurviveSealing claims more keys than a head holds and finds each of them again at an
+// instance that reads the segments afresh, and none of them after the window.
+func TestClaimsSurviveSealing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := kv.New()
+		settings := DefaultSettings()
+		settings.SealBytes = 2000
+		f := newFleet(store, 1, 0)
+		defer closeFleet(f)
+		first := f.add("first", "a", settings)
+		for wave := range 20 {
+			claimAll(c, first, wave, Granted)
+		}
+		documents, err := store.List(t.Context(), "ledger/claims/")
+		c.Assert(err, qt.IsNil)
+		c.Assert(len(documents) > 2*claimShards, qt.IsTrue, qt.Commentf("%d documents", len(documents)))
+		again := newFleet(store, 2, 0)
+		defer closeFleet(again)
+		second := again.add("second", "a", settings)
+		for wave := range 20 {
+			claimAll(c, second, wave, Lost)
+		}
+		time.Sleep(2 * time.Hour)
+		for wave := range 20 {
+			claimAll(c, second, wave, Granted)
+		}
+		left, err := store.List(t.Context(), "ledger/claims/")
+		c.Assert(err, qt.IsNil)
+		c.Assert(len(left) <= len(documents), qt.IsTrue, qt.Commentf("%d documents, then %d", len(documents), len(left)))
+	})
+}
+
+func claimAll(c *qt.C, n *node, wave int, want Standing) {
+	var callers sync.WaitGroup
+	for i := range 100 {
+		callers.Go(func() {
+			key := fmt.Sprintf("key-%d-%d", wave, i)
+			result, err := n.ledger.Claims.Claim(context.Background(), claimOf(n, key, key+string(n.self.ID)))
+			c.Check(err, qt.IsNil)
+			c.Check(result.Standing, qt.Equals, want)
+		})
+	}
+	callers.Wait()
+}
--- /dev/null
+++ b/ledger/fakes_test.go
@@ -0,0 +1,219 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+
+	"plumbarrow.example/plumbarrow/internal/telemetry"
+	"plumbarrow.example/plumbarrow/ledger/ledgerpb"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/standin/kv"
+)
+
+// The property tests draw the same cases every run unless -rapid.seed says otherwise.
+func init() {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+// fleet is a set of entry instances over one store, with a network that can be cut.
+type fleet struct {
+	store *kv.Store
+	nodes []*node
+
+	mu     sync.Mutex
+	random *rand.Rand
+	chance float64 // of a fault in each call to the store or a peer
+}
+
+// node is one entry instance: its ledger, its view of the members and its faults.
+type node struct {
+	fleet  *fleet
+	self   machine.Member
+	ledger *Ledger
+
+	mu       sync.Mutex
+	dead     bool            // its calls have no effect any more
+	noStore  bool            // cut off from the store
+	noPeers  bool            // cut off from all peers
+	unlisted map[string]bool // members missing in its view
+}
+
+func newFleet(store *kv.Store, seed uint64, chance float64, zones ...string) *fleet {
+	f := &fleet{store: store, random: rand.New(rand.NewPCG(seed, 1)), chance: chance}
+	for i, zone := range zones {
+		f.add(fmt.Sprintf("entry-%d", i), zone, DefaultSettings())
+	}
+	return f
+}
+
+func (f *fleet) add(id, zone string, settings Settings) *node {
+	self := machine.Member{ID: machine.InstanceID(id), Incarnation: machine.Incarnation(fmt.Sprintf("%s/%d", id, len(f.nodes))), Zone: zone, Address: id}
+	n := &node{fleet: f, self: self, unlisted: make(map[string]bool)}
+	n.ledger = New(Parts{Store: n.storeView(), Members: n, Peers: n, Counters: telemetry.New(), Log: slog.New(slog.DiscardHandler), Settings: settings})
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+// set changes a node's faults.
+func (n *node) set(change func(*node)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change(n)
+}
+
+func (n *node) is(question func(*node) bool) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return question(n)
+}
+
+// Self implements machine.Members.
+func (n *node) Self() machine.Member { return n.self }
+
+// Live implements machine.Members: all nodes but those missing in this one's view. Dead nodes stay
+// listed, as in a lagging list.
+func (n *node) Live() []machine.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var live []machine.Member
+	for _, other := range n.fleet.nodes {
+		if !n.unlisted[string(other.self.ID)] {
+			live = append(live, other.self)
+		}
+	}
+	return live
+}
+
+var errCut = errors.New("network cut")
+
+// Conn implements link.Peers.
+func (n *node) Conn(_ context.Context, member machine.Member) (drpc.Conn, error) {
+	for _, other := range n.fleet.nodes {
+		if other.self.Incarnation == member.Incarnation {
+			return &pipe{from: n, to: other}, nil
+		}
+	}
+	return nil, errCut
+}
+
+// draw returns one of n faults, or -1 for none.
+func (f *fleet) draw(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.random.Float64() >= f.chance {
+		return -1
+	}
+	return f.random.IntN(n)
+}
+
+// pipe calls a peer's service in place.
+type pipe struct {
+	drpc.Conn
+	from, to *node
+}
+
+func (p *pipe) cut() bool {
+	return p.from.is(func(n *node) bool { return n.dead || n.noPeers }) || p.to.is(func(n *node) bool { return n.dead || n.noPeers })
+}
+
+// Invoke implements drpc.Conn. Faults: lost before the call, lost after it, silent until the caller
+// gives up while the call takes effect late.
+func (p *pipe) Invoke(ctx context.Context, rpc string, _ drpc.Encoding, in, out drpc.Message) error {
+	in = proto.Clone(in.(proto.Message)) // as the network would
+	time.Sleep(time.Millisecond)
+	fault := p.from.fleet.draw(3)
+	if p.cut() || fault == 0 {
+		return errCut
+	}
+	if fault == 2 {
+		go func() { time.Sleep(2 * time.Second); _ = p.call(context.Background(), rpc, in, nil) }()
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	err := p.call(ctx, rpc, in, out)
+	if p.cut() || fault == 1 {
+		return errCut
+	}
+	return err
+}
+
+func (p *pipe) call(ctx context.Context, rpc string, in, out drpc.Message) error {
+	method := map[string]int{"/plumbarrow.ledger.Ledger/Commit": 0, "/plumbarrow.ledger.Ledger/ClaimStatus": 1, "/plumbarrow.ledger.Ledger/HoldBills": 2}[rpc]
+	_, encoding, receive, _, _ := ledgerpb.DRPCLedgerDescription{}.Method(method)
+	answer, err := receive(p.to.ledger.Server(), ctx, in, nil)
+	if err != nil || out == nil {
+		return err
+	}
+	data, err := encoding.Marshal(answer)
+	if err != nil {
+		return err
+	}
+	return encoding.Unmarshal(data, out)
+}
+
+// storeView is the store as one node reaches it. Faults of writes: lost answer, dropped, taking
+// effect long after the answer, refused.
+type storeView struct {
+	platform.Store
+	node *node
+}
+
+func (n *node) storeView() platform.Store { return &storeView{Store: n.fleet.store, node: n} }
+
+func (v *storeView) cut() bool {
+	return v.node.is(func(n *node) bool { return n.dead || n.noStore })
+}
+
+// Get implements platform.Store.
+func (v *storeView) Get(ctx context.Context, key string) (platform.Entry, error) {
+	time.Sleep(time.Millisecond)
+	if v.cut() || v.node.fleet.draw(8) == 0 {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return v.Store.Get(ctx, key)
+}
+
+// Swap implements platform.Store.
+func (v *storeView) Swap(ctx context.Context, key string, expect platform.Version, value []byte) (platform.Version, error) {
+	time.Sleep(time.Millisecond)
+	if v.cut() {
+		return 0, platform.ErrUnavailable
+	}
+	switch v.node.fleet.draw(4) {
+	case 0:
+		_, _ = v.Store.Swap(ctx, key, expect, value)
+		return 0, platform.ErrOutcomeUnknown
+	case 1:
+		return 0, platform.ErrOutcomeUnknown
+	case 2:
+		go func() {
+			time.Sleep(v.node.fleet.late())
+			_, _ = v.Store.Swap(context.Background(), key, expect, value)
+		}()
+		return 0, platform.ErrOutcomeUnknown
+	case 3:
+		return 0, platform.ErrUnavailable
+	}
+	version, err := v.Store.Swap(ctx, key, expect, value)
+	if err == nil && v.cut() {
+		return 0, platform.ErrOutcomeUnknown
+	}
+	return version, err
+}
+
+func (f *fleet) late() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(f.random.IntN(3000)) * time.Millisecond
+}
--- /dev/null
+++ b/ledger/journal.go
@@ -0,0 +1,222 @@
+package ledger
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"plumbarrow.example/plumbarrow/ledger/ledgerpb"
+	"plumbarrow.example/plumbarrow/platform"
+)
+
+// errUnsettled means that it is not known whether a record is in force; errNotWritten means that
+// it is certainly not.
+var (
+	errUnsettled  = errors.New("record may be in force")
+	errNotWritten = errors.New("record not written")
+)
+
+// operation is one record on its way into a journal.
+type operation struct {
+	record *ledgerpb.Record
+	ctx    context.Context
+	// forwarded operations come from another instance and go to the store, whoever is home.
+	forwarded bool
+	// sent says that a write that may have carried the record had no certain outcome.
+	sent bool
+	done chan settlement
+}
+
+// settlement is the answer to an operation: the key's holder after it.
+type settlement struct {
+	holder *holder
+	err    error
+}
+
+func newOperation(ctx context.Context, record *ledgerpb.Record, forwarded bool) *operation {
+	return &operation{record: record, ctx: ctx, forwarded: forwarded, done: make(chan settlement, 1)}
+}
+
+func (o *operation) settle(held *holder) { o.done <- settlement{holder: held} }
+
+func (o *operation) fail(err error) {
+	if o.sent {
+		err = fmt.Errorf("%w: %v", errUnsettled, err)
+	} else {
+		err = fmt.Errorf("%w: %v", errNotWritten, err)
+	}
+	o.done <- settlement{err: err}
+}
+
+// journal is a set of records in the store, spread over shards. Each shard's head document is
+// written by compare-and-swap only, which makes the store the authority: a record is in force if
+// and only if a head that holds it was written.
+type journal struct {
+	family   string // prefix of its keys, and its name in calls
+	parts    Parts
+	shards   []*shard
+	keep     time.Duration // how long records last
+	interval time.Duration // least time between two writes of a shard
+	suspects *suspects
+}
+
+func newJournal(parts Parts, family string, shards int, keep, interval time.Duration) *journal {
+	j := &journal{family: family, parts: parts, keep: keep, interval: interval, suspects: newSuspects()}
+	for i := range shards {
+		j.shards = append(j.shards, newShard(j, i))
+	}
+	return j
+}
+
+// do brings a record to its shard and waits until ctx ends. Errors wrap errUnsettled or
+// errNotWritten.
+func (j *journal) do(ctx context.Context, record *ledgerpb.Record) (*holder, error) {
+	op := newOperation(ctx, record, false)
+	j.shardOf(recordKey(record.Key)).enqueue(op)
+	return op.wait()
+}
+
+// wait returns errUnsettled if the context ends first: the record may be in a batch.
+func (o *operation) wait() (*holder, error) {
+	select {
+	case settled := <-o.done:
+		return settled.holder, settled.err
+	case <-o.ctx.Done():
+		return nil, fmt.Errorf("%w: %v", errUnsettled, o.ctx.Err())
+	}
+}
+
+func (j *journal) shardOf(key recordKey) *shard {
+	return j.shards[binary.BigEndian.Uint64(key[:8])%uint64(len(j.shards))]
+}
+
+// commit serves a batch that another instance sent to this one as the shard's home.
+func (j *journal) commit(ctx context.Context, request *ledgerpb.CommitRequest) (*ledgerpb.CommitResponse, error) {
+	if int(request.Shard) >= len(j.shards) {
+		return nil, fmt.Errorf("no shard %d", request.Shard)
+	}
+	operations := make([]*operation, 0, len(request.Records))
+	for _, record := range request.Records {
+		if len(record.Key) != hashBytes {
+			return nil, errors.New("malformed record key")
+		}
+		operations = append(operations, newOperation(ctx, record, true))
+	}
+	j.shards[request.Shard].enqueue(operations...)
+	response := &ledgerpb.CommitResponse{}
+	for _, op := range operations {
+		response.Results = append(response.Results, resultOf(op.wait()))
+	}
+	return response, nil
+}
+
+func resultOf(held *holder, err error) *ledgerpb.CommitResult {
+	result := &ledgerpb.CommitResult{Status: ledgerpb.CommitResult_SETTLED}
+	switch {
+	case errors.Is(err, errNotWritten):
+		result.Status = ledgerpb.CommitResult_UNAVAILABLE
+	case err != nil:
+		result.Status = ledgerpb.CommitResult_UNKNOWN
+	case held != nil:
+		result.Found = &ledgerpb.Record{Nonce: held.nonce[:], Digest: held.digest, Value: held.value, At: held.at}
+		result.Finished = held.finished
+	}
+	return result
+}
+
+func holderOf(result *ledgerpb.CommitResult) *holder {
+	if result.Found == nil {
+		return nil
+	}
+	found := result.Found
+	return &holder{nonce: nonceOf(found.Nonce), digest: found.Digest, value: found.Value, finished: result.Finished, at: found.At}
+}
+
+func (j *journal) count(event string) {
+	j.parts.Counters.Add("plumbarrow_ledger_"+j.family+"_total", "event", event)
+}
+
+// shard serializes this instance's work on one shard. Its worker runs while operations wait.
+type shard struct {
+	journal *journal
+	number  int
+	key     string // of the head document
+
+	mu      sync.Mutex
+	queue   []*operation
+	running bool
+
+	// The worker alone uses what follows.
+	loaded  bool
+	version platform.Version
+	head    *ledgerpb.Head
+	index   *index
+	folded  map[uint64]struct{} // sealed segments that the index holds
+	written time.Time           // start of the last write
+}
+
+func newShard(j *journal, number int) *shard {
+	return &shard{
+		journal: j,
+		number:  number,
+		key:     "ledger/" + j.family + "/" + strconv.Itoa(number),
+		head:    &ledgerpb.Head{},
+		index:   newIndex(j.keep + j.parts.Settings.clockSkew()),
+		folded:  make(map[uint64]struct{}),
+	}
+}
+
+func (s *shard) enqueue(operations ...*operation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue = append(s.queue, operations...)
+	if !s.running {
+		s.running = true
+		go s.work()
+	}
+}
+
+// take returns the waiting operations whose callers still wait, or ends the worker.
+func (s *shard) take() []*operation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var batch []*operation
+	for _, op := range s.queue {
+		if op.ctx.Err() == nil {
+			batch = append(batch, op)
+		}
+	}
+	s.queue = nil
+	s.running = len(batch) > 0
+	return batch
+}
+
+// work settles the waiting operations in batches until none are left.
+func (s *shard) work() {
+	for {
+		time.Sleep(time.Until(s.written.Add(s.journal.interval)))
+		batch := s.take()
+		if batch == nil {
+			return
+		}
+		if !forwarded(batch) {
+			batch = s.sendHome(batch)
+		}
+		if len(batch) > 0 {
+			s.commit(batch)
+		}
+	}
+}
+
+func forwarded(batch []*operation) bool {
+	for _, op := range batch {
+		if op.forwarded {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/ledger/members.go
@@ -0,0 +1,61 @@
+package ledger
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"plumbarrow.example/plumbarrow/machine"
+)
+
+// suspectTime is how long a member that failed a call is passed over.
+const suspectTime = 2 * time.Second
+
+// ranked returns up to n members in the order in which they should serve the key, by rendezvous
+// hashing over their ids.
+func ranked(members []machine.Member, key string, n int) []machine.Member {
+	left := slices.Clone(members)
+	var order []machine.Member
+	for len(order) < n && len(left) > 0 {
+		names := make([]string, len(left))
+		for i, member := range left {
+			names[i] = string(member.ID)
+		}
+		first := rendezvous.New(names, xxhash.Sum64String).Lookup(key)
+		i := slices.Index(names, first)
+		order = append(order, left[i])
+		left = slices.Delete(left, i, i+1)
+	}
+	return order
+}
+
+// suspects remembers members that did not answer. Safe for concurrent use.
+type suspects struct {
+	mu    sync.Mutex
+	until map[machine.Incarnation]time.Time
+}
+
+func newSuspects() *suspects { return &suspects{until: make(map[machine.Incarnation]time.Time)} }
+
+// add passes the member over for a while.
+func (s *suspects) add(member machine.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for incarnation, until := range s.until {
+		if now.After(until) {
+			delete(s.until, incarnation)
+		}
+	}
+	s.until[member.Incarnation] = now.Add(suspectTime)
+}
+
+// has says whether the member failed a moment ago.
+func (s *suspects) has(member machine.Member) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.until[member.Incarnation])
+}
--- a/ledger/memory.go
+++ b/ledger/memory.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/verdict"
 )
 
 // Memory is a ledger within one process, for tests of other packages.
@@ -12,6 +13,7 @@
 	mu     sync.Mutex
 	claims map[ClaimKey]memoryClaim
 	bills  map[string]Bill
+	pins   map[recordKey]contract.VersionID
 }
 
 type memoryClaim struct {
@@ -22,11 +24,16 @@
 var (
 	_ Claims = (*Memory)(nil)
 	_ Bills  = (*Memory)(nil)
+	_ Pins   = (*Memory)(nil)
 )
 
 // NewMemory returns an empty ledger.
 func NewMemory() *Memory {
-	return &Memory{claims: make(map[ClaimKey]memoryClaim), bills: make(map[string]Bill)}
+	return &Memory{
+		claims: make(map[ClaimKey]memoryClaim),
+		bills:  make(map[string]Bill),
+		pins:   make(map[recordKey]contract.VersionID),
+	}
 }
 
 // Claim implements Claims.
@@ -51,6 +58,10 @@
 func (m *Memory) Finish(_ context.Context, claim Claim, outcome Outcome) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if outcome.Verdict == verdict.NotRun {
+		delete(m.claims, claim.Key)
+		return nil
+	}
 	m.claims[claim.Key] = memoryClaim{claim: claim, outcome: &outcome}
 	return nil
 }
@@ -80,3 +91,26 @@
 	}
 	return bills
 }
+
+// Pin implements Pins.
+func (m *Memory) Pin(_ context.Context, customer, session string, version contract.VersionID) (contract.VersionID, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := hashKey(customer, session)
+	if pinned, ok := m.pins[key]; ok {
+		return pinned, nil
+	}
+	m.pins[key] = version
+	return version, nil
+}
+
+// Repin implements Pins.
+func (m *Memory) Repin(_ context.Context, customer, session string, from, to contract.VersionID) (contract.VersionID, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := hashKey(customer, session)
+	if pinned, ok := m.pins[key]; !ok || pinned == from {
+		m.pins[key] = to
+	}
+	return m.pins[key], nil
+}
--- /dev/null
+++ b/ledger/pins.go
@@ -0,0 +1,170 @@
+package ledger
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/ledger/ledgerpb"
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+const (
+	pinFamily      = "pins"
+	pinShards      = 4 // must be the same everywhere
+	pinInterval    = 2 // of commit intervals between two writes of a shard
+	pinCacheShards = 16
+	pinCacheSize   = 2048 // pins per shard of the cache
+	versionMark    = "@"  // between model and version, as in contract.VersionID's text
+)
+
+// StorePins keeps session pins in the store. The first swap that carries a session decides.
+type StorePins struct {
+	parts   Parts
+	journal *journal
+	nonces  *nonceSource
+	cache   [pinCacheShards]pinCache
+}
+
+var _ Pins = (*StorePins)(nil)
+
+// pinCache is one shard of the pins that this instance has seen.
+type pinCache struct {
+	mu   sync.Mutex
+	pins map[recordKey]pin
+}
+
+type pin struct {
+	version contract.VersionID
+	nonce   nonce
+	at      time.Time // of the pin's last renewal
+}
+
+// NewPins returns pins with an empty cache.
+func NewPins(parts Parts) *StorePins {
+	settings := parts.Settings
+	p := &StorePins{
+		parts:   parts,
+		journal: newJournal(parts, pinFamily, pinShards, settings.pinLifetime(), pinInterval*settings.commitInterval()),
+		nonces:  newNonceSource(parts.Members.Self().Incarnation),
+	}
+	for i := range p.cache {
+		p.cache[i].pins = make(map[recordKey]pin)
+	}
+	return p
+}
+
+// Pin implements Pins. A pin in use is renewed once half of its lifetime has passed.
+func (p *StorePins) Pin(ctx context.Context, customer, session string, version contract.VersionID) (contract.VersionID, error) {
+	key := hashKey(customer, session)
+	found, ok := p.cached(key)
+	if !ok {
+		var err error
+		if found, err = p.create(ctx, key, version, nonce{}); err != nil {
+			return contract.VersionID{}, err
+		}
+	}
+	if time.Since(found.at) > p.parts.Settings.pinLifetime()/2 {
+		renewed, err := p.create(ctx, key, found.version, found.nonce)
+		if err == nil {
+			found = renewed
+		}
+	}
+	p.remember(key, found)
+	return found.version, nil
+}
+
+// Repin implements Pins.
+func (p *StorePins) Repin(ctx context.Context, customer, session string, from, to contract.VersionID) (contract.VersionID, error) {
+	key := hashKey(customer, session)
+	held, err := p.do(ctx, &ledgerpb.Record{Kind: ledgerpb.RecordKind_RECORD_LOOKUP, Key: key[:]})
+	if err != nil {
+		return contract.VersionID{}, err
+	}
+	found := pin{}
+	if held != nil {
+		found = pinOf(held)
+	}
+	if held == nil || found.version == from {
+		if found, err = p.create(ctx, key, to, found.nonce); err != nil {
+			return contract.VersionID{}, err
+		}
+	}
+	p.parts.Counters.Inc("plumbarrow_repins_total")
+	p.remember(key, found)
+	return found.version, nil
+}
+
+// create pins the key if it is free or held by replaces, and returns the pin in force.
+func (p *StorePins) create(ctx context.Context, key recordKey, version contract.VersionID, replaces nonce) (pin, error) {
+	own := p.nonces.next()
+	record := &ledgerpb.Record{
+		Kind:  ledgerpb.RecordKind_RECORD_CREATE,
+		Key:   key[:],
+		Nonce: own[:],
+		Value: []byte(version.String()),
+	}
+	if replaces != (nonce{}) {
+		record.Replaces = replaces[:]
+	}
+	held, err := p.do(ctx, record)
+	if err != nil {
+		return pin{}, err
+	}
+	if held == nil {
+		return pin{}, refusePin() // pinned and expired at once; only a clock far off does that
+	}
+	return pinOf(held), nil
+}
+
+func (p *StorePins) do(ctx context.Context, record *ledgerpb.Record) (*holder, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.parts.Settings.grantTimeout())
+	defer cancel()
+	held, err := p.journal.do(ctx, record)
+	if err != nil {
+		p.parts.Counters.Add("plumbarrow_pins_total", "event", "unavailable")
+		return nil, refusePin()
+	}
+	return held, nil
+}
+
+func refusePin() *verdict.Refusal {
+	refusal := verdict.Refuse(verdict.LedgerUnavailable, "the session's version could not be read")
+	refusal.RetryAfter = retryLater
+	return refusal
+}
+
+func pinOf(held *holder) pin {
+	model, name, _ := strings.Cut(string(held.value), versionMark)
+	return pin{version: contract.VersionID{Model: model, Name: name}, nonce: held.nonce, at: time.Unix(held.at, 0)}
+}
+
+// cached returns a pin that the store's copy outlives. Only Repin at another instance makes it
+// old; its version is withdrawn then, which leads the caller to Repin here too.
+func (p *StorePins) cached(key recordKey) (pin, bool) {
+	shard := &p.cache[key[0]%pinCacheShards]
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	found, ok := shard.pins[key]
+	if !ok || time.Since(found.at) > p.parts.Settings.pinLifetime()-p.parts.Settings.clockSkew() {
+		delete(shard.pins, key)
+		return pin{}, false
+	}
+	return found, true
+}
+
+// remember caches a pin in place of any other one once the cache is full.
+func (p *StorePins) remember(key recordKey, found pin) {
+	shard := &p.cache[key[0]%pinCacheShards]
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if _, ok := shard.pins[key]; !ok && len(shard.pins) >= pinCacheSize {
+		for other := range shard.pins {
+			delete(shard.pins, other)
+			break
+		}
+	}
+	shard.pins[key] = found
+}
--- a/ledger/types.go
+++ b/ledger/types.go
@@ -60,11 +60,27 @@
 	Mismatch
 )
 
+var standingNames = [...]string{
+	Granted: "granted", InProgress: "in_progress", Finished: "finished", Lost: "lost", Mismatch: "mismatch",
+}
+
+// String returns the name that counters use.
+func (s Standing) String() string {
+	if int(s) < len(standingNames) {
+		return standingNames[s]
+	}
+	return ""
+}
+
 // ClaimResult is the answer to a claim attempt.
 type ClaimResult struct {
 	Standing Standing
 	Outcome  Outcome // of a Finished claim
 	Claimer  machine.Member
+	// Expires ends a Granted claim by this process's clock: a claimer that was paused for longer
+	// must not dispatch any more, because repeats of the key may count as new by then. Zero means
+	// no end.
+	Expires time.Time
 }
 
 // Claims grants each key at most once within the retry window, over all entry instances.
@@ -77,6 +93,16 @@
 	Finish(ctx context.Context, claim Claim, outcome Outcome) error
 }
 
+// Pins keep the version of sessions whose callers bring only a session id, over all entry
+// instances. Errors are refusals with verdict NotRun and reason ledger_unavailable.
+type Pins interface {
+	// Pin returns the version to which the session is pinned: the given one if it is the first.
+	Pin(ctx context.Context, customer, session string, version contract.VersionID) (contract.VersionID, error)
+	// Repin moves a session from a withdrawn version to another one and returns the version in
+	// force; that is neither of them if another instance moved the session first.
+	Repin(ctx context.Context, customer, session string, from, to contract.VersionID) (contract.VersionID, error)
+}
+
 // Line is one attempt's cost within a bill.
 type Line struct {
 	Version      contract.VersionID
