Add the demo: two zones, six entry instances, six engines, bookings

Cause: a newcomer had no one command that shows the product. Ruled out: containers or separate processes for the first look; one process on loopback needs only Go. Change: internal/demo and `plumbarrow demo`, which sends the tidy mix, takes a zone out and back, audits verdicts and runs per key, and exits 1 if an invariant broke.

--- a/cmd/plumbarrow/main.go
+++ b/cmd/plumbarrow/main.go
@@ -10,6 +10,7 @@
 
 type arguments struct {
 	Config  *configCommand  `arg:"subcommand:config" help:"check, apply and show the configuration"`
+	Demo    *demoCommand    `arg:"subcommand:demo" help:"run a whole deployment in this process and send it requests"`
 	Load    *loadCommand    `arg:"subcommand:load" help:"send a mix of requests to a running deployment"`
 	Standin *standinCommand `arg:"subcommand:standin" help:"run a stand-in of the platform, an engine or a service"`
 }
@@ -24,6 +25,8 @@
 	switch {
 	case args.Config != nil:
 		err = args.Config.run()
+	case args.Demo != nil:
+		err = args.Demo.run()
 	case args.Load != nil:
 		err = args.Load.run()
 	case args.Standin != nil:
