Wire exchange, orders, claims, forwarding and planned stop into the daemon; checked settings

Cause: the demo's 90 refusals (60 zone_out_of_service, 30 no_endpoint): no forwarding was wired, and claims lived in one process.

Ruled out: one context for all parts; a planned stop then ends the exchange and the ledger before the last request has finished. The daemon now ends its background parts after the drain.

Change: daemon assembles exchange, orders, effective configuration, ledger claims and pins, picker, retry budget, forwarder and customer limits; settings have sections, each fault is one line with file, line and field (TestSettings, 15 cases); internal/tomlfile.

Bills are still in memory.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -1,22 +1,19 @@
 package daemon
 
 import (
-	"context"
 	"errors"
+	"fmt"
 	"log/slog"
-	"net"
-	"net/http"
-	"time"
 
 	"github.com/google/uuid"
-	"github.com/labstack/echo/v4"
-	"github.com/oklog/run"
 	"storj.io/drpc/drpcmux"
 
+	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/decide"
 	"plumbarrow.example/plumbarrow/entry"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/ledger"
+	"plumbarrow.example/plumbarrow/limit"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/platform"
@@ -24,116 +21,123 @@
 	"plumbarrow.example/plumbarrow/zone"
 )
 
-const (
-	headerTimeout = 10 * time.Second // a caller that sends its header more slowly is cut off
-	drainTimeout  = time.Minute
-)
-
 // Daemon is one entry instance.
 type Daemon struct {
-	settings   Settings
-	listeners  Listeners
-	log        *slog.Logger
-	counters   *telemetry.Counters
+	settings  Settings
+	listeners Listeners
+	log       *slog.Logger
+	counters  *telemetry.Counters
+
+	self       machine.Member
+	store      platform.Store
 	replica    *replica.Replica
 	membership *zone.Membership
+	exchange   *zone.Exchange
+	orders     *zone.Orders
+	effective  *zone.Effective
 	table      *machine.Table
+	ledger     *ledger.Ledger
 	entry      *entry.Server
+
+	dispatcher *link.Dispatcher
+	dialer     *link.PeerDialer
 	peers      *drpcmux.Mux
 }
 
 // New assembles a daemon that serves on the listeners; nothing runs before Run.
 func New(settings Settings, listeners Listeners, log *slog.Logger) (*Daemon, error) {
-	counters := telemetry.New()
-	store := platform.NewConsul(settings.StoreAddress, func(op string) { counters.Add("plumbarrow_store_calls_total", "op", op) })
-	list := platform.NewHTTPList(settings.ListAddress, func(op string) { counters.Add("plumbarrow_platform_calls_total", "op", op) })
-	self := machine.Member{
-		ID:          machine.InstanceID(settings.Instance),
-		Incarnation: machine.Incarnation(uuid.NewString()),
-		Zone:        settings.Zone,
-		Address:     settings.PeersAddress,
-	}
 	d := &Daemon{
-		settings:   settings,
-		listeners:  listeners,
-		log:        log,
-		counters:   counters,
-		replica:    replica.New(store, log),
-		membership: zone.NewMembership(zone.DefaultSettings(), self, list, log),
+		settings:  settings,
+		listeners: listeners,
+		log:       log,
+		counters:  telemetry.New(),
+		self: machine.Member{
+			ID:          machine.InstanceID(settings.Instance),
+			Incarnation: machine.Incarnation(uuid.NewString()),
+			Zone:        settings.Zone,
+			Address:     settings.PeersAddress,
+		},
 		table:      machine.NewTable(),
+		dispatcher: link.NewDispatcher(),
+		dialer:     link.NewPeerDialer(),
 		peers:      drpcmux.New(),
 	}
+	d.assembleFleet()
+	d.assembleLedger()
+	d.assembleEntry()
+	if err := d.register(); err != nil {
+		return nil, fmt.Errorf("register peer services: %w", err)
+	}
+	return d, nil
+}
+
+// assembleFleet joins what the instance knows of the platform and of its peers.
+func (d *Daemon) assembleFleet() {
+	d.store = platform.NewConsul(d.settings.StoreAddress, d.counter("plumbarrow_store_calls_total"))
+	list := platform.NewHTTPList(d.settings.ListAddress, d.counter("plumbarrow_platform_calls_total"))
+	d.replica = replica.New(d.store, d.log)
+	d.membership = zone.NewMembership(d.settings.Exchange, d.self, list, d.log)
+	d.exchange = zone.NewExchange(d.settings.Exchange, d.membership, d.dialer, d.counters, d.log)
+	d.orders = zone.NewOrders(d.replica, d.exchange.Nudge, d.counters, d.log)
+	d.effective = zone.NewEffective(d.replica, d.orders)
+	d.exchange.Add(d.orders)
+	listed := &lastList{}
 	d.membership.OnList(func(instances []platform.Instance) {
-		if snapshot := d.replica.Current(); snapshot != nil {
-			d.table.Apply(settings.Zone, instances, snapshot)
-		}
+		listed.set(instances)
+		d.applyList(instances, d.replica.Current())
 	})
-	memory := ledger.NewMemory()
-	d.entry = entry.New(entry.Parts{
-		Self:         self,
-		Source:       d.replica,
-		Table:        d.table,
-		Picker:       decide.LeastLoaded{},
-		Dispatcher:   link.NewDispatcher(),
-		Claims:       memory,
-		Bills:        memory,
-		Counters:     counters,
-		Log:          log,
-		MaxBodyBytes: settings.MaxBodyBytes,
-	})
-	return d, nil
+	d.replica.OnChange(func(snapshot *contract.Snapshot) { d.applyList(listed.get(), snapshot) })
 }
 
-// Run serves until ctx ends, then finishes what has started.
-func (d *Daemon) Run(ctx context.Context) error {
-	var group run.Group
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	group.Add(func() error { <-ctx.Done(); return nil }, func(error) { cancel() })
-	add := func(f func(context.Context) error) {
-		group.Add(func() error { return f(ctx) }, func(error) { cancel() })
+// applyList takes over a new instance list or a new configuration.
+func (d *Daemon) applyList(instances []platform.Instance, snapshot *contract.Snapshot) {
+	if snapshot != nil {
+		d.table.Apply(d.settings.Zone, instances, snapshot)
 	}
-	add(d.replica.Run)
-	add(d.membership.Run)
-	add(d.servePeers)
-	d.addServer(&group, d.listeners.Callers, d.entry.Handler())
-	d.addServer(&group, d.listeners.Operators, d.operators())
-	return group.Run()
 }
 
-func (d *Daemon) servePeers(ctx context.Context) error {
-	return link.ServePeers(ctx, d.listeners.Peers, d.peers)
+func (d *Daemon) counter(name string) platform.CallCounter {
+	return func(operation string) { d.counters.Add(name, "op", operation) }
 }
 
-func (d *Daemon) addServer(group *run.Group, listener net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	group.Add(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
-		defer cancel()
-		_ = server.Shutdown(ctx)
+func (d *Daemon) assembleLedger() {
+	d.ledger = ledger.New(ledger.Parts{
+		Store:    d.store,
+		Members:  d.membership,
+		Peers:    d.dialer,
+		Counters: d.counters,
+		Log:      d.log,
+		Settings: d.settings.Ledger,
 	})
 }
 
-// operators returns the operators' HTTP surface.
-func (d *Daemon) operators() http.Handler {
-	e := echo.New()
-	e.HideBanner = true
-	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
-	e.GET("/readyz", func(c echo.Context) error {
-		if d.replica.Current() == nil {
-			return c.String(http.StatusServiceUnavailable, "no configuration\n")
-		}
-		return c.String(http.StatusOK, "ready\n")
-	})
-	e.GET("/metrics", func(c echo.Context) error {
-		c.Response().Header().Set(echo.HeaderContentType, echo.MIMETextPlain)
-		d.counters.Write(c.Response())
-		return nil
+func (d *Daemon) assembleEntry() {
+	d.entry = entry.New(entry.Parts{
+		Self:         d.self,
+		Source:       d.effective,
+		Table:        d.table,
+		Picker:       decide.NewPicker(d.settings.Decide),
+		Dispatcher:   d.dispatcher,
+		Claims:       d.ledger.Claims,
+		Bills:        ledger.NewMemory(),
+		Pins:         d.ledger.Pins,
+		Counters:     d.counters,
+		Log:          d.log,
+		MaxBodyBytes: d.settings.MaxBodyBytes,
+		Settings:     d.settings.Entry,
+		Retries:      decide.NewRetryBudget(),
+		Forwarder:    link.NewForwardClient(d.dialer),
+		Members:      d.membership,
+		Limits:       limit.NewCustomers(d.membership),
 	})
-	return e
+}
+
+// register adds the services for other entry instances.
+func (d *Daemon) register() error {
+	return errors.Join(
+		link.NewLiveness(d.self).Register(d.peers),
+		link.NewForwardServer(d.entry, d.settings.MaxBodyBytes).Register(d.peers),
+		d.exchange.Register(d.peers),
+		d.ledger.Register(d.peers),
+	)
 }
--- /dev/null
+++ b/daemon/run.go
@@ -0,0 +1,108 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+
+	"plumbarrow.example/plumbarrow/link"
+)
+
+const (
+	headerTimeout   = 10 * time.Second // a caller that sends its header more slowly is cut off
+	shutdownTimeout = 5 * time.Second
+)
+
+// Run serves until ctx ends or a part fails. When ctx ends it makes a planned stop: not ready, a
+// grace for the balancer, every request in progress to its end, then bills and claims to the store.
+func (d *Daemon) Run(ctx context.Context) error {
+	var group run.Group
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	stopped := make(chan struct{})
+	group.Add(func() error {
+		select {
+		case <-ctx.Done():
+			d.stop()
+		case <-stopped:
+		}
+		return nil
+	}, func(error) { close(stopped) })
+	for _, part := range d.parts() {
+		group.Add(func() error { return part(background) }, func(error) { cancel() })
+	}
+	d.addServer(&group, d.listeners.Callers, d.entry.Handler())
+	d.addServer(&group, d.listeners.Operators, d.operators())
+	err := group.Run()
+	d.dispatcher.Close()
+	d.dialer.Close()
+	return err
+}
+
+// parts are the long-running parts; each returns when its context ends.
+func (d *Daemon) parts() []func(context.Context) error {
+	return []func(context.Context) error{
+		d.replica.Run,
+		d.membership.Run,
+		d.exchange.Run,
+		d.ledger.Run,
+		func(ctx context.Context) error { return link.ServePeers(ctx, d.listeners.Peers, d.peers) },
+	}
+}
+
+// stop lets the balancer notice and requests finish.
+func (d *Daemon) stop() {
+	d.log.Info("planned stop")
+	d.entry.Stop()
+	d.membership.Leave()
+	d.exchange.Nudge()
+	time.Sleep(time.Duration(d.settings.StopGraceMS) * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.StopTimeoutMS)*time.Millisecond)
+	defer cancel()
+	if err := d.entry.Drain(ctx); err != nil {
+		d.log.Error("requests were still in progress at the end of the stop timeout", "error", err)
+	}
+}
+
+func (d *Daemon) addServer(group *run.Group, listener net.Listener, handler http.Handler) {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ErrorLog:          slog.NewLogLogger(d.log.Handler(), slog.LevelWarn),
+	}
+	group.Add(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = server.Shutdown(ctx)
+	})
+}
+
+// operators returns the operators' HTTP surface.
+func (d *Daemon) operators() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", func(c echo.Context) error {
+		if !d.entry.Ready() {
+			return c.String(http.StatusServiceUnavailable, "not ready\n")
+		}
+		return c.String(http.StatusOK, "ready\n")
+	})
+	e.GET("/metrics", func(c echo.Context) error {
+		c.Response().Header().Set(echo.HeaderContentType, echo.MIMETextPlain)
+		d.counters.Write(c.Response())
+		return nil
+	})
+	return e
+}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -1,17 +1,23 @@
-// Package daemon assembles one entry instance from its settings.
 package daemon
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
+	"net"
 	"os"
+	"strings"
 
-	"github.com/pelletier/go-toml/v2"
+	"plumbarrow.example/plumbarrow/decide"
+	"plumbarrow.example/plumbarrow/entry"
+	"plumbarrow.example/plumbarrow/internal/tomlfile"
+	"plumbarrow.example/plumbarrow/ledger"
+	"plumbarrow.example/plumbarrow/quality"
+	"plumbarrow.example/plumbarrow/rollout"
+	"plumbarrow.example/plumbarrow/zone"
 )
 
-// Settings of one entry instance. They name what it needs to start; what it serves is in the
-// operators' configuration.
+// Settings of one entry instance. They name what it needs to start and how it behaves; what it
+// serves is in the operators' configuration.
 type Settings struct {
 	// Instance is the id of this entry instance in the platform's list. Required.
 	Instance string `toml:"instance"`
@@ -21,6 +27,9 @@
 	CallersAddress string `toml:"callers_address"`
 	// OperatorsAddress is IP:port of the operators' HTTP surface. Default 127.0.0.1:8081.
 	OperatorsAddress string `toml:"operators_address"`
+	// OperatorsTokenFile holds the operators' bearer token. Without it only reads are served.
+	// Default none.
+	OperatorsTokenFile string `toml:"operators_token_file"`
 	// PeersAddress is IP:port of the drpc surface for other entry instances.
 	// Default 127.0.0.1:8082.
 	PeersAddress string `toml:"peers_address"`
@@ -28,8 +37,24 @@
 	StoreAddress string `toml:"store_address"`
 	// ListAddress is IP:port of the platform's instance list. Default 127.0.0.1:8501.
 	ListAddress string `toml:"list_address"`
+	// RaterAddress is IP:port of the platform's rating service; empty means that there is none.
+	// Default none.
+	RaterAddress string `toml:"rater_address"`
 	// MaxBodyBytes bounds a caller's request body. Default 4,194,304.
 	MaxBodyBytes int64 `toml:"max_body_bytes"`
+	// StopGraceMS is the time in milliseconds that a planned stop leaves the platform's balancer
+	// to notice that the instance is not ready. Default 5,000.
+	StopGraceMS int `toml:"stop_grace_ms"`
+	// StopTimeoutMS bounds in milliseconds how long a planned stop waits for requests in progress.
+	// Default 600,000.
+	StopTimeoutMS int `toml:"stop_timeout_ms"`
+
+	Entry    entry.Settings   `toml:"entry"`
+	Decide   decide.Settings  `toml:"decide"`
+	Ledger   ledger.Settings  `toml:"ledger"`
+	Quality  quality.Settings `toml:"quality"`
+	Rollout  rollout.Settings `toml:"rollout"`
+	Exchange zone.Settings    `toml:"exchange"`
 }
 
 // DefaultSettings returns the defaults of all optional fields.
@@ -41,26 +66,111 @@
 		StoreAddress:     "127.0.0.1:8500",
 		ListAddress:      "127.0.0.1:8501",
 		MaxBodyBytes:     4 << 20,
+		StopGraceMS:      5_000,
+		StopTimeoutMS:    600_000,
+		Entry:            entry.DefaultSettings(),
+		Decide:           decide.DefaultSettings(),
+		Ledger:           ledger.DefaultSettings(),
+		Quality:          quality.DefaultSettings(),
+		Rollout:          rollout.DefaultSettings(),
+		Exchange:         zone.DefaultSettings(),
 	}
 }
 
-// LoadSettings reads and checks a settings file. Errors name file, line and field.
+// LoadSettings reads and checks a settings file. Each error is one line with file, line and field.
 func LoadSettings(file string) (Settings, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return Settings{}, err
 	}
 	settings := DefaultSettings()
-	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
-	if err := decoder.Decode(&settings); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) {
-			return Settings{}, fmt.Errorf("%s: unknown field\n%s", file, strict.String())
-		}
-		return Settings{}, fmt.Errorf("%s: %w", file, err)
+	if err := tomlfile.Decode(file, data, &settings); err != nil {
+		return Settings{}, err
 	}
-	if settings.Instance == "" || settings.Zone == "" {
-		return Settings{}, fmt.Errorf("%s: instance and zone are required", file)
+	if err := settings.Validate(); err != nil {
+		return Settings{}, locate(file, data, err)
 	}
 	return settings, nil
 }
+
+// locate adds file and line to an error that starts with its field.
+func locate(file string, data []byte, err error) error {
+	field := err.Error()
+	if end := strings.IndexAny(field, ": "); end >= 0 {
+		field = field[:end]
+	}
+	if line := tomlfile.Line(data, field); line > 0 {
+		return fmt.Errorf("%s:%d: %w", file, line, err)
+	}
+	return fmt.Errorf("%s: %w", file, err)
+}
+
+// Validate returns the first fault in the form field: problem.
+func (s Settings) Validate() error {
+	if s.Instance == "" {
+		return errors.New("instance: is required")
+	}
+	if s.Zone == "" {
+		return errors.New("zone: is required")
+	}
+	if err := s.validateAddresses(); err != nil {
+		return err
+	}
+	switch {
+	case s.MaxBodyBytes < 1:
+		return errors.New("max_body_bytes: must be positive")
+	case s.StopGraceMS < 0:
+		return errors.New("stop_grace_ms: must not be negative")
+	case s.StopTimeoutMS < 1:
+		return errors.New("stop_timeout_ms: must be positive")
+	}
+	return s.validateSections()
+}
+
+func (s Settings) validateAddresses() error {
+	addresses := []struct{ field, value string }{
+		{"callers_address", s.CallersAddress},
+		{"operators_address", s.OperatorsAddress},
+		{"peers_address", s.PeersAddress},
+		{"store_address", s.StoreAddress},
+		{"list_address", s.ListAddress},
+	}
+	seen := make(map[string]string)
+	for _, address := range addresses {
+		host, port, err := net.SplitHostPort(address.value)
+		if err != nil || net.ParseIP(host) == nil {
+			return fmt.Errorf("%s: %q is not IP:port", address.field, address.value)
+		}
+		if other := seen[address.value]; other != "" && port != "0" {
+			return fmt.Errorf("%s: %s is %s too", address.field, address.value, other)
+		}
+		seen[address.value] = address.field
+	}
+	if s.RaterAddress == "" {
+		return nil
+	}
+	if host, _, err := net.SplitHostPort(s.RaterAddress); err != nil || net.ParseIP(host) == nil {
+		return fmt.Errorf("rater_address: %q is not IP:port", s.RaterAddress)
+	}
+	return nil
+}
+
+func (s Settings) validateSections() error {
+	sections := []struct {
+		name     string
+		validate func() error
+	}{
+		{"entry", s.Entry.Validate},
+		{"decide", s.Decide.Validate},
+		{"ledger", s.Ledger.Validate},
+		{"quality", s.Quality.Validate},
+		{"rollout", s.Rollout.Validate},
+		{"exchange", s.Exchange.Validate},
+	}
+	for _, section := range sections {
+		if err := section.validate(); err != nil {
+			return fmt.Errorf("%s.%w", section.name, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/settings_test.go
@@ -0,0 +1,46 @@
+package daemon_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumbarrow.example/plumbarrow/daemon"
+)
+
+// TestSettings checks that each wrong settings file is refused in one line with file, line and field.
+func TestSettings(t *testing.T) {
+	const good = "instance = \"entry-1\"\nzone = \"nbo-a\"\n"
+	tests := []struct{ name, text, want string }{
+		{"good", good, ""},
+		{"no instance", "zone = \"nbo-a\"\n", `FILE: instance: is required`},
+		{"no zone", "instance = \"entry-1\"\n", `FILE: zone: is required`},
+		{"unknown field", good + "zonee = 1\n", `FILE:3: zonee: unknown field`},
+		{"unknown section", good + "[ledgers]\nx = 1\n", `FILE:3: ledgers: unknown field`},
+		{"not TOML", good + "= 3\n", `FILE:3: invalid character at start of key: U+003D '='`},
+		{"wrong type", good + "max_body_bytes = \"4\"\n", `FILE:3: max_body_bytes: cannot decode TOML string into struct field daemon.Settings.MaxBodyBytes of type int64`},
+		{"host name", good + "store_address = \"store:8500\"\n", `FILE:3: store_address: "store:8500" is not IP:port`},
+		{"same address twice", good + "\npeers_address = \"127.0.0.1:8080\"\n", `FILE:4: peers_address: 127.0.0.1:8080 is callers_address too`},
+		{"negative grace", good + "stop_grace_ms = -1\n", `FILE:3: stop_grace_ms: must not be negative`},
+		{"zero body", good + "max_body_bytes = 0\n", `FILE:3: max_body_bytes: must be positive`},
+		{"section field", good + "[exchange]\nfanout = 0\n", `FILE:4: exchange.fanout: 0, must be positive`},
+		{"contradiction", good + "[exchange]\nsuspect_after_ms = 100\n", `FILE:4: exchange.suspect_after_ms: must be longer than peer_timeout_ms`},
+		{"section field without a colon", good + "[rollout]\nslow_ms = 0\n", `FILE:4: rollout.slow_ms must be at least 1`},
+		{"bad rater", good + "rater_address = \"x\"\n", `FILE:3: rater_address: "x" is not IP:port`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "settings.toml")
+			qt.Assert(t, os.WriteFile(file, []byte(test.text), 0o600), qt.IsNil)
+			_, err := daemon.LoadSettings(file)
+			if test.want == "" {
+				qt.Assert(t, err, qt.IsNil)
+				return
+			}
+			qt.Assert(t, err, qt.IsNotNil)
+			qt.Assert(t, err.Error(), qt.Equals, file+test.want[len("FILE"):])
+		})
+	}
+}
--- a/entry/authenticate.go
+++ b/entry/authenticate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -41,9 +42,23 @@
 		return nil, nil, err
 	}
 	exchangeOf(c).record.Customer = customer.Name
+	if err := s.limited(c, customer); err != nil {
+		return nil, nil, err
+	}
 	return snapshot, customer, nil
 }
 
+// limited holds a caller to its customer's request rate; a forwarded request was counted before.
+func (s *Server) limited(c echo.Context, customer *contract.Customer) error {
+	if s.Limits == nil || identityOf(c.Request().Context()) != nil {
+		return nil
+	}
+	if refusal := s.Limits.Allow(customer, time.Now()); refusal != nil {
+		return refusal
+	}
+	return nil
+}
+
 func customerOf(c echo.Context, snapshot *contract.Snapshot) (*contract.Customer, error) {
 	if who := identityOf(c.Request().Context()); who != nil {
 		if customer := snapshot.Customers[who.customer]; customer != nil {
--- a/entry/server.go
+++ b/entry/server.go
@@ -15,6 +15,7 @@
 	"plumbarrow.example/plumbarrow/decide"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/ledger"
+	"plumbarrow.example/plumbarrow/limit"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/quality"
@@ -66,6 +67,7 @@
 	Forwarder Forwarder                // optional; nothing is forwarded without it
 	Members   machine.Members          // needed by Forwarder
 	Zones     func() []decide.ZoneLoad // optional; spare capacity of other zones
+	Limits    *limit.Customers         // optional; customers' request rates are not limited without it
 	Confirmed func() bool              // optional; whether the configuration in force is confirmed
 }
 
