link: mend a data race in TestForward's own stop flag

Ruled out: a race in the code under test; both stacks lie in peer_test.go. Change: sync.OnceFunc, which also waits for the stop that is under way, so the check got stricter.

--- a/link/peer_test.go
+++ b/link/peer_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -111,10 +112,10 @@
 				network := newPipeNetwork()
 				network.silent.Store(test.silent)
 				dialer, stop := servePeer(c, network, test.handler)
-				stopped := false
+				stop = sync.OnceFunc(stop)
 				answer, err := NewForwardClient(dialer).Forward(t.Context(), peer, forwardHead())
 				if err == nil && test.during != nil {
-					test.during(network, func() { stopped = true; stop() })
+					test.during(network, stop)
 				}
 				var body []byte
 				if err == nil {
@@ -134,9 +135,7 @@
 				if answer != nil {
 					answer.Body.Close()
 				}
-				if !stopped {
-					stop()
-				}
+				stop() // waits for a stop that is under way
 				synctest.Wait()
 			})
 		})
