Spread the configuration by one watch a zone and by peers; propose with base and change id

Cause: every instance kept its own endless watch (400 watches, and a silent one was never noticed); a new instance with the store down never got a configuration; Propose overwrote whatever was there and gave up at a lost answer.

Change: the head is a short list of accepted changes; documents are compressed, content-addressed parts below it, written first and deleted once no change in the head refers to them, guarded by the version of their writing. A proposal carries base revision, change id and author; a lost race is merged entry by entry; an unknown swap is settled by reading the change id back from head and history, else reported as unknown. One instance a zone watches (rendezvous), bounded and reread; the rest hear of revisions by link.Topic and fetch from a peer that is ahead, hedged. While no word from the store comes by any way, a zone's instances read it at one read a second together. A starting instance asks store and peers and is not ready before. Lower heads and equal revisions with other digests are alarms, never reverts.

Ruled out: documents inline in the head (the watch returns the whole value at each time-out: at 1 MB that alone exceeds 23 KB/s); pruning by listing all parts (reads every value); trusting a peer's confirmation without its revision.

--- a/contract/merge_test.go
+++ b/contract/merge_test.go
@@ -17,6 +17,7 @@
 // TestMain fixes the seed of the property tests.
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
 
--- /dev/null
+++ b/replica/fleet_test.go
@@ -0,0 +1,238 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/internal/telemetry"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/standin/kv"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// fleet is a store and some replicas that exchange topics once a second, in virtual time.
+type fleet struct {
+	store *kv.Store
+	ctx   context.Context
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	loss     float64 // share of topic messages and fetches lost
+	members  []machine.Member
+	nodes    map[machine.InstanceID]*node
+	cutPeers map[string]bool // zones cut off from other zones
+	digests  map[contract.Revision]string
+	broken   []string           // invariants seen broken
+	talker   machine.InstanceID // if set, the only one whose topic messages arrive
+}
+
+type node struct {
+	*Replica
+	fleet    *fleet
+	self     machine.Member
+	counters *telemetry.Counters
+	stop     context.CancelFunc
+	highest  contract.Revision
+	cut      bool // from the store
+	silent   bool // its watches never answer
+}
+
+func newFleet(ctx context.Context, loss float64) *fleet {
+	return &fleet{
+		store: kv.New(), ctx: ctx, loss: loss, random: rand.New(rand.NewPCG(1, 2)),
+		nodes: make(map[machine.InstanceID]*node), cutPeers: make(map[string]bool), digests: make(map[contract.Revision]string),
+	}
+}
+
+// add starts an instance; one that ran before is started afresh.
+func (f *fleet) add(id, zone string) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	self := machine.Member{ID: machine.InstanceID(id), Incarnation: machine.Incarnation(fmt.Sprint(id, f.random.Uint32())), Zone: zone}
+	n := &node{fleet: f, self: self, counters: telemetry.New()}
+	n.Replica = New(nodeStore{f.store, n}, slog.New(slog.NewTextHandler(io.Discard, nil)), WithCounters(n.counters))
+	n.members, n.fetcher = n, n
+	n.OnChange(n.observe)
+	if f.nodes[self.ID] == nil {
+		f.members = append(f.members, self)
+	}
+	f.nodes[self.ID] = n
+	ctx, stop := context.WithCancel(f.ctx)
+	n.stop = stop
+	go func() { _ = n.Run(ctx) }()
+	go n.gossip(ctx)
+	return n
+}
+
+// observe checks the invariants of every snapshot put into force.
+func (n *node) observe(snapshot *contract.Snapshot) {
+	f := n.fleet
+	record, _ := n.InForce()
+	document, err := contract.Parse("in force", n.Document())
+	if err == nil {
+		_, err = contract.BuildAccepted(document, snapshot.Revision)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		f.broken = append(f.broken, fmt.Sprintf("%s: invalid snapshot %d: %v", n.self.ID, snapshot.Revision, err))
+	}
+	if snapshot.Revision <= n.highest {
+		f.broken = append(f.broken, fmt.Sprintf("%s: went from %d to %d", n.self.ID, n.highest, snapshot.Revision))
+	}
+	n.highest = snapshot.Revision
+	if known, ok := f.digests[snapshot.Revision]; ok && known != record.Digest {
+		f.broken = append(f.broken, fmt.Sprintf("%s: another document at revision %d", n.self.ID, snapshot.Revision))
+	}
+	f.digests[snapshot.Revision] = record.Digest
+}
+
+func (n *node) Self() machine.Member { return n.self }
+
+// Live implements machine.Members from a list that still shows dead instances.
+func (n *node) Live() []machine.Member {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return append([]machine.Member(nil), n.fleet.members...)
+}
+
+// reach returns a live peer unless the message is lost.
+func (n *node) reach(to machine.Member) *node {
+	f := n.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	other := f.nodes[to.ID]
+	cut := to.Zone != n.self.Zone && (f.cutPeers[to.Zone] || f.cutPeers[n.self.Zone])
+	if other == nil || other.stop == nil || cut || f.random.Float64() < f.loss {
+		return nil
+	}
+	return other
+}
+
+func (n *node) gossip(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, member := range n.Live() {
+			if other := n.reach(member); other != nil && other != n && !n.muted() {
+				if message := n.Message(member); message != nil {
+					other.Receive(n.self, message)
+				}
+			}
+		}
+		pause(ctx, time.Second)
+	}
+}
+
+func (n *node) muted() bool {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return n.fleet.talker != "" && n.fleet.talker != n.self.ID
+}
+
+var errLost = errors.New("lost")
+
+func (n *node) fetch(ctx context.Context, from machine.Member, known contract.Revision) (fetched, error) {
+	other := n.reach(from)
+	if other == nil {
+		pause(ctx, time.Hour)
+		return fetched{}, errLost
+	}
+	force := other.current.Load()
+	if force.revision() <= known {
+		return fetched{}, nil
+	}
+	return fetched{record: force.record, packed: force.packed}, nil
+}
+
+// crash stops an instance; the list goes on showing it.
+func (f *fleet) crash(id machine.InstanceID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := f.nodes[id]; n.stop != nil {
+		n.stop()
+		n.stop = nil
+	}
+}
+
+// lagging lists live instances that are not at the revision.
+func (f *fleet) lagging(revision contract.Revision) (ids []machine.InstanceID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, n := range f.nodes {
+		if n.stop != nil && n.current.Load().revision() != revision {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (f *fleet) watching(zone string) *node {
+	for _, n := range f.nodes {
+		if n.self.Zone == zone && n.elected() {
+			return n
+		}
+	}
+	return nil
+}
+
+// nodeStore is one instance's way to the store.
+type nodeStore struct {
+	*kv.Store
+	node *node
+}
+
+func (s nodeStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if s.node.isCut() {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s nodeStore) Watch(ctx context.Context, key string, after platform.Version, wait time.Duration) (platform.Entry, error) {
+	if s.node.isCut() {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	if s.node.isSilent() {
+		<-ctx.Done()
+		return platform.Entry{}, ctx.Err()
+	}
+	return s.Store.Watch(ctx, key, after, wait)
+}
+
+func (n *node) isCut() bool    { n.fleet.mu.Lock(); defer n.fleet.mu.Unlock(); return n.cut }
+func (n *node) isSilent() bool { n.fleet.mu.Lock(); defer n.fleet.mu.Unlock(); return n.silent }
+
+func (f *fleet) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// zonesDocument returns a document whose zones have the given regions.
+func zonesDocument(regions ...int) []byte {
+	var out []byte
+	for i, region := range regions {
+		out = fmt.Appendf(out, "[[zones]]\nname = \"z%d\"\nregion = \"r%d\"\n", i, region)
+	}
+	return out
+}
+
+func (f *fleet) proposer() *Proposer {
+	return NewProposer(f.store, nil, telemetry.New(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+}
--- a/replica/head.go
+++ b/replica/head.go
@@ -5,56 +5,117 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
+	"time"
 
 	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/platform"
 )
 
-// HeadKey holds the newest accepted configuration.
-const HeadKey = "plumbarrow/configuration/head"
+// Keys in the platform's store.
+const (
+	// HeadKey names the newest accepted configuration. Swapping it is what accepts a change.
+	HeadKey       = "plumbarrow/configuration/head"
+	partPrefix    = "plumbarrow/configuration/parts/"
+	historyPrefix = "plumbarrow/configuration/history/"
+)
 
-// Head is the value of HeadKey.
-type Head struct {
+const (
+	// maxRecords bounds the changes in the head; at the bound the older half moves to history.
+	maxRecords = 32
+	// maxEntries bounds the names of changed entries kept with a change.
+	maxEntries = 4
+	maxAuthor  = 64 // bytes
+)
+
+// Record is one accepted change.
+type Record struct {
 	Revision contract.Revision `json:"revision"`
 	ChangeID string            `json:"change_id"`
-	Document []byte            `json:"document"` // TOML
+	Author   string            `json:"author"`
+	At       time.Time         `json:"at"`
+	// Digest is the hex SHA-256 of the document.
+	Digest string `json:"digest"`
+	// Size of the document in bytes.
+	Size int `json:"size"`
+	// Entries names a few of the changed entries; Changed counts all of them.
+	Entries []string `json:"entries,omitempty"`
+	Changed int      `json:"changed"`
+	Parts   []Part   `json:"parts,omitempty"`
 }
 
-// DecodeHead reads the value of HeadKey.
-func DecodeHead(value []byte) (Head, error) {
-	var head Head
-	if err := json.Unmarshal(value, &head); err != nil {
-		return Head{}, fmt.Errorf("configuration head: %w", err)
+// Part is one piece of a compressed document in the store, named by its content.
+type Part struct {
+	// Digest is the hex SHA-256 of the part and the end of its key.
+	Digest string `json:"digest"`
+	// Version of the part's key when it was written; it guards the deletion.
+	Version platform.Version `json:"version"`
+}
+
+// Head is the value of HeadKey: the last changes, oldest first. The last one is in force.
+type Head struct {
+	Records []Record `json:"records"`
+}
+
+// Revision of the newest change; 0 for an empty head.
+func (h *Head) Revision() contract.Revision {
+	if len(h.Records) == 0 {
+		return 0
 	}
-	return head, nil
+	return h.Records[len(h.Records)-1].Revision
 }
 
-// Propose swaps the head for a new document, one revision above the present head.
-func Propose(ctx context.Context, store platform.Store, changeID string, document []byte) (contract.Revision, error) {
-	parsed, err := contract.Parse("configuration", document)
-	if err != nil {
-		return 0, err
+func (h *Head) newest() *Record { return &h.Records[len(h.Records)-1] }
+
+func (h *Head) byChange(id string) *Record {
+	i := slices.IndexFunc(h.Records, func(r Record) bool { return r.ChangeID == id })
+	if i < 0 {
+		return nil
 	}
-	entry, err := store.Get(ctx, HeadKey)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return 0, fmt.Errorf("read head: %w", err)
+	return &h.Records[i]
+}
+
+func (h *Head) byRevision(revision contract.Revision) *Record {
+	i := slices.IndexFunc(h.Records, func(r Record) bool { return r.Revision == revision })
+	if i < 0 {
+		return nil
 	}
-	var present Head
-	if err == nil {
-		if present, err = DecodeHead(entry.Value); err != nil {
-			return 0, err
+	return &h.Records[i]
+}
+
+// parts returns the parts of a document that the head already refers to, or nil.
+func (h *Head) parts(digest string) []Part {
+	for i := range h.Records {
+		if h.Records[i].Digest == digest {
+			return h.Records[i].Parts
 		}
 	}
-	head := Head{Revision: present.Revision + 1, ChangeID: changeID, Document: document}
-	if _, err := contract.Build(parsed, head.Revision); err != nil {
-		return 0, err
+	return nil
+}
+
+// DecodeHead reads the value of HeadKey.
+func DecodeHead(value []byte) (*Head, error) {
+	head := &Head{}
+	if err := json.Unmarshal(value, head); err != nil {
+		return nil, fmt.Errorf("configuration head: %w", err)
 	}
-	value, err := json.Marshal(head)
-	if err != nil {
-		return 0, fmt.Errorf("encode head: %w", err)
+	for i := 1; i < len(head.Records); i++ {
+		if head.Records[i].Revision <= head.Records[i-1].Revision {
+			return nil, fmt.Errorf("configuration head: revision %d follows %d", head.Records[i].Revision, head.Records[i-1].Revision)
+		}
 	}
-	if _, err := store.Swap(ctx, HeadKey, entry.Version, value); err != nil {
-		return 0, fmt.Errorf("swap head: %w", err)
+	return head, nil
+}
+
+// readHead returns the head and its version in the store; an empty one if there is none yet.
+func readHead(ctx context.Context, store platform.Store) (*Head, platform.Version, error) {
+	entry, err := store.Get(ctx, HeadKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return &Head{}, 0, nil
+	}
+	if err != nil {
+		return nil, 0, fmt.Errorf("read head: %w", err)
 	}
-	return head.Revision, nil
+	head, err := DecodeHead(entry.Value)
+	return head, entry.Version, err
 }
--- /dev/null
+++ b/replica/history.go
@@ -0,0 +1,111 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/platform"
+)
+
+// historySlots bounds the history: each slot holds half a head's changes, and the slots are used
+// in turn. Together they hold a day at 12,000 changes a day.
+const historySlots = 768
+
+var errHistoryUnread = errors.New("the history of changes could not be read")
+
+// ErrNoDocument means that the document of a revision is not kept any more, or never existed.
+var ErrNoDocument = errors.New("the document of this revision is not kept")
+
+func historyKey(first contract.Revision) string {
+	slot := uint64(first) / (maxRecords / 2) % historySlots
+	return fmt.Sprintf("%s%03d", historyPrefix, slot)
+}
+
+// writeHistory stores changes that leave the head, over those of a day before. It is idempotent:
+// accepted changes don't change any more.
+func writeHistory(ctx context.Context, store platform.Store, records []Record) error {
+	short := slices.Clone(records)
+	for i := range short {
+		short[i].Parts = nil
+	}
+	value, err := json.Marshal(short)
+	if err != nil {
+		return fmt.Errorf("encode history: %w", err)
+	}
+	key := historyKey(records[0].Revision)
+	var expect platform.Version
+	entry, err := store.Get(ctx, key)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+	case err != nil:
+		return fmt.Errorf("read history: %w", err)
+	default:
+		var old []Record
+		if json.Unmarshal(entry.Value, &old) == nil && len(old) > 0 && old[0].Revision >= records[0].Revision {
+			return nil
+		}
+		expect = entry.Version
+	}
+	if _, err := store.Swap(ctx, key, expect, value); err != nil {
+		return fmt.Errorf("write history: %w", err)
+	}
+	return nil
+}
+
+// readHistory returns the changes that have left the head, in no order.
+func readHistory(ctx context.Context, store platform.Store) ([]Record, error) {
+	entries, err := store.List(ctx, historyPrefix)
+	if err != nil {
+		return nil, fmt.Errorf("read history: %w", err)
+	}
+	var records []Record
+	for _, entry := range entries {
+		var some []Record
+		if err := json.Unmarshal(entry.Value, &some); err != nil {
+			return nil, fmt.Errorf("%s: %w", entry.Key, err)
+		}
+		records = append(records, some...)
+	}
+	return records, nil
+}
+
+// History returns accepted changes, newest first, at most limit. Only a limit beyond the head's
+// changes costs more than one read.
+func (p *Proposer) History(ctx context.Context, limit int) ([]Record, error) {
+	head, _, err := readHead(ctx, p.store)
+	if err != nil {
+		return nil, err
+	}
+	records := slices.Clone(head.Records)
+	if limit > len(records) && head.Revision() > contract.Revision(len(records)) {
+		older, err := readHistory(ctx, p.store)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, older...)
+	}
+	slices.SortFunc(records, func(a, b Record) int { return int(b.Revision) - int(a.Revision) })
+	records = slices.CompactFunc(records, func(a, b Record) bool { return a.Revision == b.Revision })
+	return records[:min(limit, len(records))], nil
+}
+
+// Document returns the document of a revision among the last changes; 0 means the newest.
+func (p *Proposer) Document(ctx context.Context, revision contract.Revision) (*Record, []byte, error) {
+	head, _, err := readHead(ctx, p.store)
+	if err != nil {
+		return nil, nil, err
+	}
+	if revision == 0 {
+		revision = head.Revision()
+	}
+	record := head.byRevision(revision)
+	if record == nil {
+		return nil, nil, fmt.Errorf("revision %d: %w", revision, ErrNoDocument)
+	}
+	document, err := readDocument(ctx, p.store, record)
+	return record, document, err
+}
--- /dev/null
+++ b/replica/machine_test.go
@@ -0,0 +1,136 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/standin/kv"
+)
+
+// step is one step of the state machine; several faults hold at the same time.
+type step struct {
+	Kind string
+	Node int
+	Zone int // an entry of the document, or a data centre to cut off
+	N    int
+	Wait time.Duration // afterwards
+}
+
+var stepKinds = []string{"propose", "propose", "propose", "crash", "start", "cut", "uncut", "silent", "speak",
+	"partition", "heal", "down", "up", "slow", "lost answers", "dropped writes"}
+
+func drawSteps(t *rapid.T) []step {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+		return step{
+			Kind: rapid.SampledFrom(stepKinds).Draw(t, "kind"),
+			Node: rapid.IntRange(0, 5).Draw(t, "node"),
+			Zone: rapid.IntRange(0, 1).Draw(t, "zone"),
+			N:    rapid.IntRange(1, 9).Draw(t, "n"),
+			Wait: time.Duration(rapid.IntRange(0, 8_000).Draw(t, "wait")) * time.Millisecond,
+		}
+	}), 5, 40).Draw(t, "steps")
+}
+
+// TestMachine runs random steps over two zones of three instances with lossy peers. At no moment
+// does an instance go back, hold an invalid document or one that another instance does not have at
+// that revision; once the faults end, the newest accepted revision is in force everywhere in time.
+func TestMachine(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := drawSteps(rt)
+		loss := rapid.SampledFrom([]float64{0, 0.2, 0.5}).Draw(rt, "loss")
+		var failed string
+		synctest.Test(t, func(t *testing.T) { failed = runMachine(newFleet(t.Context(), loss), steps) })
+		if failed != "" {
+			rt.Fatal(failed)
+		}
+	})
+}
+
+func nodeID(i int) (id, zone string) {
+	zone = string(rune('a' + i/3))
+	return fmt.Sprint(zone, i%3+1), zone
+}
+
+func runMachine(f *fleet, steps []step) string {
+	base := contract.Revision(0)
+	for i := range 6 {
+		f.add(nodeID(i))
+	}
+	var faults kv.Faults
+	for _, s := range steps {
+		switch s.Kind {
+		case "propose":
+			go f.proposer().Propose(f.ctx, Proposal{ChangeID: NewChangeID(), Base: base, Document: zonesDocument(1+s.Zone*s.N, 1+(1-s.Zone)*s.N)})
+			if head, _, err := readHead(f.ctx, f.store); err == nil {
+				base = head.Revision()
+			}
+		case "down", "up":
+			faults.Down = s.Kind == "down"
+		case "slow":
+			faults.Delay = time.Duration(s.N) * 200 * time.Millisecond
+		case "lost answers":
+			faults.LostAnswers = s.N
+		case "dropped writes":
+			faults.DroppedWrites = s.N
+		default:
+			f.disturb(s)
+		}
+		f.store.Fail(faults)
+		time.Sleep(s.Wait)
+	}
+	return f.recovered()
+}
+
+func (f *fleet) disturb(s step) {
+	id, zone := nodeID(s.Node)
+	switch s.Kind {
+	case "crash":
+		f.crash(machine.InstanceID(id))
+		return
+	case "start":
+		f.crash(machine.InstanceID(id))
+		f.add(id, zone)
+		return
+	}
+	f.set(func() {
+		n := f.nodes[machine.InstanceID(id)]
+		switch s.Kind {
+		case "cut", "uncut":
+			n.cut = s.Kind == "cut"
+		case "silent", "speak":
+			n.silent = s.Kind == "silent"
+		case "partition", "heal":
+			f.cutPeers[zone] = s.Kind == "partition"
+		}
+	})
+}
+
+// recovered ends all faults but lossy peers and silent watches, and lets running proposals end.
+func (f *fleet) recovered() string {
+	f.store.Fail(kv.Faults{})
+	f.set(func() {
+		for _, n := range f.nodes {
+			n.cut = false
+		}
+		clear(f.cutPeers)
+	})
+	time.Sleep(proposeTimeout + inForceWithin)
+	last := f.proposer().Edit(f.ctx, Edit{ChangeID: "last", Apply: func([]byte) ([]byte, error) { return zonesDocument(99, 99), nil }})
+	if last.Outcome != Accepted {
+		return fmt.Sprintf("last change: %+v", last)
+	}
+	time.Sleep(inForceWithin)
+	if lagging := f.lagging(last.Revision); len(lagging) > 0 {
+		return fmt.Sprintf("revision %d is not in force at %v", last.Revision, lagging)
+	}
+	if len(f.broken) > 0 {
+		return fmt.Sprint(f.broken)
+	}
+	return ""
+}
--- /dev/null
+++ b/replica/proposer.go
@@ -0,0 +1,157 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/internal/telemetry"
+	"plumbarrow.example/plumbarrow/platform"
+)
+
+const (
+	proposeTimeout  = 30 * time.Second
+	proposeAttempts = 24
+	proposeBackoff  = 50 * time.Millisecond // doubled at each attempt, with jitter
+	maxBackoff      = 2 * time.Second
+)
+
+// Proposal is a whole document that an operator wants in force.
+type Proposal struct {
+	// ChangeID identifies the change over repeats.
+	ChangeID string
+	// Base is the revision that the operator edited; 0 for the first document.
+	Base     contract.Revision
+	Author   string
+	Document []byte // TOML
+	// Recover numbers the change above the revision in force, after the store has lost its head.
+	Recover bool
+}
+
+// Edit is a change described by a function, which is applied to whatever document is in force
+// when the change is accepted.
+type Edit struct {
+	ChangeID string
+	Author   string
+	// Restrictive edits only take away; they may leave routes that nothing can serve.
+	Restrictive bool
+	Apply       func(document []byte) ([]byte, error)
+}
+
+// Proposer writes the configuration. Safe for concurrent use, by any number of processes.
+type Proposer struct {
+	store    platform.Store
+	inForce  contract.Source
+	counters *telemetry.Counters
+	log      *slog.Logger
+}
+
+// NewProposer returns a proposer. inForce guards against a store that has lost its head; it may be
+// nil.
+func NewProposer(store platform.Store, inForce contract.Source, counters *telemetry.Counters, log *slog.Logger) *Proposer {
+	return &Proposer{store: store, inForce: inForce, counters: counters, log: log}
+}
+
+// Propose replaces whatever document is in force, without a base revision.
+func Propose(ctx context.Context, store platform.Store, changeID string, document []byte) (contract.Revision, error) {
+	proposer := NewProposer(store, nil, telemetry.New(), slog.New(slog.DiscardHandler))
+	result := proposer.Edit(ctx, Edit{ChangeID: changeID, Author: "direct", Apply: func([]byte) ([]byte, error) { return document, nil }})
+	if result.Outcome == Accepted {
+		return result.Revision, nil
+	}
+	if len(result.Findings) > 0 {
+		return 0, &contract.Invalid{Findings: result.Findings}
+	}
+	return 0, errors.New(result.Outcome.String() + ": " + result.Detail)
+}
+
+// Propose tries to put a document into force. If others changed other entries since its base, the
+// change is rebased.
+func (p *Proposer) Propose(ctx context.Context, proposal Proposal) Result {
+	if _, err := contract.Parse("document", proposal.Document); err != nil {
+		return *invalidResult(err)
+	}
+	change := &change{proposer: p, id: proposal.ChangeID, author: proposal.Author, recover: proposal.Recover, base: &proposal.Base}
+	change.derive = func(ctx context.Context, head *Head) ([]byte, *Result, error) {
+		return p.rebase(ctx, head, proposal)
+	}
+	return change.run(ctx)
+}
+
+// Edit tries to change the document in force.
+func (p *Proposer) Edit(ctx context.Context, edit Edit) Result {
+	change := &change{proposer: p, id: edit.ChangeID, author: edit.Author, restrictive: edit.Restrictive}
+	change.derive = func(ctx context.Context, head *Head) ([]byte, *Result, error) {
+		var present []byte
+		if head.Revision() > 0 {
+			var err error
+			if present, err = readDocument(ctx, p.store, head.newest()); err != nil {
+				return nil, nil, err
+			}
+		}
+		document, err := edit.Apply(present)
+		if err != nil {
+			return nil, refused(ReasonInvalid, "%v", err), nil
+		}
+		return document, nil, nil
+	}
+	return change.run(ctx)
+}
+
+// rebase returns the document to write above head.
+func (p *Proposer) rebase(ctx context.Context, head *Head, proposal Proposal) ([]byte, *Result, error) {
+	if head.Revision() == proposal.Base || proposal.Recover {
+		return proposal.Document, nil, nil
+	}
+	base := head.byRevision(proposal.Base)
+	if base == nil {
+		return nil, refused(ReasonBase, "revision %d is not among the last %d changes up to revision %d",
+			proposal.Base, len(head.Records), head.Revision()), nil
+	}
+	baseDocument, err := readDocument(ctx, p.store, base)
+	if err != nil {
+		return nil, nil, err
+	}
+	present, err := readDocument(ctx, p.store, head.newest())
+	if err != nil {
+		return nil, nil, err
+	}
+	merged, conflicts, err := contract.Merge(baseDocument, proposal.Document, present)
+	if err != nil {
+		return nil, invalidResult(err), nil
+	}
+	if len(conflicts) > 0 {
+		result := refused(ReasonConflict, "changed since revision %d by others, last by %s at revision %d",
+			proposal.Base, head.newest().Author, head.Revision())
+		result.Conflicts = conflicts
+		return nil, result, nil
+	}
+	return merged, nil, nil
+}
+
+func invalidResult(err error) *Result {
+	result := refused(ReasonInvalid, "the document is invalid")
+	var invalid *contract.Invalid
+	if errors.As(err, &invalid) {
+		result.Findings = invalid.Findings
+	} else {
+		result.Detail = err.Error()
+	}
+	return result
+}
+
+// NewChangeID returns an id for a change.
+func NewChangeID() string { return uuid.NewString() }
+
+func backoff(ctx context.Context, attempt int) {
+	wait := min(proposeBackoff<<min(attempt, 10), maxBackoff)
+	pause(ctx, wait/2+rand.N(wait))
+}
+
+func encodeHead(head *Head) ([]byte, error) { return json.Marshal(head) }
--- /dev/null
+++ b/replica/proposer_test.go
@@ -0,0 +1,269 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/standin/kv"
+)
+
+// inBubble runs a test of proposals against a fresh store.
+func inBubble(t *testing.T, test func(c *qt.C, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) { test(qt.New(t), newFleet(t.Context(), 0)) })
+}
+
+// TestProposeFaults: one fault at the store for each step of a proposal, and what is reported.
+func TestProposeFaults(t *testing.T) {
+	for _, one := range []struct {
+		name    string
+		faults  kv.Faults
+		outcome Outcome
+		head    contract.Revision
+	}{
+		{"none", kv.Faults{}, Accepted, 2},
+		{"answers lost after the write", kv.Faults{LostAnswers: 5}, Accepted, 2},
+		{"writes dropped without an answer", kv.Faults{DroppedWrites: 5}, Accepted, 2},
+		{"writes refused", kv.Faults{FailedWrites: 5}, Accepted, 2},
+		{"store down", kv.Faults{Down: true}, Refused, 1},
+		{"head write dropped, then store down", kv.Faults{Hook: headSwap(platform.ErrOutcomeUnknown)}, Unknown, 1},
+		{"head write refused for good", kv.Faults{Hook: headSwap(platform.ErrUnavailable)}, Refused, 1},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			inBubble(t, func(c *qt.C, f *fleet) {
+				propose(c, f, 0, zonesDocument(1, 1))
+				f.store.Fail(one.faults)
+				proposal := Proposal{ChangeID: "change", Base: 1, Document: zonesDocument(1, 2)}
+				result := f.proposer().Propose(f.ctx, proposal)
+				c.Assert(result.Outcome, qt.Equals, one.outcome, qt.Commentf("%+v", result))
+				f.store.Fail(kv.Faults{})
+				head, _, err := readHead(f.ctx, f.store)
+				c.Assert(err, qt.IsNil)
+				c.Assert(head.Revision(), qt.Equals, one.head)
+				again := f.proposer().Propose(f.ctx, proposal) // the same change id tells
+				c.Assert(again.Outcome, qt.Equals, Accepted)
+				c.Assert(again.Revision, qt.Equals, contract.Revision(2))
+			})
+		})
+	}
+}
+
+// TestLostAnswerOverwritten: the answer of an accepted change is lost, and before it is read back
+// another operator changes the same entry again, then so many others follow that the first change
+// has left the head. It was accepted all the same.
+func TestLostAnswerOverwritten(t *testing.T) {
+	for _, later := range []int{1, maxRecords + 1} {
+		inBubble(t, func(c *qt.C, f *fleet) {
+			propose(c, f, 0, zonesDocument(1, 1))
+			swapped := false
+			var hook func(op kv.Op, key string) error
+			hook = func(op kv.Op, key string) error {
+				switch {
+				case op == kv.OpSwap && key == HeadKey:
+					swapped = true
+					f.store.Fail(kv.Faults{LostAnswers: 1, Hook: hook})
+				case op == kv.OpGet && key == HeadKey && swapped:
+					f.store.Fail(kv.Faults{})
+					for i := range later {
+						propose(c, f, contract.Revision(2+i), zonesDocument(1, 5+i))
+					}
+				}
+				return nil
+			}
+			f.store.Fail(kv.Faults{Hook: hook})
+			result := f.proposer().Propose(f.ctx, Proposal{ChangeID: "change", Base: 1, Document: zonesDocument(1, 2)})
+			c.Assert(result.Outcome, qt.Equals, Accepted, qt.Commentf("%+v", result))
+			c.Assert(result.Revision, qt.Equals, contract.Revision(2))
+		})
+	}
+}
+
+// headSwap fails each swap of the head.
+func headSwap(err error) func(kv.Op, string) error {
+	return func(op kv.Op, key string) error {
+		if op == kv.OpSwap && key == HeadKey {
+			return err
+		}
+		return nil
+	}
+}
+
+// TestProposeRefused: proposals that must be refused, and why.
+func TestProposeRefused(t *testing.T) {
+	inBubble(t, func(c *qt.C, f *fleet) {
+		propose(c, f, 0, zonesDocument(1, 1))
+		propose(c, f, 1, zonesDocument(1, 2))
+		try := func(base contract.Revision, document []byte) Result {
+			return f.proposer().Propose(f.ctx, Proposal{ChangeID: NewChangeID(), Base: base, Document: document})
+		}
+		c.Assert(try(2, []byte("no TOML")).Reason, qt.Equals, ReasonInvalid)
+		c.Assert(try(2, []byte("[[zones]]\nname = 1")).Findings[0].Line, qt.Equals, 2)
+		c.Assert(try(2, nil).Findings[0].Problem, qt.Equals, "no zone is configured")
+		c.Assert(try(7, zonesDocument(3, 3)).Reason, qt.Equals, ReasonBase)
+		result := try(1, zonesDocument(1, 3))
+		c.Assert(result.Reason, qt.Equals, ReasonConflict)
+		c.Assert(fmt.Sprint(result.Conflicts), qt.Equals, `[zones "z1"]`)
+		result = try(1, zonesDocument(7, 1))
+		c.Assert(result.Rebased, qt.IsTrue)
+		_, document, err := f.proposer().Document(f.ctx, 0)
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(document), qt.Equals, string(zonesDocument(7, 2)))
+		c.Assert(try(3, zonesDocument(7, 2)).Detail, qt.Equals, "no change")
+	})
+}
+
+// TestRestrictiveEdit: withdrawing the last version is accepted and goes into force, and does not
+// keep later edits of something else from being accepted; an operator's edit that would leave a
+// route unserved is refused.
+func TestRestrictiveEdit(t *testing.T) {
+	inBubble(t, func(c *qt.C, f *fleet) {
+		document := append(zonesDocument(1), `
+[[models]]
+name = "m"
+[[models.versions]]
+name = "v1"
+[[pools]]
+name = "p"
+model = "m"
+`...)
+		propose(c, f, 0, document)
+		id := contract.VersionID{Model: "m", Name: "v1"}
+		withdraw := Edit{ChangeID: "w", Restrictive: true, Apply: func(document []byte) ([]byte, error) {
+			return contract.SetVersionState(document, id, contract.VersionWithdrawn)
+		}}
+		withdrawn, err := withdraw.Apply(document)
+		c.Assert(err, qt.IsNil)
+		c.Assert(f.proposer().Propose(f.ctx, Proposal{ChangeID: "x", Base: 1, Document: withdrawn}).Reason, qt.Equals, ReasonInvalid)
+		c.Assert(f.proposer().Edit(f.ctx, withdraw).Outcome, qt.Equals, Accepted)
+		n := f.add("a1", "a")
+		time.Sleep(time.Second)
+		c.Assert(n.Current().Versions[id].State, qt.Equals, contract.VersionWithdrawn)
+		next := strings.Replace(string(withdrawn), `"r1"`, `"r9"`, 1)
+		c.Assert(propose(c, f, 2, []byte(next)), qt.Equals, contract.Revision(3))
+	})
+}
+
+// TestHistoryBounded: after many changes head, parts and calls stay bounded and the history whole.
+func TestHistoryBounded(t *testing.T) {
+	inBubble(t, func(c *qt.C, f *fleet) {
+		const changes = 200
+		for i := range changes {
+			propose(c, f, contract.Revision(i), zonesDocument(i, 1))
+		}
+		calls := f.store.Calls()
+		c.Logf("store calls per change: %.2f writes, %.2f reads, %.2f deletes", float64(calls[kv.OpSwap])/changes,
+			float64(calls[kv.OpGet])/changes, float64(calls[kv.OpDelete])/changes)
+		head, _, err := readHead(f.ctx, f.store)
+		c.Assert(err, qt.IsNil)
+		value, err := json.Marshal(head)
+		c.Assert(err, qt.IsNil)
+		c.Logf("head: %d bytes with %d changes", len(value), len(head.Records))
+		c.Assert(len(head.Records) <= maxRecords, qt.IsTrue)
+		parts, err := f.store.List(f.ctx, partPrefix)
+		c.Assert(err, qt.IsNil)
+		c.Assert(parts, qt.HasLen, len(head.Records))
+		records, err := f.proposer().History(f.ctx, changes)
+		c.Assert(err, qt.IsNil)
+		c.Assert(records, qt.HasLen, changes)
+		first := records[changes-1]
+		c.Assert(first.Revision, qt.Equals, contract.Revision(1))
+		again := f.proposer().Propose(f.ctx, Proposal{ChangeID: first.ChangeID, Base: 0, Document: zonesDocument(0, 1)})
+		c.Assert(again.Outcome, qt.Equals, Accepted) // long after it left the head
+		c.Assert(again.Revision, qt.Equals, contract.Revision(1))
+	})
+}
+
+// operation is one operator's edit in TestRacingOperators.
+type operation struct {
+	Zone, Region int
+	After        time.Duration
+	Lost         int // answers lost
+	Dropped      int // writes dropped
+	Failed       int // writes refused
+	Down         time.Duration
+}
+
+// TestRacingOperators: operators edit entries at the same time while the store loses answers, drops
+// writes and fails. Whatever is reported accepted is in the history exactly once, what is reported
+// refused is not, and no entry's accepted change is lost to another's.
+func TestRacingOperators(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		operations := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) operation {
+			return operation{
+				Zone: rapid.IntRange(0, 2).Draw(t, "zone"), Region: rapid.IntRange(2, 4).Draw(t, "region"),
+				After: time.Duration(rapid.IntRange(0, 300).Draw(t, "after")) * time.Millisecond,
+				Lost:  rapid.IntRange(0, 3).Draw(t, "lost"), Dropped: rapid.IntRange(0, 2).Draw(t, "dropped"),
+				Failed: rapid.IntRange(0, 2).Draw(t, "failed"),
+				Down:   time.Duration(rapid.SampledFrom([]int{0, 0, 1, 40}).Draw(t, "down")) * time.Second,
+			}
+		}), 1, 8).Draw(rt, "operations")
+		var failed string
+		synctest.Test(t, func(t *testing.T) { failed = race(newFleet(t.Context(), 0), operations) })
+		if failed != "" {
+			rt.Fatal(failed)
+		}
+	})
+}
+
+func race(f *fleet, operations []operation) string {
+	first := f.proposer().Propose(f.ctx, Proposal{ChangeID: "first", Document: zonesDocument(1, 1, 1)})
+	if first.Outcome != Accepted {
+		return fmt.Sprintf("first: %+v", first)
+	}
+	results := make([]Result, len(operations))
+	done := make(chan int)
+	for i, operation := range operations {
+		go func() {
+			time.Sleep(operation.After)
+			f.store.Fail(kv.Faults{Delay: 20 * time.Millisecond, LostAnswers: operation.Lost, DroppedWrites: operation.Dropped,
+				FailedWrites: operation.Failed, Down: operation.Down > 0})
+			time.AfterFunc(operation.Down, func() { f.store.Fail(kv.Faults{Delay: 20 * time.Millisecond}) })
+			regions := []int{1, 1, 1}
+			regions[operation.Zone] = operation.Region
+			results[i] = f.proposer().Propose(f.ctx, Proposal{ChangeID: fmt.Sprint(i), Base: 1, Document: zonesDocument(regions...)})
+			done <- i
+		}()
+	}
+	for range operations {
+		<-done
+	}
+	f.store.Fail(kv.Faults{})
+	return checkRace(f, operations, results)
+}
+
+func checkRace(f *fleet, operations []operation, results []Result) string {
+	records, err := f.proposer().History(context.Background(), 100)
+	if err != nil {
+		return err.Error()
+	}
+	times := make(map[string]int)
+	for _, record := range records {
+		times[record.ChangeID]++
+	}
+	_, data, err := f.proposer().Document(context.Background(), 0)
+	if err != nil {
+		return err.Error()
+	}
+	for i, result := range results {
+		n := times[fmt.Sprint(i)]
+		same := result.Detail == "no change"
+		switch {
+		case n > 1, result.Outcome == Accepted && n == 0 && !same, result.Outcome == Refused && n > 0:
+			return fmt.Sprintf("operation %d: %+v, %d times in the history", i, result, n)
+		}
+		want := fmt.Sprintf("name = \"z%d\"\nregion = \"r%d\"", operations[i].Zone, operations[i].Region)
+		if result.Outcome == Accepted && !strings.Contains(string(data), want) {
+			return fmt.Sprintf("operation %d: accepted, but not in force:\n%s", i, data)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/replica/replica_test.go
@@ -0,0 +1,179 @@
+package replica
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/standin/kv"
+)
+
+const inForceWithin = 10 * time.Second
+
+// runFleet runs a test over two zones of three instances with a first configuration in force.
+func runFleet(t *testing.T, loss float64, test func(c *qt.C, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(t.Context(), loss)
+		propose(c, f, 0, zonesDocument(1, 1))
+		for _, id := range []string{"a1", "a2", "a3", "b1", "b2", "b3"} {
+			f.add(id, id[:1])
+		}
+		time.Sleep(inForceWithin)
+		c.Assert(f.lagging(1), qt.HasLen, 0)
+		test(c, f)
+		c.Assert(f.broken, qt.HasLen, 0)
+	})
+}
+
+func propose(c *qt.C, f *fleet, base contract.Revision, document []byte) contract.Revision {
+	result := f.proposer().Propose(f.ctx, Proposal{ChangeID: NewChangeID(), Base: base, Document: document})
+	c.Assert(result.Outcome, qt.Equals, Accepted, qt.Commentf("%+v", result))
+	return result.Revision
+}
+
+// TestSilentWatch: every watch of the store goes silent for good, and a third of the messages
+// between peers are lost.
+func TestSilentWatch(t *testing.T) {
+	runFleet(t, 0.33, func(c *qt.C, f *fleet) {
+		f.store.Fail(kv.Faults{SilentWatches: true})
+		time.Sleep(time.Minute)
+		revision := propose(c, f, 1, zonesDocument(1, 2))
+		time.Sleep(inForceWithin)
+		c.Assert(f.lagging(revision), qt.HasLen, 0)
+	})
+}
+
+// TestSilentWatchAlone is TestSilentWatch without peers.
+func TestSilentWatchAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(t.Context(), 0)
+		propose(c, f, 0, zonesDocument(1, 1))
+		f.add("a1", "a")
+		time.Sleep(inForceWithin)
+		f.store.Fail(kv.Faults{SilentWatches: true})
+		time.Sleep(time.Minute)
+		revision := propose(c, f, 1, zonesDocument(1, 2))
+		time.Sleep(inForceWithin)
+		c.Assert(f.lagging(revision), qt.HasLen, 0)
+	})
+}
+
+// TestWatcherLost: in both zones the watching instance dies while the list still shows it, or
+// loses the store, and a change comes at once.
+func TestWatcherLost(t *testing.T) {
+	runFleet(t, 0.1, func(c *qt.C, f *fleet) {
+		f.crash(f.watching("a").self.ID)
+		f.set(func() { f.cutPeers["a"] = true })
+		cut := f.watching("b")
+		f.set(func() { cut.cut = true })
+		revision := propose(c, f, 1, zonesDocument(1, 2))
+		time.Sleep(inForceWithin)
+		c.Assert(f.lagging(revision), qt.HasLen, 0)
+	})
+}
+
+// TestStoreDown: the store is down for an hour. Instances keep their configuration, say that they
+// can't confirm it, and one that starts takes the highest revision among its peers, one of which
+// is stale; it is not ready before. A change after the outage is in force everywhere in time.
+func TestStoreDown(t *testing.T) {
+	runFleet(t, 0.1, func(c *qt.C, f *fleet) {
+		stale := f.nodes["a1"]
+		f.set(func() { stale.cut, f.loss = true, 1 }) // a1 alone misses the next revision
+		revision := propose(c, f, 1, zonesDocument(1, 2))
+		time.Sleep(time.Minute)
+		c.Assert(f.lagging(revision), qt.DeepEquals, []machine.InstanceID{"a1"})
+		f.store.Fail(kv.Faults{Down: true})
+		started := f.add("a4", "a")
+		time.Sleep(time.Hour)
+		c.Assert(started.Ready(), qt.Equals, errNoConfiguration)
+		f.crash("a4")
+		f.set(func() { f.loss, f.talker = 0, "a1" }) // only the stale one speaks up
+		started = f.add("a5", "a")
+		for started.Ready() != nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.Assert(started.Current().Revision, qt.Equals, revision)
+		f.set(func() { f.talker = "" })
+		time.Sleep(5 * time.Second)
+		c.Assert(f.lagging(revision), qt.HasLen, 0)
+		c.Assert(started.Confirmed(), qt.IsFalse)
+		c.Assert(f.nodes["b1"].Confirmed(), qt.IsFalse)
+		f.store.Fail(kv.Faults{})
+		f.set(func() { stale.cut = false })
+		revision = propose(c, f, revision, zonesDocument(3, 2))
+		time.Sleep(inForceWithin)
+		c.Assert(f.lagging(revision), qt.HasLen, 0)
+		c.Assert(started.Confirmed(), qt.IsTrue)
+	})
+}
+
+// TestConfirmed: a zone without the store confirms through the other zone; without both it does
+// not, and goes on serving what it has.
+func TestConfirmed(t *testing.T) {
+	runFleet(t, 0, func(c *qt.C, f *fleet) {
+		f.set(func() {
+			for _, id := range []machine.InstanceID{"a1", "a2", "a3"} {
+				f.nodes[id].cut = true
+			}
+		})
+		time.Sleep(time.Minute)
+		c.Assert(f.nodes["a1"].Confirmed(), qt.IsTrue)
+		f.set(func() { f.cutPeers["a"] = true })
+		time.Sleep(time.Minute)
+		c.Assert(f.nodes["a1"].Confirmed(), qt.IsFalse)
+		c.Assert(f.nodes["b1"].Confirmed(), qt.IsTrue)
+		c.Assert(f.nodes["a1"].Current().Revision, qt.Equals, contract.Revision(1))
+		revision := propose(c, f, 1, zonesDocument(1, 2))
+		time.Sleep(inForceWithin)
+		spread := f.nodes["b1"].Spread()
+		c.Assert(spread[1].Lowest, qt.Equals, revision)
+		c.Assert(spread[0].Zone, qt.Equals, "a")
+		c.Assert(spread[0].Lowest, qt.Equals, contract.Revision(1))
+		f.set(func() { f.cutPeers["a"] = false })
+		time.Sleep(inForceWithin)
+		c.Assert(f.lagging(revision), qt.HasLen, 0)
+	})
+}
+
+// TestStoreReset: the store loses the configuration and gets another one with the same number,
+// then a lower one. Nothing is reverted, both are alarms, nobody confirms, and a proposal is
+// refused until it says that it recovers.
+func TestStoreReset(t *testing.T) {
+	runFleet(t, 0, func(c *qt.C, f *fleet) {
+		revision := propose(c, f, 1, zonesDocument(1, 2))
+		time.Sleep(inForceWithin)
+		head := func(number contract.Revision) {
+			entry, err := f.store.Get(f.ctx, HeadKey)
+			c.Assert(err, qt.IsNil)
+			decoded, err := DecodeHead(entry.Value)
+			c.Assert(err, qt.IsNil)
+			decoded.Records = decoded.Records[:1]
+			decoded.newest().Revision = number
+			value, err := encodeHead(decoded)
+			c.Assert(err, qt.IsNil)
+			f.store.Put(HeadKey, value)
+			time.Sleep(time.Minute)
+			c.Assert(f.lagging(revision), qt.HasLen, 0)
+			c.Assert(f.nodes["a1"].Confirmed(), qt.IsFalse)
+		}
+		head(revision)
+		c.Assert(f.watching("a").counters.Value("plumbarrow_configuration_digest_mismatch_total", "", "") > 0, qt.IsTrue)
+		head(1)
+		c.Assert(f.watching("a").counters.Value("plumbarrow_configuration_lower_head_total", "", "") > 0, qt.IsTrue)
+		proposer := NewProposer(f.store, f.nodes["a1"], f.nodes["a1"].counters, f.nodes["a1"].log)
+		proposal := Proposal{ChangeID: "recovery", Base: 1, Document: zonesDocument(5, 5)}
+		c.Assert(proposer.Propose(f.ctx, proposal).Reason, qt.Equals, ReasonLowerHead)
+		proposal.Recover = true
+		result := proposer.Propose(f.ctx, proposal)
+		c.Assert(result.Revision, qt.Equals, revision+1)
+		time.Sleep(inForceWithin)
+		c.Assert(f.lagging(revision+1), qt.HasLen, 0)
+		c.Assert(f.nodes["b3"].Confirmed(), qt.IsTrue)
+	})
+}
