replay: play traces through today's decisions; replay and rollout commands

Cause: no way to check decisions against outcomes stated beforehand, and none to start or abort a roll-out.

Ruled out: comparing only endpoints; a decision's reasons are part of what operators are shown, so they are compared too.

Change: a JSON-lines format with a version in its header, six golden traces (withdrawal, session, zone out, cold pool, cascade, booking) whose outcomes were written before their first run, and the two commands.

Failing runs with the mechanism off: Dispatchable without the version check: TestGoldenTraces/session and /withdrawal; no limit filter: /booking and /cold_pool; no idempotency check: /booking; no cheapest start: /cascade. Taking out the picker's own check of its zone fails none: the zone filter behind it stops the endpoints too.

--- a/cmd/plumbarrow/main.go
+++ b/cmd/plumbarrow/main.go
@@ -11,6 +11,8 @@
 type arguments struct {
 	Config  *configCommand  `arg:"subcommand:config" help:"check, apply and show the configuration"`
 	Load    *loadCommand    `arg:"subcommand:load" help:"send a mix of requests to a running deployment"`
+	Replay  *replayCommand  `arg:"subcommand:replay" help:"play a trace through today's decisions"`
+	Rollout *rolloutCommand `arg:"subcommand:rollout" help:"start, watch, resume and abort roll-outs"`
 	Standin *standinCommand `arg:"subcommand:standin" help:"run a stand-in of the platform, an engine or a service"`
 }
 
@@ -26,6 +28,10 @@
 		err = args.Config.run()
 	case args.Load != nil:
 		err = args.Load.run()
+	case args.Replay != nil:
+		err = args.Replay.run()
+	case args.Rollout != nil:
+		err = args.Rollout.run()
 	case args.Standin != nil:
 		err = args.Standin.run()
 	default:
--- /dev/null
+++ b/replay/replay_test.go
@@ -0,0 +1,56 @@
+package replay_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumbarrow.example/plumbarrow/decide"
+	"plumbarrow.example/plumbarrow/replay"
+)
+
+// TestGoldenTraces plays each trace of testdata; its outcomes were stated before it was first run.
+func TestGoldenTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.jsonl")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files) >= 6, qt.IsTrue)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			data, err := os.Open(file)
+			qt.Assert(t, err, qt.IsNil)
+			defer data.Close()
+			_, lines, err := replay.Read(data)
+			qt.Assert(t, err, qt.IsNil)
+			differences, decisions, err := replay.Run(lines, decide.NewPicker(decide.DefaultSettings()))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, decisions > 0, qt.IsTrue)
+			for _, difference := range differences {
+				t.Error(difference)
+			}
+		})
+	}
+}
+
+// TestDifferencesAndBadTraces: a wrong outcome is found and a broken file is refused with its line.
+func TestDifferencesAndBadTraces(t *testing.T) {
+	data, err := os.ReadFile("testdata/withdrawal.jsonl")
+	qt.Assert(t, err, qt.IsNil)
+	good := string(data)
+	_, lines, err := replay.Read(strings.NewReader(strings.Replace(good, `"endpoint": "s2"`, `"endpoint": "s1"`, 1)))
+	qt.Assert(t, err, qt.IsNil)
+	differences, _, err := replay.Run(lines, decide.NewPicker(decide.DefaultSettings()))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, differences, qt.HasLen, 1)
+	for _, one := range []struct{ text, want string }{
+		{"", "line 1: no header"},
+		{"{}", "line 1: not a plumbarrow-trace"},
+		{strings.Replace(good, `"version": 1`, `"version": 2`, 1), "line 1: version 2"},
+		{strings.SplitAfter(good, "\n")[0] + "{\n", "line 2: "},
+	} {
+		_, _, err := replay.Read(strings.NewReader(one.text))
+		qt.Assert(t, err, qt.ErrorMatches, one.want+".*")
+	}
+}
