rollout: restart the test of a version so that a healthy past does not hide a bad present

Cause: the evidence is summed over the whole stage. A version that serves 2,000 attempts well and then fails 30 % of them was not found within 200 further attempts.

Ruled out: a sliding window of fixed length (misses small differences); a restart per unit of time (needs a clock in the evidence).

--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -31,6 +31,7 @@
 	mu          sync.RWMutex
 	comparisons []Comparison
 	tests       map[testKey]*test
+	detectors   map[Comparison]*detector
 }
 
 // testKey names one of the two sides of a comparison.
@@ -68,7 +69,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	tests := make(map[testKey]*test)
+	detectors := make(map[Comparison]*detector)
 	for _, c := range comparisons {
+		detectors[c] = e.detectors[c]
+		if detectors[c] == nil {
+			detectors[c] = &detector{}
+		}
 		for _, version := range []contract.VersionID{c.Version, c.Predecessor} {
 			key := testKey{version, c.Epoch}
 			tests[key] = e.tests[key]
@@ -77,7 +83,7 @@
 			}
 		}
 	}
-	e.comparisons, e.tests = comparisons, tests
+	e.comparisons, e.tests, e.detectors = comparisons, tests, detectors
 }
 
 // Attempt implements Recorder.
@@ -120,7 +126,7 @@
 // Finding is the state of one comparison.
 type Finding struct {
 	Comparison
-	Previous, Next Tally
+	Previous, Next Tally // since the comparison began
 	// LogEvidence against the version; it is found bad at log(1/FalseAlarm).
 	LogEvidence float64
 }
@@ -133,7 +139,7 @@
 	for _, c := range e.comparisons {
 		previous := e.tests[testKey{c.Predecessor, c.Epoch}].total()
 		next := e.tests[testKey{c.Version, c.Epoch}].total()
-		findings = append(findings, Finding{c, previous, next, Worse(e.settings, previous, next)})
+		findings = append(findings, Finding{c, previous, next, e.detectors[c].look(e.settings, previous, next)})
 	}
 	return findings
 }
--- a/rollout/evidence_test.go
+++ b/rollout/evidence_test.go
@@ -177,6 +177,27 @@
 	})
 }
 
+// TestTurnsBadWhileServing: a long healthy past does not hide that a version has turned bad.
+func TestTurnsBadWhileServing(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	evidence := rollout.NewEvidence(rollout.DefaultSettings(), member("a1", "nbo-a"))
+	evidence.Apply(newHead().Current())
+	alarm := func() bool { return evidence.Findings()[0].LogEvidence >= math.Log(10_000) }
+	for range 2000 {
+		serve(evidence, oldVersion, 9, 0.02, random)
+		serve(evidence, newVersion, 1, 0.02, random)
+		c.Assert(alarm(), qt.IsFalse)
+	}
+	bad := 0
+	for ; !alarm(); bad++ {
+		serve(evidence, oldVersion, 9, 0.02, random)
+		serve(evidence, newVersion, 1, 0.3, random)
+		c.Assert(bad < 200, qt.IsTrue, qt.Commentf("not found after 200 attempts"))
+	}
+	t.Logf("found after %d attempts", bad)
+}
+
 // TestFalseAlarms looks at healthy roll-outs after every batch of answers and counts how many are
 // ever found bad, beside a fixed-sample test of the same level looked at as often.
 func TestFalseAlarms(t *testing.T) {
