Wire configuration spread, evidence and quarantine into the daemon

Cause: the daemon's replica followed the store alone; evidence against bad versions went nowhere. Ruled out: laying quarantine into zone.Orders, which spread; a quarantine is one instance's own until the store accepts the withdrawal.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/platform"
 	"plumbarrow.example/plumbarrow/replica"
+	"plumbarrow.example/plumbarrow/rollout"
 	"plumbarrow.example/plumbarrow/zone"
 )
 
@@ -37,6 +38,9 @@
 	effective  *zone.Effective
 	table      *machine.Table
 	ledger     *ledger.Ledger
+	evidence   *rollout.Evidence
+	guard      *rollout.Guard
+	inForce    *quarantine
 	entry      *entry.Server
 
 	dispatcher *link.Dispatcher
@@ -64,6 +68,7 @@
 	}
 	d.assembleFleet()
 	d.assembleLedger()
+	d.assembleRollout()
 	d.assembleEntry()
 	if err := d.register(); err != nil {
 		return nil, fmt.Errorf("register peer services: %w", err)
@@ -75,11 +80,12 @@
 func (d *Daemon) assembleFleet() {
 	d.store = platform.NewConsul(d.settings.StoreAddress, d.counter("plumbarrow_store_calls_total"))
 	list := platform.NewHTTPList(d.settings.ListAddress, d.counter("plumbarrow_platform_calls_total"))
-	d.replica = replica.New(d.store, d.log)
 	d.membership = zone.NewMembership(d.settings.Exchange, d.self, list, d.log)
 	d.exchange = zone.NewExchange(d.settings.Exchange, d.membership, d.dialer, d.counters, d.log)
+	d.replica = replica.New(d.store, d.log, replica.WithCounters(d.counters), replica.WithPeers(d.membership, d.dialer))
 	d.orders = zone.NewOrders(d.replica, d.exchange.Nudge, d.counters, d.log)
 	d.effective = zone.NewEffective(d.replica, d.orders)
+	d.exchange.Add(d.replica)
 	d.exchange.Add(d.orders)
 	listed := &lastList{}
 	d.membership.OnList(func(instances []platform.Instance) {
@@ -111,10 +117,22 @@
 	})
 }
 
+// assembleRollout joins the evidence against bad versions with those who act on it.
+func (d *Daemon) assembleRollout() {
+	proposer := replica.NewProposer(d.store, d.replica, d.counters, d.log)
+	d.evidence = rollout.NewEvidence(d.settings.Rollout, d.self)
+	d.replica.OnChange(d.evidence.Apply)
+	d.exchange.Add(d.evidence)
+	withdrawals := proposals{proposer: proposer, author: "guard", restrictive: true}
+	d.inForce = &quarantine{source: d.effective}
+	d.guard = rollout.NewGuard(d.settings.Rollout, d.evidence, d.replica, d.membership, withdrawals, d.counters, d.log)
+	d.guard.OnChange(d.inForce.set)
+}
+
 func (d *Daemon) assembleEntry() {
 	d.entry = entry.New(entry.Parts{
 		Self:         d.self,
-		Source:       d.effective,
+		Source:       d.inForce,
 		Table:        d.table,
 		Picker:       decide.NewPicker(d.settings.Decide),
 		Dispatcher:   d.dispatcher,
@@ -128,6 +146,8 @@
 		Retries:      decide.NewRetryBudget(),
 		Forwarder:    link.NewForwardClient(d.dialer),
 		Members:      d.membership,
+		Recorder:     d.evidence,
+		Confirmed:    d.replica.Confirmed,
 		Limits:       limit.NewCustomers(d.membership),
 	})
 }
@@ -138,6 +158,7 @@
 		link.NewLiveness(d.self).Register(d.peers),
 		link.NewForwardServer(d.entry, d.settings.MaxBodyBytes).Register(d.peers),
 		d.exchange.Register(d.peers),
+		d.replica.Register(d.peers),
 		d.ledger.Register(d.peers),
 	)
 }
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -52,6 +52,7 @@
 		d.membership.Run,
 		d.exchange.Run,
 		d.ledger.Run,
+		d.guard.Run,
 		func(ctx context.Context) error { return link.ServePeers(ctx, d.listeners.Peers, d.peers) },
 	}
 }
