--- a/contract/entries.go
+++ b/contract/entries.go
@@ -21,11 +21,13 @@
 	TablePools     Table = "pools"
 	TableRoutes    Table = "routes"
 	TableSessions  Table = "sessions"
+	TableOrders    Table = "orders"
 )
 
-var tableOrder = []Table{TableZones, TableCustomers, TableModels, TablePools, TableRoutes, TableSessions}
+var tableOrder = []Table{TableZones, TableCustomers, TableModels, TablePools, TableRoutes, TableSessions, TableOrders}
 
-// Ref names one entry of a document. The sessions table is one entry without a name.
+// Ref names one entry of a document. The tables sessions and orders are one entry each, without a
+// name.
 type Ref struct {
 	Table Table  `json:"table"`
 	Name  string `json:"name,omitempty"`
@@ -35,7 +37,7 @@
 
 // String returns table "name".
 func (r Ref) String() string {
-	if r.Table == TableSessions {
+	if r.Table == TableSessions || r.Table == TableOrders {
 		return string(r.Table)
 	}
 	return fmt.Sprintf("%s %q", r.Table, r.Name)
@@ -67,6 +69,7 @@
 		all[Ref{TableRoutes, one.Name}] = &Document{Routes: []Route{one}}
 	}
 	all[Ref{Table: TableSessions}] = &Document{Sessions: d.Sessions}
+	all[Ref{Table: TableOrders}] = &Document{Orders: d.Orders}
 	return all
 }
 
--- a/replica/proposer.go
+++ b/replica/proposer.go
@@ -41,7 +41,8 @@
 	Author   string
 	// Restrictive edits only take away; they may leave routes that nothing can serve.
 	Restrictive bool
-	Apply       func(document []byte) ([]byte, error)
+	// Apply changes the document; it may run several times.
+	Apply func(document *contract.Document) error
 }
 
 // Proposer writes the configuration. Safe for concurrent use, by any number of processes.
@@ -61,7 +62,7 @@
 // Propose replaces whatever document is in force, without a base revision.
 func Propose(ctx context.Context, store platform.Store, changeID string, document []byte) (contract.Revision, error) {
 	proposer := NewProposer(store, nil, telemetry.New(), slog.New(slog.DiscardHandler))
-	result := proposer.Edit(ctx, Edit{ChangeID: changeID, Author: "direct", Apply: func([]byte) ([]byte, error) { return document, nil }})
+	result := proposer.Replace(ctx, changeID, "direct", document)
 	if result.Outcome == Accepted {
 		return result.Revision, nil
 	}
@@ -84,31 +85,59 @@
 	return change.run(ctx)
 }
 
+// Replace puts a document into force whatever was in force before.
+func (p *Proposer) Replace(ctx context.Context, changeID, author string, document []byte) Result {
+	change := &change{proposer: p, id: changeID, author: author}
+	change.derive = func(context.Context, *Head) ([]byte, *Result, error) { return document, nil, nil }
+	return change.run(ctx)
+}
+
 // Edit tries to change the document in force.
 func (p *Proposer) Edit(ctx context.Context, edit Edit) Result {
 	change := &change{proposer: p, id: edit.ChangeID, author: edit.Author, restrictive: edit.Restrictive}
 	change.derive = func(ctx context.Context, head *Head) ([]byte, *Result, error) {
-		var present []byte
-		if head.Revision() > 0 {
-			var err error
-			if present, err = readDocument(ctx, p.store, head.newest()); err != nil {
-				return nil, nil, err
-			}
+		if head.Revision() == 0 {
+			return nil, refused(ReasonInvalid, "there is no configuration to edit"), nil
 		}
-		document, err := edit.Apply(present)
+		present, err := readDocument(ctx, p.store, head.newest())
 		if err != nil {
-			return nil, refused(ReasonInvalid, "%v", err), nil
+			return nil, nil, err
+		}
+		document, err := contract.EditDocument(present, edit.Apply)
+		if err != nil {
+			return nil, invalidResult(err), nil
 		}
 		return document, nil, nil
 	}
 	return change.run(ctx)
 }
 
+// Editor proposes edits on behalf of one author, such as the roll-out driver.
+type Editor struct {
+	Proposer *Proposer
+	Author   string
+	// Restrictive edits only take away.
+	Restrictive bool
+}
+
+// Propose applies edit to the newest accepted document and swaps it in. A repeat with the same
+// change id is safe; an error is *NotAccepted.
+func (e Editor) Propose(ctx context.Context, changeID string, edit func(*contract.Document) error) error {
+	result := e.Proposer.Edit(ctx, Edit{ChangeID: changeID, Author: e.Author, Restrictive: e.Restrictive, Apply: edit})
+	if result.Outcome != Accepted {
+		return &NotAccepted{Result: result}
+	}
+	return nil
+}
+
 // rebase returns the document to write above head.
 func (p *Proposer) rebase(ctx context.Context, head *Head, proposal Proposal) ([]byte, *Result, error) {
-	if head.Revision() == proposal.Base || proposal.Recover {
+	if head.Revision() == 0 && proposal.Base == 0 || proposal.Recover {
 		return proposal.Document, nil, nil
 	}
+	if head.Revision() == proposal.Base {
+		return p.keepOrders(ctx, head, proposal.Document)
+	}
 	base := head.byRevision(proposal.Base)
 	if base == nil {
 		return nil, refused(ReasonBase, "revision %d is not among the last %d changes up to revision %d",
@@ -122,7 +151,11 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	merged, conflicts, err := contract.Merge(baseDocument, proposal.Document, present)
+	ours, err := contract.KeepOrders(proposal.Document, baseDocument)
+	if err != nil {
+		return nil, invalidResult(err), nil
+	}
+	merged, conflicts, err := contract.Merge(baseDocument, ours, present)
 	if err != nil {
 		return nil, invalidResult(err), nil
 	}
@@ -135,6 +168,19 @@
 	return merged, nil, nil
 }
 
+// keepOrders returns the document with the settled orders of the one in force.
+func (p *Proposer) keepOrders(ctx context.Context, head *Head, document []byte) ([]byte, *Result, error) {
+	present, err := readDocument(ctx, p.store, head.newest())
+	if err != nil {
+		return nil, nil, err
+	}
+	kept, err := contract.KeepOrders(document, present)
+	if err != nil {
+		return nil, invalidResult(err), nil
+	}
+	return kept, nil, nil
+}
+
 func invalidResult(err error) *Result {
 	result := refused(ReasonInvalid, "the document is invalid")
 	var invalid *contract.Invalid
