Wire the rater into the daemon; cascades judge their cheap step

Cause: without a judge every cascade delivered its first step's answer. Ruled out: a rater that is required; noRater lets cascades run on configured quality. Change: quality.NewJudge over platform.HTTPRater, fleet passes the rater's address; the demo's zone edits use replica.Edit.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/quality"
 	"plumbarrow.example/plumbarrow/replica"
 	"plumbarrow.example/plumbarrow/rollout"
 	"plumbarrow.example/plumbarrow/zone"
@@ -41,6 +42,7 @@
 	evidence   *rollout.Evidence
 	guard      *rollout.Guard
 	inForce    *quarantine
+	judge      *quality.RaterJudge
 	entry      *entry.Server
 
 	dispatcher *link.Dispatcher
@@ -69,6 +71,7 @@
 	d.assembleFleet()
 	d.assembleLedger()
 	d.assembleRollout()
+	d.assembleJudge()
 	d.assembleEntry()
 	if err := d.register(); err != nil {
 		return nil, fmt.Errorf("register peer services: %w", err)
@@ -129,6 +132,15 @@
 	d.guard.OnChange(d.inForce.set)
 }
 
+// assembleJudge asks the platform's rater; without one the judge decides by configured quality.
+func (d *Daemon) assembleJudge() {
+	var rater platform.Rater = noRater{}
+	if d.settings.RaterAddress != "" {
+		rater = platform.NewHTTPRater(d.settings.RaterAddress, d.counter("plumbarrow_platform_calls_total"))
+	}
+	d.judge = quality.NewJudge(d.settings.Quality, d.inForce, rater, d.evidence, d.counters, d.log)
+}
+
 func (d *Daemon) assembleEntry() {
 	d.entry = entry.New(entry.Parts{
 		Self:         d.self,
@@ -146,6 +158,7 @@
 		Retries:      decide.NewRetryBudget(),
 		Forwarder:    link.NewForwardClient(d.dialer),
 		Members:      d.membership,
+		Judge:        d.judge,
 		Recorder:     d.evidence,
 		Confirmed:    d.replica.Confirmed,
 		Limits:       limit.NewCustomers(d.membership),
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -53,6 +53,7 @@
 		d.exchange.Run,
 		d.ledger.Run,
 		d.guard.Run,
+		d.judge.Run,
 		func(ctx context.Context) error { return link.ServePeers(ctx, d.listeners.Peers, d.peers) },
 	}
 }
--- a/internal/demo/operate.go
+++ b/internal/demo/operate.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"time"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/replica"
 	"plumbarrow.example/plumbarrow/standin/fleet"
 )
@@ -34,12 +36,23 @@
 }
 
 func setZone(ctx context.Context, f *fleet.Fleet, zone string, outOfService bool) error {
-	edited, err := contract.SetZone(configuration, zone, outOfService)
-	if err != nil {
-		return err
+	proposer := replica.NewProposer(f.Store, nil, telemetry.New(), slog.New(slog.DiscardHandler))
+	result := proposer.Edit(ctx, replica.Edit{
+		ChangeID: replica.NewChangeID(),
+		Author:   "demo",
+		Apply: func(document *contract.Document) error {
+			for i := range document.Zones {
+				if document.Zones[i].Name == zone {
+					document.Zones[i].OutOfService = outOfService
+				}
+			}
+			return nil
+		},
+	})
+	if result.Outcome != replica.Accepted {
+		return fmt.Errorf("zone %s: %s: %s", zone, result.Outcome, result.Detail)
 	}
-	_, err = replica.Propose(ctx, f.Store, fmt.Sprintf("zone-%s-%t", zone, outOfService), edited)
-	return err
+	return nil
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -157,6 +157,7 @@
 	settings.PeersAddress = loopback
 	settings.StoreAddress = f.store.address()
 	settings.ListAddress = f.list.address()
+	settings.RaterAddress = f.rater.address()
 	settings.StopGraceMS = 0 // there is no balancer to wait for
 	if f.tune != nil {
 		f.tune(&settings)
