Record bills exactly once and hold budgets over all instances

Cause: ledger.Memory keeps bills in the process, so a crash lost them, and admitted every request whatever the customer had spent.

Change: instances number their bills and hand a copy to a second process, the zone's biller first; Record returns when it or the store holds the bill. The biller adds the bills to the zone's totals about once a second; totals and the highest applied number of each incarnation are one value written by compare-and-swap. Copies of an instance that fell silent are passed on. Budgets are drawn as allowances, by one member of each zone for the others; instances spend only what was drawn and give unused allowances back.

--- /dev/null
+++ b/ledger/bill_queue.go
@@ -0,0 +1,148 @@
+package ledger
+
+import (
+	"sync"
+	"time"
+
+	"plumbarrow.example/plumbarrow/ledger/ledgerpb"
+)
+
+// billQueue holds the bills of this incarnation that the store does not hold yet, in the order of
+// their numbers.
+type billQueue struct {
+	limit int
+
+	mu       sync.Mutex
+	last     uint64 // number of the newest bill
+	applied  uint64 // the store's totals include all bills up to here
+	safe     uint64 // a second process or the store has held all bills up to here
+	pending  []*ledgerpb.HeldBill
+	admitted int               // requests that may still bring a bill
+	numbers  map[string]uint64 // by request id, of the newest bills
+	ids      []string          // ring of the keys of numbers
+	changed  chan struct{}     // closed and replaced when safe or applied grows
+}
+
+func newBillQueue(limit int) *billQueue {
+	return &billQueue{limit: limit, numbers: make(map[string]uint64), changed: make(chan struct{})}
+}
+
+// admit reserves room for one bill.
+func (q *billQueue) admit() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.pending)+q.admitted >= q.limit {
+		return false
+	}
+	q.admitted++
+	return true
+}
+
+func (q *billQueue) release() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.admitted--
+}
+
+// add numbers a bill. fresh is false for a request that already has one.
+func (q *billQueue) add(bill Bill) (number uint64, fresh bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if number, ok := q.numbers[bill.RequestID]; ok {
+		return number, false
+	}
+	q.last++
+	held := &ledgerpb.HeldBill{
+		Number:   q.last,
+		Customer: bill.Customer,
+		Month:    monthOf(bill.At),
+		Micros:   bill.Total(),
+		At:       time.Now().Unix(),
+	}
+	for _, line := range bill.Lines {
+		held.PromptTokens += line.PromptTokens
+		held.OutputTokens += line.OutputTokens
+	}
+	q.pending = append(q.pending, held)
+	q.remember(bill.RequestID, q.last)
+	return q.last, true
+}
+
+// remember bounds the request ids that are kept to those of the newest bills.
+func (q *billQueue) remember(id string, number uint64) {
+	slots := 2 * q.limit
+	slot := int(number) % slots
+	if len(q.ids) <= slot {
+		q.ids = append(q.ids, make([]string, slot+1-len(q.ids))...)
+	}
+	delete(q.numbers, q.ids[slot])
+	q.ids[slot] = id
+	q.numbers[id] = number
+}
+
+// progress returns how far the bills are safe, and a channel that is closed when that changes.
+func (q *billQueue) progress() (safe uint64, changed <-chan struct{}) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.safe, q.changed
+}
+
+// after returns the pending bills with higher numbers, and the number up to which all are applied.
+func (q *billQueue) after(number uint64) (bills []*ledgerpb.HeldBill, applied uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for i, bill := range q.pending {
+		if bill.Number > number {
+			return append(bills, q.pending[i:]...), q.applied
+		}
+	}
+	return nil, q.applied
+}
+
+// unsafe says whether any bill is held by this process alone.
+func (q *billQueue) unsafe() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.safe < q.last
+}
+
+// advance takes note of what a second process holds and the store has applied.
+func (q *billQueue) advance(held, applied uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if applied > q.applied {
+		q.applied = min(applied, q.last)
+		for len(q.pending) > 0 && q.pending[0].Number <= q.applied {
+			q.pending = q.pending[1:]
+		}
+	}
+	safe := max(q.safe, min(held, q.last), q.applied)
+	if safe > q.safe {
+		q.safe = safe
+		close(q.changed)
+		q.changed = make(chan struct{})
+	}
+}
+
+// oldest returns when the oldest pending bill was recorded; ok is false if none waits.
+func (q *billQueue) oldest() (at time.Time, ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.pending) == 0 {
+		return time.Time{}, false
+	}
+	return time.Unix(q.pending[0].At, 0), true
+}
+
+// len returns how many bills wait for the store.
+func (q *billQueue) len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.pending)
+}
+
+// monthOf returns year times 100 plus month in UTC.
+func monthOf(at time.Time) uint32 {
+	at = at.UTC()
+	return uint32(at.Year()*100 + int(at.Month()))
+}
--- /dev/null
+++ b/ledger/bills.go
@@ -0,0 +1,259 @@
+package ledger
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/ledger/ledgerpb"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+const (
+	// copiesPerQueue bounds the bills held for other instances, in bounds of an own queue.
+	copiesPerQueue = 4
+	// orphanSilence after its last message an origin's bills are passed on by their holder.
+	orphanSilence = 10 * time.Second
+	// stuckAge is when an instance stops relying on its zone's biller for a bill.
+	stuckAge = 10 * time.Second
+	// stopTimeout bounds the last flush of a planned stop.
+	stopTimeout = 5 * time.Second
+)
+
+// StoreBills records bills exactly once. Each instance numbers its bills and hands a copy to a
+// second process; one member of the zone, the biller, adds them to the zone's totals in the store
+// about once a second. Two members that both act as biller are slower, not wrong: totals and
+// highest applied numbers are one value, written by compare-and-swap.
+type StoreBills struct {
+	parts    Parts
+	self     machine.Member
+	queue    *billQueue
+	copies   *billCopies
+	budgets  *budgets
+	suspects *suspects
+
+	mu       sync.Mutex
+	sending  bool
+	holder   machine.Incarnation // that has the copies of this instance's bills
+	holderAt uint64              // up to this number
+	toldAt   uint64              // applied number that the holder was told
+
+	flushing chan struct{} // held by the one goroutine that writes to the store
+	zones    map[string]*zoneBills
+}
+
+var _ Bills = (*StoreBills)(nil)
+
+// NewBills returns bills without any state; Run writes them to the store.
+func NewBills(parts Parts) *StoreBills {
+	return &StoreBills{
+		parts:    parts,
+		self:     parts.Members.Self(),
+		queue:    newBillQueue(parts.Settings.MaxPendingBills),
+		copies:   newBillCopies(copiesPerQueue * parts.Settings.MaxPendingBills),
+		budgets:  newBudgets(parts),
+		suspects: newSuspects(),
+		flushing: make(chan struct{}, 1),
+		zones:    make(map[string]*zoneBills),
+	}
+}
+
+// Record implements Bills. A refusal has the verdict Ran: the bill is kept and goes on its way, but
+// at the end of ctx only this process held it.
+func (b *StoreBills) Record(ctx context.Context, bill Bill) error {
+	number, fresh := b.queue.add(bill)
+	if fresh {
+		b.budgets.spend(bill)
+		b.count("recorded")
+	}
+	for {
+		safe, changed := b.queue.progress()
+		if safe >= number {
+			return nil
+		}
+		b.wakeSender()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			b.count("unsafe")
+			return &verdict.Refusal{
+				Verdict: verdict.Ran,
+				Reason:  verdict.LedgerUnavailable,
+				Detail:  "the request ran, but its bill is not held by a second process yet",
+			}
+		}
+	}
+}
+
+// Admit implements Bills.
+func (b *StoreBills) Admit(ctx context.Context, customer *contract.Customer, reserve int64) (func(), error) {
+	if !b.queue.admit() {
+		refusal := verdict.Refuse(verdict.BillsBacklogged, "too many bills wait for the store")
+		refusal.RetryAfter = retryLater
+		return nil, refusal
+	}
+	giveBack, err := b.budgets.reserve(ctx, customer, reserve)
+	if err != nil {
+		b.queue.release()
+		return nil, err
+	}
+	return sync.OnceFunc(func() {
+		giveBack()
+		b.queue.release()
+	}), nil
+}
+
+// Run settles bills until ctx ends; then it hands over what is left.
+func (b *StoreBills) Run(ctx context.Context) error {
+	ticker := time.NewTicker(b.parts.Settings.flushInterval())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			b.tick(ctx)
+		case <-ctx.Done():
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+			defer cancel()
+			return b.Flush(ctx)
+		}
+	}
+}
+
+// Flush brings all bills that this instance recorded or holds to the store and gives unused
+// allowances back. It returns the last error if the store stays out of reach until ctx ends.
+func (b *StoreBills) Flush(ctx context.Context) error {
+	for {
+		err := b.flushAll(ctx)
+		if err == nil && b.queue.len() == 0 && b.copies.len() == 0 {
+			b.budgets.returnUnused(ctx, 0)
+			return nil
+		}
+		select {
+		case <-time.After(b.parts.Settings.commitInterval()):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
+func (b *StoreBills) flushAll(ctx context.Context) error {
+	zones := b.copies.zones()
+	zones[b.self.Zone] = struct{}{}
+	var failed error
+	for zone := range zones {
+		if err := b.flushZone(ctx, zone); err != nil {
+			failed = err
+		}
+	}
+	return failed
+}
+
+// tick does what is due once per flush interval.
+func (b *StoreBills) tick(ctx context.Context) {
+	b.pollHolder(ctx)
+	if b.isBiller(b.self.Zone) || b.stuck() {
+		b.flushQuietly(ctx, b.self.Zone)
+	}
+	for zone := range b.copies.zones() {
+		switch {
+		case b.isBiller(zone):
+			b.flushQuietly(ctx, zone)
+		default:
+			b.passOn(ctx, zone)
+		}
+	}
+	b.copies.forgetSilent(orphanSilence)
+	b.budgets.returnUnused(ctx, b.parts.Settings.idleAllowance())
+}
+
+func (b *StoreBills) flushQuietly(ctx context.Context, zone string) {
+	if err := b.flushZone(ctx, zone); err != nil {
+		b.count("flush_failed")
+		b.parts.Log.Warn("bills not written", "zone", zone, "waiting", b.queue.len(), "held", b.copies.len(), "error", err)
+	}
+}
+
+// flushZone adds the zone's bills that are here to its totals in the store.
+func (b *StoreBills) flushZone(ctx context.Context, zone string) error {
+	select {
+	case b.flushing <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-b.flushing }()
+	requests := b.copies.of(zone, 0)
+	if zone == b.self.Zone {
+		if bills, applied := b.queue.after(0); len(bills) > 0 {
+			requests = append(requests, b.request(bills, applied))
+		}
+	}
+	if len(requests) == 0 {
+		return nil
+	}
+	document := b.zones[zone]
+	if document == nil {
+		document = newZoneBills(b.parts, zone)
+		b.zones[zone] = document
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	applied, err := document.flush(ctx, requests)
+	if err != nil {
+		return err
+	}
+	b.settle(requests, applied)
+	return nil
+}
+
+func (b *StoreBills) settle(requests []*ledgerpb.HoldBillsRequest, applied map[string]uint64) {
+	for _, request := range requests {
+		incarnation := machine.Incarnation(request.Incarnation)
+		if incarnation == b.self.Incarnation {
+			b.queue.advance(0, applied[request.Incarnation])
+			continue
+		}
+		b.copies.settle(incarnation, applied[request.Incarnation])
+	}
+}
+
+func (b *StoreBills) request(bills []*ledgerpb.HeldBill, applied uint64) *ledgerpb.HoldBillsRequest {
+	return &ledgerpb.HoldBillsRequest{
+		Zone:        b.self.Zone,
+		Incarnation: string(b.self.Incarnation),
+		Applied:     applied,
+		Bills:       bills,
+	}
+}
+
+// isBiller says whether this instance writes the zone's bills.
+func (b *StoreBills) isBiller(zone string) bool {
+	candidates := ranked(b.membersFor(zone), billsPrefix+zone, 1)
+	return len(candidates) > 0 && candidates[0].ID == b.self.ID
+}
+
+// membersFor returns the live members of a zone, or all of them if it has none.
+func (b *StoreBills) membersFor(zone string) []machine.Member {
+	live := b.parts.Members.Live()
+	var local []machine.Member
+	for _, member := range live {
+		if member.Zone == zone {
+			local = append(local, member)
+		}
+	}
+	if len(local) == 0 {
+		return live
+	}
+	return local
+}
+
+// stuck says whether the biller has left a bill of this instance waiting for too long.
+func (b *StoreBills) stuck() bool {
+	oldest, ok := b.queue.oldest()
+	return ok && time.Since(oldest) > stuckAge
+}
+
+func (b *StoreBills) count(event string) {
+	b.parts.Counters.Add("plumbarrow_bills_total", "event", event)
+}
--- /dev/null
+++ b/ledger/bills_test.go
@@ -0,0 +1,193 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/standin/kv"
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+func billOf(id, customer string, micros int64) Bill {
+	return Bill{RequestID: id, Customer: customer, Lines: []Line{{Micros: micros}}, At: time.Now()}
+}
+
+// TestBillsAppliedOnce records bills at several instances under faults of store and network and one
+// crash. After recovery the totals hold every bill that Record acknowledged once, and no other bill
+// more than once. Each bill has a customer of its own, so that the totals tell them apart.
+func TestBillsAppliedOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		chance := rapid.SampledFrom([]float64{0, 0.1, 0.3}).Draw(rt, "fault chance")
+		faults := rapid.IntRange(0, 5).Draw(rt, "faults")
+		crash := rapid.Bool().Draw(rt, "crash")
+		var failure string
+		synctest.Test(t, func(*testing.T) { failure = billsUnderFaults(seed, chance, faults, crash) })
+		if failure != "" {
+			rt.Fatal(failure)
+		}
+	})
+}
+
+func billsUnderFaults(seed uint64, chance float64, faults int, crash bool) string {
+	random := rand.New(rand.NewPCG(seed, 4))
+	f := newFleet(kv.New(), seed, chance, "a", "a", "a", "b", "b")
+	stop := f.run()
+	safe := make(map[string]bool)
+	var mu sync.Mutex
+	var work sync.WaitGroup
+	for i := range 40 {
+		node, start := f.nodes[random.IntN(5)], pause(random, 6000)
+		work.Go(func() {
+			time.Sleep(start)
+			customer := fmt.Sprint("customer-", i)
+			ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+			defer cancel()
+			err := node.ledger.Bills.Record(ctx, billOf(customer, customer, 7))
+			mu.Lock()
+			defer mu.Unlock()
+			safe[customer] = err == nil && !node.is(isDead)
+		})
+	}
+	for range faults {
+		node, other := f.nodes[random.IntN(5)], f.nodes[random.IntN(5)]
+		fault, at, lasts := 1+random.IntN(4), pause(random, 6000), pause(random, 4000)
+		work.Go(func() { disturb(f, node, other, fault, at, lasts) })
+	}
+	if crash {
+		node, at := f.nodes[random.IntN(5)], pause(random, 6000)
+		work.Go(func() { f.crash(node, at) })
+	}
+	work.Wait()
+	f.calm()
+	time.Sleep(time.Minute)
+	totals, err := Totals(context.Background(), f.store)
+	stop()
+	if err != nil {
+		return err.Error()
+	}
+	return conserved(totals, safe)
+}
+
+// conserved says which bill is not in the totals as often as it must be.
+func conserved(totals []Total, safe map[string]bool) string {
+	for _, total := range totals {
+		if total.Bills != 1 || total.Micros != 7 {
+			return fmt.Sprintf("%s was billed %d times, %d micros", total.Customer, total.Bills, total.Micros)
+		}
+		delete(safe, total.Customer)
+	}
+	for customer, acknowledged := range safe {
+		if acknowledged {
+			return customer + "'s bill is lost"
+		}
+	}
+	return ""
+}
+
+// TestBillsBacklog keeps the store and all peers away until an instance refuses billable work, then
+// lets the store come back.
+func TestBillsBacklog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(kv.New(), 1, 0)
+		settings := DefaultSettings()
+		settings.MaxPendingBills = 10
+		bills := f.add("alone", "a", settings).ledger.Bills
+		stop := f.run()
+		defer stop()
+		f.store.Fail(kv.Faults{Down: true})
+		for i := range 10 {
+			c.Assert(serveBill(bills, fmt.Sprint(i)), qt.ErrorMatches, "ledger_unavailable .ran.*")
+		}
+		refusal := verdict.Of(serveBill(bills, "too many"))
+		c.Assert(refusal.Reason, qt.Equals, verdict.BillsBacklogged)
+		c.Assert(refusal.Verdict, qt.Equals, verdict.NotRun)
+		f.store.Fail(kv.Faults{LostAnswers: 2})
+		time.Sleep(10 * time.Second)
+		c.Assert(serveBill(bills, "after"), qt.IsNil)
+		totals, err := bills.Totals(t.Context())
+		c.Assert(err, qt.IsNil)
+		c.Assert(totals[0].Bills, qt.Equals, int64(11))
+	})
+}
+
+func serveBill(bills *StoreBills, id string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	settle, err := bills.Admit(ctx, &contract.Customer{Name: "acme"}, 0)
+	if err != nil {
+		return err
+	}
+	defer settle()
+	return bills.Record(ctx, billOf(id, "acme", 7))
+}
+
+// TestBudgetNeverExceeded admits requests at several instances until the budget is used up. What
+// the admitted ones cost together stays within it, whatever fails; without faults nearly all of it
+// can be spent.
+func TestBudgetNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		chance := rapid.SampledFrom([]float64{0, 0.2, 0.5}).Draw(rt, "fault chance")
+		faults := rapid.IntRange(0, 5).Draw(rt, "faults")
+		var spent int64
+		synctest.Test(t, func(*testing.T) { spent = spendUnderFaults(seed, chance, faults) })
+		if spent > testBudget {
+			rt.Fatalf("%d of a budget of %d was spent", spent, testBudget)
+		}
+		if chance == 0 && faults == 0 && spent < testBudget*8/10 {
+			rt.Fatalf("only %d of a budget of %d could be spent", spent, testBudget)
+		}
+	})
+}
+
+const testBudget = 10_000
+
+func spendUnderFaults(seed uint64, chance float64, faults int) (spent int64) {
+	random := rand.New(rand.NewPCG(seed, 5))
+	f := newFleet(kv.New(), seed, chance, "a", "a", "b")
+	stop := f.run()
+	customer := &contract.Customer{Name: "acme", MonthlyBudget: testBudget}
+	var mu sync.Mutex
+	var work sync.WaitGroup
+	for i := range 150 {
+		node, start, cost, during := f.nodes[random.IntN(3)], pause(random, 60_000), int64(random.IntN(300)), pause(random, 500)
+		if i > 100 {
+			start += 2 * time.Minute // after unused allowances went back
+		}
+		work.Go(func() {
+			time.Sleep(start)
+			settle, err := node.ledger.Bills.Admit(context.Background(), customer, 300)
+			if err != nil {
+				return
+			}
+			defer settle()
+			time.Sleep(during)
+			mu.Lock()
+			spent += cost
+			mu.Unlock()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_ = node.ledger.Bills.Record(ctx, billOf(fmt.Sprint(i), "acme", cost))
+		})
+	}
+	for range faults {
+		node, other := f.nodes[random.IntN(3)], f.nodes[random.IntN(3)]
+		fault, at, lasts := random.IntN(5), pause(random, 60_000), pause(random, 30_000)
+		work.Go(func() { disturb(f, node, other, fault, at, lasts) })
+	}
+	work.Wait()
+	f.calm()
+	stop()
+	return spent
+}
--- a/ledger/fakes_test.go
+++ b/ledger/fakes_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,7 +34,19 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
-	chance float64 // of a fault in each call to the store or a peer
+	chance float64          // of a fault in each call to the store or a peer
+	writes map[string]tally // by the second part of the key
+}
+
+// tally counts writes and their bytes.
+type tally struct{ writes, bytes int }
+
+func (f *fleet) tally(key string, bytes int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	family := strings.Split(key, "/")[1]
+	count := f.writes[family]
+	f.writes[family] = tally{writes: count.writes + 1, bytes: count.bytes + bytes}
 }
 
 // node is one entry instance: its ledger, its view of the members and its faults.
@@ -50,7 +63,7 @@
 }
 
 func newFleet(store *kv.Store, seed uint64, chance float64, zones ...string) *fleet {
-	f := &fleet{store: store, random: rand.New(rand.NewPCG(seed, 1)), chance: chance}
+	f := &fleet{store: store, random: rand.New(rand.NewPCG(seed, 1)), chance: chance, writes: make(map[string]tally)}
 	for i, zone := range zones {
 		f.add(fmt.Sprintf("entry-%d", i), zone, DefaultSettings())
 	}
@@ -78,6 +91,38 @@
 	return question(n)
 }
 
+func isDead(n *node) bool { return n.dead }
+
+// run runs the ledgers; stop ends them and waits for what is in flight.
+func (f *fleet) run() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	for _, n := range f.nodes {
+		go func() { _ = n.ledger.Run(ctx) }()
+	}
+	return func() {
+		cancel()
+		time.Sleep(time.Minute)
+	}
+}
+
+// crash kills a node; the others' lists show it for a few seconds more.
+func (f *fleet) crash(n *node, at time.Duration) {
+	time.Sleep(at)
+	n.set(func(n *node) { n.dead = true })
+	time.Sleep(3 * time.Second)
+	for _, other := range f.nodes {
+		other.set(func(other *node) { other.unlisted[string(n.self.ID)] = true })
+	}
+}
+
+// calm ends all faults but crashes.
+func (f *fleet) calm() {
+	f.store.Fail(kv.Faults{})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.chance = 0
+}
+
 // Self implements machine.Members.
 func (n *node) Self() machine.Member { return n.self }
 
@@ -149,7 +194,7 @@
 }
 
 func (p *pipe) call(ctx context.Context, rpc string, in, out drpc.Message) error {
-	method := map[string]int{"/plumbarrow.ledger.Ledger/Commit": 0, "/plumbarrow.ledger.Ledger/ClaimStatus": 1, "/plumbarrow.ledger.Ledger/HoldBills": 2}[rpc]
+	method := map[string]int{"/plumbarrow.ledger.Ledger/Commit": 0, "/plumbarrow.ledger.Ledger/ClaimStatus": 1, "/plumbarrow.ledger.Ledger/HoldBills": 2, "/plumbarrow.ledger.Ledger/MoveAllowance": 3}[rpc]
 	_, encoding, receive, _, _ := ledgerpb.DRPCLedgerDescription{}.Method(method)
 	answer, err := receive(p.to.ledger.Server(), ctx, in, nil)
 	if err != nil || out == nil {
@@ -190,6 +235,7 @@
 	if v.cut() {
 		return 0, platform.ErrUnavailable
 	}
+	v.node.fleet.tally(key, len(value))
 	switch v.node.fleet.draw(4) {
 	case 0:
 		_, _ = v.Store.Swap(ctx, key, expect, value)
--- a/ledger/service.go
+++ b/ledger/service.go
@@ -3,22 +3,22 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"storj.io/drpc"
 
 	"plumbarrow.example/plumbarrow/ledger/ledgerpb"
 )
 
-// Ledger joins the claims and pins of one entry instance.
+// Ledger joins claims, pins and bills of one entry instance.
 type Ledger struct {
 	Claims *StoreClaims
 	Pins   *StorePins
+	Bills  *StoreBills
 }
 
 // New returns a ledger without cached state. Its calls serve nobody before Register.
 func New(parts Parts) *Ledger {
-	return &Ledger{Claims: NewClaims(parts), Pins: NewPins(parts)}
+	return &Ledger{Claims: NewClaims(parts), Pins: NewPins(parts), Bills: NewBills(parts)}
 }
 
 // Register adds the calls that other entry instances make.
@@ -29,20 +29,19 @@
 // Server returns the calls that other entry instances make.
 func (l *Ledger) Server() ledgerpb.DRPCLedgerServer { return &server{ledger: l} }
 
-// stopTimeout bounds the last deliveries of a planned stop.
-const stopTimeout = 5 * time.Second
-
-// Run waits until ctx ends, then until the store has taken every finished claim.
+// Run settles bills until ctx ends, then hands everything over to the store.
 func (l *Ledger) Run(ctx context.Context) error {
-	<-ctx.Done()
+	failed := l.Bills.Run(ctx)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
-	defer l.Claims.Close()
-	return l.Claims.Flush(ctx)
+	if err := l.Claims.Flush(ctx); err != nil {
+		failed = err
+	}
+	l.Claims.Close()
+	return failed
 }
 
 type server struct {
-	ledgerpb.DRPCLedgerUnimplementedServer
 	ledger *Ledger
 }
 
@@ -64,3 +63,13 @@
 func (s *server) ClaimStatus(_ context.Context, request *ledgerpb.ClaimStatusRequest) (*ledgerpb.ClaimStatusResponse, error) {
 	return s.ledger.Claims.answerStatus(request), nil
 }
+
+// HoldBills implements ledgerpb.DRPCLedgerServer.
+func (s *server) HoldBills(_ context.Context, request *ledgerpb.HoldBillsRequest) (*ledgerpb.HoldBillsResponse, error) {
+	return s.ledger.Bills.answerHold(request), nil
+}
+
+// MoveAllowance implements ledgerpb.DRPCLedgerServer.
+func (s *server) MoveAllowance(ctx context.Context, request *ledgerpb.MoveAllowanceRequest) (*ledgerpb.MoveAllowanceResponse, error) {
+	return s.ledger.Bills.budgets.answerMove(ctx, request), nil
+}
--- a/ledger/settings.go
+++ b/ledger/settings.go
@@ -112,6 +112,16 @@
 
 func (s Settings) clockSkew() time.Duration { return time.Duration(s.ClockSkewSeconds) * time.Second }
 
+func (s Settings) flushInterval() time.Duration {
+	return time.Duration(s.FlushIntervalMS) * time.Millisecond
+}
+
+func (s Settings) markAge() time.Duration { return time.Duration(s.MarkDays) * 24 * time.Hour }
+
+func (s Settings) idleAllowance() time.Duration {
+	return time.Duration(s.IdleAllowanceSeconds) * time.Second
+}
+
 // Parts are what the ledger works with.
 type Parts struct {
 	Store    platform.Store
--- /dev/null
+++ b/ledger/zone_bills.go
@@ -0,0 +1,196 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"plumbarrow.example/plumbarrow/ledger/ledgerpb"
+	"plumbarrow.example/plumbarrow/platform"
+)
+
+const billsPrefix = "ledger/bills/"
+
+// zoneBills writes bills into the document of one zone. Totals and marks are in one value, so a
+// bill and its number take effect together, and writing it again changes nothing.
+type zoneBills struct {
+	store platform.Store
+	key   string
+	age   time.Duration // after which an incarnation's mark is forgotten
+	count func(event string)
+
+	loaded  bool
+	version platform.Version
+	totals  map[totalKey]*ledgerpb.Total
+	marks   map[string]*ledgerpb.Mark
+}
+
+type totalKey struct {
+	customer string
+	month    uint32
+}
+
+func newZoneBills(parts Parts, zone string) *zoneBills {
+	return &zoneBills{
+		store: parts.Store,
+		key:   billsPrefix + zone,
+		age:   parts.Settings.markAge(),
+		count: func(event string) { parts.Counters.Add("plumbarrow_bills_total", "event", event) },
+	}
+}
+
+const flushAttempts = 4
+
+var errBillGap = errors.New("bills before these are missing")
+
+// flush applies the bills of each request that the totals do not include yet. It returns the
+// incarnations' marks, all of which the store holds.
+func (z *zoneBills) flush(ctx context.Context, requests []*ledgerpb.HoldBillsRequest) (map[string]uint64, error) {
+	err := errBillGap
+	for attempt := range flushAttempts {
+		time.Sleep(rand.N(time.Duration(attempt)*retryPause + 1))
+		cached := z.loaded
+		if err = z.load(ctx); err != nil {
+			continue
+		}
+		added, whole := z.apply(requests)
+		if !whole && cached {
+			z.loaded = false // another instance has applied the bills in between
+			err = errBillGap
+			continue
+		}
+		if added > 0 {
+			err = z.write(ctx)
+		}
+		if err == nil {
+			return z.applied(), nil
+		}
+		z.loaded = false
+	}
+	return nil, err
+}
+
+func (z *zoneBills) load(ctx context.Context) error {
+	if z.loaded {
+		return nil
+	}
+	entry, err := z.store.Get(ctx, z.key)
+	if errors.Is(err, platform.ErrNotFound) && z.version == 0 {
+		entry = platform.Entry{}
+		err = nil
+	}
+	if err != nil {
+		return err
+	}
+	document := &ledgerpb.ZoneBills{}
+	if err := proto.Unmarshal(entry.Value, document); err != nil {
+		return fmt.Errorf("decode %s: %w", z.key, err)
+	}
+	z.totals = make(map[totalKey]*ledgerpb.Total, len(document.Totals))
+	for _, total := range document.Totals {
+		z.totals[totalKey{total.Customer, total.Month}] = total
+	}
+	z.marks = make(map[string]*ledgerpb.Mark, len(document.Marks))
+	for _, mark := range document.Marks {
+		z.marks[mark.Incarnation] = mark
+	}
+	z.version = entry.Version
+	z.loaded = true
+	return nil
+}
+
+// apply adds the bills to the totals and returns how many it added. whole is false if some were
+// left out because bills before them are missing.
+func (z *zoneBills) apply(requests []*ledgerpb.HoldBillsRequest) (added int, whole bool) {
+	whole = true
+	for _, request := range requests {
+		for _, bill := range request.Bills {
+			mark := z.mark(request, bill)
+			if mark == nil || bill.Number <= mark.Applied {
+				continue
+			}
+			if bill.Number != mark.Applied+1 {
+				z.count("gap")
+				whole = false
+				break
+			}
+			z.add(bill)
+			mark.Applied = bill.Number
+			mark.At = time.Now().Unix()
+			added++
+		}
+	}
+	return added, whole
+}
+
+// mark returns the incarnation's mark, or nil if it may have been forgotten although the bill is in
+// the totals. The mark of an incarnation that recorded nothing for long starts where its request
+// says that the store had got to.
+func (z *zoneBills) mark(request *ledgerpb.HoldBillsRequest, bill *ledgerpb.HeldBill) *ledgerpb.Mark {
+	mark := z.marks[request.Incarnation]
+	if mark != nil {
+		return mark
+	}
+	if time.Since(time.Unix(bill.At, 0)) > z.age/2 {
+		z.count("too_old")
+		return nil
+	}
+	mark = &ledgerpb.Mark{Incarnation: request.Incarnation, Applied: request.Applied}
+	z.marks[request.Incarnation] = mark
+	return mark
+}
+
+func (z *zoneBills) add(bill *ledgerpb.HeldBill) {
+	key := totalKey{bill.Customer, bill.Month}
+	total := z.totals[key]
+	if total == nil {
+		total = &ledgerpb.Total{Customer: bill.Customer, Month: bill.Month}
+		z.totals[key] = total
+	}
+	total.Micros += bill.Micros
+	total.Bills++
+	total.PromptTokens += bill.PromptTokens
+	total.OutputTokens += bill.OutputTokens
+}
+
+// write swaps the document and forgets the marks of incarnations that are long gone.
+func (z *zoneBills) write(ctx context.Context) error {
+	document := &ledgerpb.ZoneBills{}
+	for _, total := range z.totals {
+		document.Totals = append(document.Totals, total)
+	}
+	for incarnation, mark := range z.marks {
+		if time.Since(time.Unix(mark.At, 0)) > z.age {
+			delete(z.marks, incarnation)
+			continue
+		}
+		document.Marks = append(document.Marks, mark)
+	}
+	value, err := proto.Marshal(document)
+	if err != nil {
+		return err
+	}
+	version, err := z.store.Swap(ctx, z.key, z.version, value)
+	switch {
+	case err == nil:
+		z.version = version
+		z.count("written")
+	case errors.Is(err, platform.ErrConflict):
+		z.count("conflict")
+	case !errors.Is(err, platform.ErrUnavailable):
+		z.count("read_back")
+	}
+	return err
+}
+
+func (z *zoneBills) applied() map[string]uint64 {
+	applied := make(map[string]uint64, len(z.marks))
+	for incarnation, mark := range z.marks {
+		applied[incarnation] = mark.Applied
+	}
+	return applied
+}
