--- a/cmd/plumbarrow/standin.go
+++ b/cmd/plumbarrow/standin.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -59,21 +61,31 @@
 func (c *standinCommand) run() error {
 	switch {
 	case c.Store != nil:
-		return http.ListenAndServe(c.Store.Address, kv.New().Handler())
+		return listenAndServe(c.Store.Address, kv.New().Handler())
 	case c.Instances != nil:
-		return http.ListenAndServe(c.Instances.Address, instances.New(c.Instances.Lag).Handler())
+		return listenAndServe(c.Instances.Address, instances.New(c.Instances.Lag).Handler())
 	case c.Engine != nil:
-		return http.ListenAndServe(c.Engine.Address, engine.New(c.Engine.settings()).Handler())
+		return listenAndServe(c.Engine.Address, engine.New(c.Engine.settings()).Handler())
 	case c.Service != nil:
-		return http.ListenAndServe(c.Service.Address, service.New(service.NewLedger()).Handler())
+		return listenAndServe(c.Service.Address, service.New(service.NewLedger()).Handler())
 	case c.Rater != nil:
-		return http.ListenAndServe(c.Rater.Address, rater.New().Handler())
+		return listenAndServe(c.Rater.Address, rater.New().Handler())
 	case c.Weights != nil:
-		return http.ListenAndServe(c.Weights.Address, weights.New(c.Weights.Rate, weightsBurst, c.Weights.Size).Handler())
+		return listenAndServe(c.Weights.Address, weights.New(c.Weights.Rate, weightsBurst, c.Weights.Size).Handler())
 	}
 	return errors.New("standin needs a subcommand: store, instances, engine, service, rater or weights")
 }
 
+// listenAndServe prints the address, which differs from the given one if its port is 0.
+func listenAndServe(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	fmt.Println("listening on", listener.Addr())
+	return http.Serve(listener, handler)
+}
+
 func (e *engineStandin) settings() engine.Settings {
 	return engine.Settings{
 		Model:        e.Model,
--- a/cmd/plumbarrowd/main.go
+++ b/cmd/plumbarrowd/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"os"
 	"syscall"
@@ -41,6 +42,8 @@
 	if err != nil {
 		return err
 	}
+	log.Info("listening", "instance", settings.Instance, "callers", settings.CallersAddress,
+		"operators", settings.OperatorsAddress, "peers", settings.PeersAddress)
 	instance, err := daemon.New(settings, listeners, log)
 	if err != nil {
 		return err
@@ -49,9 +52,8 @@
 	var group run.Group
 	group.Add(func() error { return instance.Run(ctx) }, func(error) { cancel() })
 	group.Add(run.SignalHandler(ctx, syscall.SIGINT, syscall.SIGTERM))
-	err = group.Run()
-	if _, stopped := err.(run.SignalError); stopped {
-		return nil
+	if err := group.Run(); !errors.Is(err, run.ErrSignal) {
+		return err
 	}
-	return err
+	return nil
 }
