--- a/standin/peers/network.go
+++ b/standin/peers/network.go
@@ -80,6 +80,17 @@
 	n.cut = separated
 }
 
+// Reaches says whether calls between the two addresses arrive.
+func (n *Network) Reaches(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.nodes[to] != nil && !n.lost(from, to)
+}
+
+func (n *Network) lost(from, to string) bool {
+	return n.silent[from] || n.silent[to] || n.cut != nil && n.cut(from, to)
+}
+
 // Register implements drpc.Mux.
 func (n *Node) Register(server any, description drpc.Description) error {
 	for i := range description.NumMethods() {
@@ -142,7 +153,7 @@
 	network := c.from.network
 	network.mu.Lock()
 	node := network.nodes[to]
-	lost := network.silent[from] || network.silent[to] || network.cut != nil && network.cut(from, to)
+	lost := network.lost(from, to)
 	delay := network.delay
 	network.mu.Unlock()
 	if lost {
