machine: permits over all entry instances of a zone, warm-up, leaving, queue

Cause: each instance applied a pool's limit by itself, so six instances sent six times what a fresh endpoint bears; a leaving endpoint was learnt from the list alone. Change: a cold endpoint's permits come from a home instance, with absolute, numbered reports of what each instance holds; its limit climbs smoothly with completed work of all instances; a warm limit is split into owned slots once no holder has more than its own. A part of a zone uses its part of the limits. Cold again by restarted word, refused connections, lost connections, latency step or an opened breaker. Endpoint states spread by a bounded topic.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,7 +59,7 @@
 		counters:   counters,
 		replica:    replica.New(store, log),
 		membership: zone.NewMembership(zone.DefaultSettings(), self, list, log),
-		table:      machine.NewTable(),
+		table:      machine.NewTable(machine.DefaultSettings(), self.ID),
 		peers:      drpcmux.New(),
 	}
 	d.membership.OnList(func(instances []platform.Instance) {
--- /dev/null
+++ b/machine/fleet_test.go
@@ -0,0 +1,430 @@
+package machine_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/internal/telemetry"
+	"plumbarrow.example/plumbarrow/link"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/standin/peers"
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+var (
+	_ link.Topic    = (*machine.StateTopic)(nil)
+	_ machine.Conns = (*peers.Node)(nil)
+)
+
+// TestMain fixes the seed of property tests and fails on leaked goroutines.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed != nil && seed.Value.String() == "0" {
+		if err := flag.Set("rapid.seed", "1"); err != nil {
+			os.Exit(2)
+		}
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// Limits of the test pool.
+const (
+	cold      = 2
+	warmAfter = 8
+	full      = 32
+)
+
+// fleet is one zone's entry instances before a pool of fake endpoints.
+type fleet struct {
+	t         testing.TB
+	ctx       context.Context
+	running   sync.WaitGroup
+	network   *peers.Network
+	snapshot  *contract.Snapshot
+	listed    int // instances in the platform's list
+	mu        sync.Mutex
+	nodes     []*node
+	endpoints []*endpoint
+}
+
+// node is one entry instance; its view of the live members is set by the test.
+type node struct {
+	fleet    *fleet
+	self     machine.Member
+	table    *machine.Table
+	permits  *machine.SharedPermits
+	queue    *machine.PriorityQueue
+	topic    *machine.StateTopic
+	nudged   chan struct{}
+	stop     context.CancelFunc
+	ctx      context.Context
+	mu       sync.Mutex
+	live     []machine.Member
+	paused   atomic.Bool // finishes nothing and starts nothing
+	idle     atomic.Bool // gets no requests
+	served   int
+	refusals map[verdict.Reason]int
+}
+
+func (n *node) Self() machine.Member { return n.self }
+
+func (n *node) Live() []machine.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.live)
+}
+
+func (n *node) see(members ...machine.Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.live = members
+}
+
+func newFleet(t testing.TB, nodes, endpoints int, service time.Duration) *fleet {
+	text := fmt.Sprintf(`
+[[zones]]
+name = "z"
+region = "r"
+[[pools]]
+name = "p"
+kind = "service"
+max_concurrent = %d
+cold_concurrent = %d
+warm_after = %d
+`, full, cold, warmAfter)
+	document, err := contract.Parse("test", []byte(text))
+	qt.Assert(t, err, qt.IsNil)
+	snapshot, err := contract.Build(document, 1)
+	qt.Assert(t, err, qt.IsNil)
+	f := &fleet{t: t, network: peers.New(time.Millisecond), snapshot: snapshot}
+	ctx, stop := context.WithCancel(t.Context())
+	f.ctx = ctx
+	t.Cleanup(func() { stop(); f.running.Wait() })
+	for i := range endpoints {
+		f.endpoints = append(f.endpoints, &endpoint{id: fmt.Sprintf("endpoint-%d", i), service: service, state: platform.StateLive, died: make(chan struct{})})
+	}
+	var members []machine.Member
+	for i := range nodes {
+		id := fmt.Sprintf("entry-%d", i)
+		members = append(members, machine.Member{ID: machine.InstanceID(id), Incarnation: "1", Zone: "z", Address: id})
+	}
+	f.listed = nodes
+	for _, member := range members {
+		f.start(t, member, members)
+	}
+	f.list()
+	return f
+}
+
+func (f *fleet) start(t testing.TB, self machine.Member, live []machine.Member) {
+	n := &node{fleet: f, self: self, live: live, nudged: make(chan struct{}, 1), refusals: make(map[verdict.Reason]int)}
+	n.table = machine.NewTable(machine.DefaultSettings(), self.ID)
+	n.queue = machine.NewQueue(machine.DefaultSettings())
+	end := f.network.Node(self.Address)
+	n.permits = machine.NewPermits(machine.Parts{
+		Settings: machine.DefaultSettings(),
+		Table:    n.table,
+		Members:  n,
+		Listed:   func() int { return f.listed },
+		Conns:    end,
+		Dial:     f.dial,
+		Freed:    n.queue.Freed,
+		Nudge: func() {
+			select {
+			case n.nudged <- struct{}{}:
+			default:
+			}
+		},
+		Counters: telemetry.New(),
+		Log:      slog.New(slog.DiscardHandler),
+	})
+	n.topic = machine.NewStateTopic(n.permits)
+	qt.Assert(t, n.permits.Register(end), qt.IsNil)
+	n.ctx, n.stop = context.WithCancel(f.ctx)
+	f.mu.Lock()
+	f.nodes = append(f.nodes, n)
+	f.mu.Unlock()
+	f.running.Go(func() { _ = n.permits.Run(n.ctx) })
+	f.running.Go(n.gossip)
+}
+
+// gossip sends the topic's message to all others that the network lets it reach.
+func (n *node) gossip() {
+	for {
+		select {
+		case <-time.After(time.Second):
+		case <-n.nudged:
+			time.Sleep(100 * time.Millisecond)
+		case <-n.ctx.Done():
+			return
+		}
+		for _, other := range n.fleet.all() {
+			if other != n && other.ctx.Err() == nil && n.fleet.network.Reaches(n.self.Address, other.self.Address) {
+				if message := n.topic.Message(other.self); message != nil {
+					other.topic.Receive(n.self, message)
+				}
+			}
+		}
+	}
+}
+
+func (f *fleet) all() []*node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.nodes)
+}
+
+// list gives all nodes the platform's present list.
+func (f *fleet) list() {
+	var rows []platform.Instance
+	for _, e := range f.endpoints {
+		rows = append(rows, platform.Instance{ID: e.id, Incarnation: e.incarnation, Kind: platform.KindService, Zone: "z", Pool: "p", Address: e.id, State: e.state})
+	}
+	for _, n := range f.nodes {
+		n.table.Apply("z", rows, f.snapshot)
+	}
+}
+
+func (f *fleet) dial(_ context.Context, address string) error {
+	for _, e := range f.endpoints {
+		if e.id == address && !e.isDown() {
+			return nil
+		}
+	}
+	return fmt.Errorf("connection refused")
+}
+
+// contractOut takes a zone out of service.
+func contractOut(zone string) contract.Restrictions {
+	return contract.Restrictions{ZonesOut: map[string]bool{zone: true}}
+}
+
+// load sends requests from all nodes, each with its own fixed random source, until ctx ends.
+func (f *fleet) load(ctx context.Context, every time.Duration, priority func(i int) int) {
+	for at, n := range f.nodes {
+		f.running.Go(func() {
+			random := rand.New(rand.NewPCG(1, uint64(at)))
+			for i := 0; ctx.Err() == nil && n.ctx.Err() == nil; i++ {
+				n.resume()
+				seed := random.Uint64()
+				if n.idle.Load() {
+					time.Sleep(every)
+					continue
+				}
+				f.running.Go(func() { n.request(rand.New(rand.NewPCG(2, seed)), priority(i)) })
+				time.Sleep(time.Duration(float64(every) * random.ExpFloat64()))
+			}
+		})
+	}
+}
+
+func even(int) int { return 0 }
+
+// request serves one request with the queue and a few tries, as an entry server does.
+func (n *node) request(random *rand.Rand, priority int) {
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		if n.try(random) {
+			return
+		}
+		if refusal := n.queue.Wait(n.ctx, "p", priority, deadline); refusal != nil {
+			n.mu.Lock()
+			n.refusals[refusal.Reason]++
+			n.mu.Unlock()
+			return
+		}
+	}
+}
+
+// try sends the request to the least busy fit endpoint of two; false if no permit was to be had.
+func (n *node) try(random *rand.Rand) bool {
+	view := n.table.Pool("p")
+	start := random.IntN(max(view.Len(), 1))
+	for i := range view.Len() {
+		var seen machine.Endpoint
+		view.At((start+i)%view.Len(), &seen)
+		if seen.Leaving || !seen.Healthy || seen.InFlight >= seen.Limit {
+			continue
+		}
+		permit, refusal := n.permits.Acquire(n.ctx, &seen)
+		if refusal != nil {
+			continue
+		}
+		result := n.fleet.find(seen.ID).serve(n.ctx)
+		n.resume()
+		permit.Done(result)
+		if result.Completed {
+			n.mu.Lock()
+			n.served++
+			n.mu.Unlock()
+			return true
+		}
+	}
+	return false
+}
+
+// resume waits until the node is not paused.
+func (n *node) resume() {
+	for n.paused.Load() && n.ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (f *fleet) find(id machine.EndpointID) *endpoint {
+	at := slices.IndexFunc(f.endpoints, func(e *endpoint) bool { return e.id == string(id) })
+	return f.endpoints[at]
+}
+
+// endpoint is a fake endpoint that knows how much load it can bear: the limit after its completed
+// requests.
+type endpoint struct {
+	id          string
+	homes       int // instances that take themselves for the home
+	incarnation string
+	service     time.Duration
+	state       platform.State
+
+	mu        sync.Mutex
+	down      bool
+	leaving   bool
+	died      chan struct{}
+	inFlight  int
+	completed int
+	attempts  int // connections tried
+	starts    int // requests begun
+	peak      int // most requests at once since the last mark
+	overshoot int // most requests at once beyond the limit since the last mark
+}
+
+func (e *endpoint) isDown() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.down
+}
+
+// bearable is the limit over all instances after the completed requests.
+func (e *endpoint) bearable() int {
+	return max(e.homes, 1) * int(min(full, cold*math.Exp2(float64(e.completed)/warmAfter)))
+}
+
+func (e *endpoint) serve(ctx context.Context) machine.Result {
+	e.mu.Lock()
+	e.attempts++
+	if e.down {
+		e.mu.Unlock()
+		return machine.Result{ConnectionRefused: true, Failure: verdict.RetryNotSent}
+	}
+	e.inFlight++
+	e.starts++
+	e.peak = max(e.peak, e.inFlight)
+	e.overshoot = max(e.overshoot, e.inFlight-e.bearable())
+	died, leaving, service := e.died, e.leaving, e.service
+	e.mu.Unlock()
+	select {
+	case <-time.After(service):
+	case <-died:
+		return machine.Result{Failure: verdict.RetryConnection}
+	case <-ctx.Done(): // the instance died and its connections with it
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.died != died {
+		return machine.Result{Failure: verdict.RetryConnection}
+	}
+	e.inFlight--
+	if ctx.Err() != nil {
+		return machine.Result{Failure: verdict.CallerGone}
+	}
+	e.completed++
+	return machine.Result{Completed: true, FirstByte: service / 2, Leaving: leaving}
+}
+
+// restart ends the endpoint's process: its requests are lost and it is cold again. With down set
+// it refuses connections until up is called.
+func (e *endpoint) restart(down bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.died)
+	e.died = make(chan struct{})
+	e.inFlight, e.completed, e.down = 0, 0, down
+	e.peak, e.overshoot = 0, 0
+}
+
+func (e *endpoint) up() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = false
+}
+
+// mark resets the peaks and returns the overshoot since the last mark.
+func (f *fleet) mark() (overshoot int) {
+	for _, e := range f.endpoints {
+		e.mu.Lock()
+		overshoot = max(overshoot, e.overshoot)
+		e.peak, e.overshoot = 0, 0
+		e.mu.Unlock()
+	}
+	return overshoot
+}
+
+// served returns the requests served, by all and by the least lucky instance.
+func (f *fleet) served() (all, least int) {
+	least = math.MaxInt
+	for _, n := range f.nodes {
+		n.mu.Lock()
+		all += n.served
+		least = min(least, n.served)
+		n.mu.Unlock()
+	}
+	return all, least
+}
+
+// total sums a figure over the endpoints.
+func (f *fleet) total(figure func(*endpoint) int) (sum int) {
+	for _, e := range f.endpoints {
+		e.mu.Lock()
+		sum += figure(e)
+		e.mu.Unlock()
+	}
+	return sum
+}
+
+func peak(e *endpoint) int     { return e.peak }
+func starts(e *endpoint) int   { return e.starts }
+func finished(e *endpoint) int { return e.completed }
+
+// homeOf returns the node that is home of the endpoint on a ring of all nodes.
+func (f *fleet) homeOf(e *endpoint) *node {
+	var members []machine.Member
+	for _, n := range f.nodes {
+		members = append(members, n.self)
+	}
+	owner, _ := machine.NewRing(members).Owner("home/" + e.id)
+	at := slices.IndexFunc(f.nodes, func(n *node) bool { return n.self == owner })
+	return f.nodes[at]
+}
+
+// without returns the members of all nodes but the given ones.
+func (f *fleet) without(left ...*node) (members []machine.Member) {
+	for _, n := range f.nodes {
+		if !slices.Contains(left, n) {
+			members = append(members, n.self)
+		}
+	}
+	return members
+}
--- a/machine/owner.go
+++ b/machine/owner.go
@@ -33,3 +33,9 @@
 	}
 	return r.members[r.hash.Lookup(key)], true
 }
+
+// Has says whether the ring has the member.
+func (r *Ring) Has(id InstanceID) bool {
+	_, ok := r.members[string(id)]
+	return ok
+}
