--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -98,7 +98,7 @@
 
 // newFleet returns an instance in the zone; change may alter its parts.
 func newFleet(c *qt.C, zone string, change func(*entry.Parts)) *fleet {
-	f := &fleet{c: c, zone: zone, table: machine.NewTable(), ledger: ledger.NewMemory(), counters: telemetry.New()}
+	f := &fleet{c: c, zone: zone, table: machine.NewTable(machine.DefaultSettings(), machine.InstanceID("entry-"+zone)), ledger: ledger.NewMemory(), counters: telemetry.New()}
 	f.configure(func(string) string { return fixtureDocument })
 	dispatcher := link.NewDispatcher()
 	c.Cleanup(dispatcher.Close)
