Operators' HTTP surface, its client and commands

Cause: config apply wrote straight to the store, past the base revision, and said nothing of where the revision is in force; nobody could take a zone out, withdraw a version or ask for a status.

Change: package operate serves operators with a bearer token (compared in constant time) on their own address: apply, show, history, diff, zone out and in, withdraw, status, bills, explain, roll-outs. An order holds at once through zone.Orders and is called accepted only after the store took it; the instance that took it, and after ten seconds one elected instance, go on trying under the order's own change id. The client tries the next address only while nothing was sent, and repeats a change only under its change id. Commands have documented exit codes. config show writes the base revision into the first line, which config apply reads.

Ruled out: the configuration in force without a token (it holds the session signing keys).

Failing runs seen with the mechanism off (go test ./operate): settled orders not checked: TestLateSettle got false; no adoption by the elected instance: TestOrderAdopted; no background attempts: TestZoneOutWithoutStore; no repeat after a lost answer: TestClient.

--- a/cmd/plumbarrow/main.go
+++ b/cmd/plumbarrow/main.go
@@ -9,12 +9,22 @@
 )
 
 type arguments struct {
+	Bills   *billsCommand   `arg:"subcommand:bills" help:"print the customers' totals"`
 	Config  *configCommand  `arg:"subcommand:config" help:"check, apply and show the configuration"`
 	Demo    *demoCommand    `arg:"subcommand:demo" help:"run a whole deployment in this process and send it requests"`
+	Explain *explainCommand `arg:"subcommand:explain" help:"print what became of a request and why"`
 	Load    *loadCommand    `arg:"subcommand:load" help:"send a mix of requests to a running deployment"`
 	Replay  *replayCommand  `arg:"subcommand:replay" help:"play a trace through today's decisions"`
 	Rollout *rolloutCommand `arg:"subcommand:rollout" help:"start, watch, resume and abort roll-outs"`
 	Standin *standinCommand `arg:"subcommand:standin" help:"run a stand-in of the platform, an engine or a service"`
+	Status  *statusCommand  `arg:"subcommand:status" help:"print the state of entry instances"`
+	Version *versionCommand `arg:"subcommand:version" help:"withdraw a version"`
+	Zone    *zoneCommand    `arg:"subcommand:zone" help:"take a zone out of service and bring it back"`
+}
+
+// Epilogue ends the help text.
+func (arguments) Epilogue() string {
+	return "Exit codes: 0 accepted or ok, 1 refused, invalid or failed, 2 usage, 3 outcome unknown or not accepted yet, 4 unreachable."
 }
 
 // Description heads the help text.
@@ -27,6 +37,16 @@
 	switch {
 	case args.Config != nil:
 		err = args.Config.run()
+	case args.Bills != nil:
+		err = args.Bills.run()
+	case args.Explain != nil:
+		err = args.Explain.run()
+	case args.Status != nil:
+		err = args.Status.run()
+	case args.Version != nil:
+		err = args.Version.run()
+	case args.Zone != nil:
+		err = args.Zone.run()
 	case args.Demo != nil:
 		err = args.Demo.run()
 	case args.Load != nil:
@@ -42,6 +62,6 @@
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
 	}
 }
--- /dev/null
+++ b/cmd/plumbarrow/script_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"plumbarrow.example/plumbarrow/internal/telemetry"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/operate"
+	"plumbarrow.example/plumbarrow/operate/api"
+	"plumbarrow.example/plumbarrow/replica"
+	"plumbarrow.example/plumbarrow/standin/kv"
+	"plumbarrow.example/plumbarrow/zone"
+)
+
+func TestMain(m *testing.M) { testscript.Main(m, map[string]func(){"plumbarrow": main}) }
+
+type member struct{}
+
+func (member) Self() machine.Member { return machine.Member{ID: "e1", Zone: "a"} }
+func (m member) Live() []machine.Member {
+	return []machine.Member{m.Self()}
+}
+
+// TestScripts runs the operators' commands against an operators' surface with a fresh store.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata/script", Setup: func(env *testscript.Env) error {
+		log := slog.New(slog.NewTextHandler(io.Discard, nil))
+		store, counters := kv.New(), telemetry.New()
+		inForce := replica.New(store, log, replica.WithPeers(member{}, nil))
+		server := operate.New(operate.Parts{
+			Members: member{}, InForce: inForce, Counters: counters, Log: log, Token: "secret",
+			Proposer: replica.NewProposer(store, inForce, counters, log),
+			Orders:   zone.NewOrders(inForce, func() {}, counters, log),
+			Bills: func(context.Context) ([]api.Bill, error) {
+				return []api.Bill{{Customer: "acme", Month: 202612, Bills: 3, Micros: 1_500_000}}, nil
+			},
+		})
+		surface := httptest.NewServer(server.Handler())
+		ctx, stop := context.WithCancel(context.Background())
+		go func() { _ = inForce.Run(ctx) }()
+		env.Defer(func() { stop(); surface.Close() })
+		env.Setenv("AT", surface.Listener.Addr().String())
+		env.Setenv("PLUMBARROW_TOKEN_FILE", env.Cd+"/token")
+		return nil
+	}})
+}
--- /dev/null
+++ b/operate/api/api.go
@@ -0,0 +1,116 @@
+// Package api holds the messages of the operators' HTTP surface, shared by server and client.
+package api
+
+import (
+	"time"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/replica"
+)
+
+// Apply asks for a document to be put into force: POST /v1/config.
+type Apply struct {
+	// ChangeID identifies the change; a repeat with the same id is safe.
+	ChangeID string `json:"change_id"`
+	// Base is the revision that the operator edited; 0 for the first document.
+	Base     contract.Revision `json:"base"`
+	Author   string            `json:"author"`
+	Document string            `json:"document"` // TOML
+	// Recover numbers the change above the revision in force, after the store has lost its head.
+	Recover bool `json:"recover,omitempty"`
+	// WaitMS is how long to wait for the revision to be in force everywhere, in milliseconds; 0
+	// means not at all.
+	WaitMS int `json:"wait_ms"`
+}
+
+// Applied answers Apply.
+type Applied struct {
+	replica.Result
+	// Spread says where the revision is in force.
+	Spread []replica.ZoneSpread `json:"spread,omitempty"`
+	// Unconfirmed names zones and instances that have not confirmed the revision.
+	Unconfirmed []string `json:"unconfirmed,omitempty"`
+}
+
+// Config is the configuration in force at one instance: GET /v1/config.
+type Config struct {
+	Record   replica.Record `json:"record"`
+	Document string         `json:"document"` // TOML
+}
+
+// Diff lists the entries that differ between two revisions: GET /v1/config/diff.
+type Diff struct {
+	From    contract.Revision `json:"from"`
+	To      contract.Revision `json:"to"`
+	Changes []contract.Change `json:"changes"`
+}
+
+// Order asks for a zone to be taken out or brought back, or for a version to be withdrawn.
+type Order struct {
+	// ChangeID identifies the order; a repeat with the same id is safe.
+	ChangeID string `json:"change_id"`
+	Author   string `json:"author"`
+}
+
+// Standing says how far an order has come.
+type Standing string
+
+// Standings of an order.
+const (
+	// Accepted: the configuration holds it.
+	Accepted Standing = "accepted"
+	// Restricted: it is in force at every reachable instance, but the store has not taken it yet;
+	// instances go on trying.
+	Restricted Standing = "restricted_not_accepted_yet"
+	// Refused: nothing changes.
+	Refused Standing = "refused"
+	// Unknown: the store may have taken it; give it again with the same change id.
+	Unknown Standing = "unknown"
+)
+
+// Ordered answers Order.
+type Ordered struct {
+	Standing Standing          `json:"standing"`
+	OrderID  string            `json:"order_id,omitempty"`
+	Revision contract.Revision `json:"revision,omitempty"`
+	Detail   string            `json:"detail,omitempty"`
+}
+
+// ActiveOrder is an order in force beside the configuration, not accepted yet.
+type ActiveOrder struct {
+	ID      string `json:"id"`
+	Zone    string `json:"zone,omitempty"`
+	Version string `json:"version,omitempty"`
+	// Detail is the outcome of the last attempt of this instance to have it accepted.
+	Detail string `json:"detail,omitempty"`
+}
+
+// Status is the state of one instance: GET /v1/status.
+type Status struct {
+	Instance string `json:"instance"`
+	Zone     string `json:"zone"`
+	Ready    bool   `json:"ready"`
+	NotReady string `json:"not_ready,omitempty"`
+	// Revision in force; 0 for none.
+	Revision  contract.Revision    `json:"revision"`
+	ChangedAt time.Time            `json:"changed_at,omitzero"`
+	Confirmed bool                 `json:"confirmed"`
+	ZonesOut  []string             `json:"zones_out,omitempty"`
+	Orders    []ActiveOrder        `json:"orders,omitempty"`
+	Spread    []replica.ZoneSpread `json:"spread"`
+}
+
+// Bill is the sum of a customer's bills of one month over all zones.
+type Bill struct {
+	Customer     string `json:"customer"`
+	Month        uint32 `json:"month"` // year times 100 plus month, UTC
+	Bills        int64  `json:"bills"`
+	Micros       int64  `json:"micros"` // micro-units of currency
+	PromptTokens int64  `json:"prompt_tokens"`
+	OutputTokens int64  `json:"output_tokens"`
+}
+
+// Error is the body of every answer that has no better one.
+type Error struct {
+	Message string `json:"message"`
+}
--- /dev/null
+++ b/operate/server.go
@@ -0,0 +1,213 @@
+// Package operate is the HTTP surface for operators: configuration, zones, versions, roll-outs,
+// status, bills and explanations, on an address of its own.
+package operate
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/internal/telemetry"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/operate/api"
+	"plumbarrow.example/plumbarrow/replica"
+	"plumbarrow.example/plumbarrow/rollout"
+	"plumbarrow.example/plumbarrow/zone"
+)
+
+// maxBodyBytes bounds a request: a document of a megabyte in JSON, where a byte may take six.
+const maxBodyBytes = 7 << 20
+
+// Proposer writes and reads the accepted configuration.
+type Proposer interface {
+	Propose(ctx context.Context, proposal replica.Proposal) replica.Result
+	Edit(ctx context.Context, edit replica.Edit) replica.Result
+	History(ctx context.Context, limit int) ([]replica.Record, error)
+	Document(ctx context.Context, revision contract.Revision) (*replica.Record, []byte, error)
+}
+
+// InForce is the configuration in force at this instance.
+type InForce interface {
+	contract.Source
+	InForce() (replica.Record, bool)
+	Document() []byte
+	Spread() []replica.ZoneSpread
+	Confirmed() bool
+}
+
+// Orders restrict zones and versions without the store.
+type Orders interface {
+	TakeOut(zone string) (zone.Order, error)
+	Withdraw(version contract.VersionID) (zone.Order, error)
+	Active() []zone.Order
+}
+
+// Rollouts are the roll-outs in the platform's store.
+type Rollouts interface {
+	List(ctx context.Context) ([]rollout.Record, error)
+	Start(ctx context.Context, record rollout.Record) error
+	Resume(ctx context.Context, id string) error
+	Abort(ctx context.Context, id string) error
+}
+
+var (
+	_ Proposer = (*replica.Proposer)(nil)
+	_ InForce  = (*replica.Replica)(nil)
+	_ Orders   = (*zone.Orders)(nil)
+)
+
+// Parts are what a server works with. A nil function or interface among Bills, Explain, Rollouts
+// and Ready leaves its routes out.
+type Parts struct {
+	Members  machine.Members
+	Proposer Proposer
+	InForce  InForce
+	Orders   Orders
+	Rollouts Rollouts
+	// Bills returns the customers' totals.
+	Bills func(ctx context.Context) ([]api.Bill, error)
+	// Explain returns the record of a request that this instance served lately, for JSON.
+	Explain func(requestID string) (record any, found bool)
+	// Ready returns nil if the instance takes requests, else why not.
+	Ready    func() error
+	Counters *telemetry.Counters
+	Log      *slog.Logger
+	// Token is what operators send as a bearer token. With an empty one only status, metrics and
+	// health are served.
+	Token string
+}
+
+// Server serves operators.
+type Server struct {
+	Parts
+	settler settler
+}
+
+// New returns a server. Its Run has orders accepted in the background.
+func New(parts Parts) *Server {
+	s := &Server{Parts: parts}
+	s.settler.init(s)
+	return s
+}
+
+// Run goes on trying to have orders accepted until ctx ends.
+func (s *Server) Run(ctx context.Context) error { return s.settler.run(ctx) }
+
+// ReadToken reads a bearer token from a file; an empty name gives an empty token.
+func ReadToken(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", err
+	}
+	token := strings.TrimSpace(string(data))
+	if token == "" {
+		return "", errors.New(file + ": the token is empty")
+	}
+	return token, nil
+}
+
+// Handler returns the HTTP surface.
+func (s *Server) Handler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.HTTPErrorHandler = s.fail
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", s.readyz)
+	e.GET("/metrics", s.metrics)
+	e.GET("/v1/status", s.status)
+	v1 := e.Group("/v1", s.authorize, limitBody)
+	v1.GET("/config", s.config)
+	v1.POST("/config", s.apply)
+	v1.GET("/config/history", s.history)
+	v1.GET("/config/diff", s.diff)
+	v1.POST("/zones/:name/out", s.zoneOut)
+	v1.POST("/zones/:name/in", s.zoneIn)
+	v1.POST("/versions/:version/withdraw", s.withdraw)
+	if s.Bills != nil {
+		v1.GET("/bills", s.bills)
+	}
+	if s.Explain != nil {
+		v1.GET("/explain/:id", s.explain)
+	}
+	if s.Rollouts != nil {
+		v1.GET("/rollouts", s.listRollouts)
+		v1.POST("/rollouts", s.startRollout)
+		v1.POST("/rollouts/:id/resume", s.changeRollout(s.Rollouts.Resume))
+		v1.POST("/rollouts/:id/abort", s.changeRollout(s.Rollouts.Abort))
+	}
+	return e
+}
+
+// authorize checks the bearer token in constant time; both are hashed, so that the length of the
+// right one does not show.
+func (s *Server) authorize(next echo.HandlerFunc) echo.HandlerFunc {
+	want := sha256.Sum256([]byte(s.Token))
+	return func(c echo.Context) error {
+		if s.Token == "" {
+			return echo.NewHTTPError(http.StatusForbidden, "this instance has no operators' token, so it serves status, metrics and health only")
+		}
+		sent, bearer := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
+		got := sha256.Sum256([]byte(sent))
+		if !bearer || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+			s.Counters.Inc("plumbarrow_operators_unauthorized_total")
+			return echo.NewHTTPError(http.StatusUnauthorized, "send the operators' token as a bearer token")
+		}
+		return next(c)
+	}
+}
+
+func limitBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes)
+		return next(c)
+	}
+}
+
+func (s *Server) fail(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	status := http.StatusInternalServerError
+	message := err.Error()
+	var known *echo.HTTPError
+	if errors.As(err, &known) {
+		status = known.Code
+		if text, ok := known.Message.(string); ok {
+			message = text
+		}
+	}
+	_ = c.JSON(status, api.Error{Message: message})
+}
+
+func (s *Server) readyz(c echo.Context) error {
+	if err := s.ready(); err != nil {
+		return c.String(http.StatusServiceUnavailable, err.Error()+"\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+func (s *Server) ready() error {
+	if s.Ready == nil {
+		return nil
+	}
+	return s.Ready()
+}
+
+func (s *Server) metrics(c echo.Context) error {
+	c.Response().Header().Set(echo.HeaderContentType, echo.MIMETextPlain)
+	var out io.Writer = c.Response()
+	s.Counters.Write(out)
+	return nil
+}
