quality, decide: weigh an answer's shortfall against the price of the next step

Change: the learned quantity is the leniency, the multiplier of the next step's price; the cheap step is opened only if its worth exceeds its price (Weitzman's rule) instead of by its pass chance; while the rater is out a second leniency is steered by what was learned. Planner.Plan takes the request.

Failing run with the mechanism off (leniency fixed): TestTargetIsHeld and TestRaterOutAndBack fail.

--- a/decide/cascade.go
+++ b/decide/cascade.go
@@ -17,8 +17,12 @@
 // Planner is a Quality that also steers the threshold at which answers are delivered.
 type Planner interface {
 	Quality
-	// Plan returns how to run the route's cascade for a kind of request now.
-	Plan(snapshot *contract.Snapshot, route *contract.Route, kind Kind) Plan
+	// Plan returns how to run the route's cascade for a request now.
+	Plan(snapshot *contract.Snapshot, request *Request) Plan
+	// Worth is what trying the step is worth as a share of the price of the last step, when
+	// answers are delivered from accept on: at most the chance that they are, and less the less
+	// they exceed it.
+	Worth(request *Request, step int, accept float64) float64
 }
 
 // Plan says how to run a cascade.
@@ -27,9 +31,8 @@
 	Accept float64
 	// Blind says that no ratings can be had now.
 	Blind bool
-	// Unrated is the chance of delivering an answer that was not rated, chosen so that the mean
-	// of what is delivered holds the route's target by what was learned before.
-	Unrated float64
+	// Unrated says to deliver an answer that was not rated, by what was learned before.
+	Unrated bool
 	// StepTime is the usual time from a request's arrival until its first answer is rated; 0 if
 	// unknown.
 	StepTime time.Duration
@@ -73,27 +76,26 @@
 func FirstStep(snapshot *contract.Snapshot, request *Request, quality Quality, now time.Time, random *rand.Rand) Step {
 	last := len(request.Route.Pools) - 1
 	if last == 0 || request.Route.QualityTarget <= 0 {
-		return stepAt(request, 0, Plan{}, false)
+		return stepAt(request, 0, Plan{})
 	}
 	plan := planOf(snapshot, request, quality)
-	unrated := random.Float64() < plan.Unrated
 	if plan.Blind {
-		return blindStep(request, plan, unrated)
+		return blindStep(request, plan)
 	}
 	if plan.StepTime > 0 && now.Add(2*plan.StepTime).After(request.Deadline) {
-		step := stepAt(request, last, plan, unrated)
+		step := stepAt(request, last, plan)
 		return step.because("deadline", plan.StepTime.Seconds())
 	}
-	start, cost := cheapestStart(snapshot, request, quality)
+	start, cost := cheapestStart(snapshot, request, quality, plan.Accept)
 	if start > 0 && random.Float64() < explore {
-		step := stepAt(request, start-1, plan, unrated)
+		step := stepAt(request, start-1, plan)
 		return step.because("explore", cost)
 	}
 	reason := "cascade"
 	if start > 0 {
 		reason = "skip_cheap"
 	}
-	step := stepAt(request, start, plan, unrated)
+	step := stepAt(request, start, plan)
 	return step.because(reason, cost)
 }
 
@@ -106,8 +108,8 @@
 	if rated && score >= step.Accept || !rated && step.DeliverUnrated {
 		return Step{}, true
 	}
-	plan := Plan{Accept: step.Accept}
-	next = stepAt(request, step.Index+1, plan, step.DeliverUnrated)
+	plan := Plan{Accept: step.Accept, Unrated: step.DeliverUnrated}
+	next = stepAt(request, step.Index+1, plan)
 	return next.because("low_quality", score), false
 }
 
@@ -115,35 +117,32 @@
 func planOf(snapshot *contract.Snapshot, request *Request, quality Quality) Plan {
 	planner, ok := quality.(Planner)
 	if !ok {
-		return Plan{Accept: request.Route.QualityTarget, Unrated: 1}
+		return Plan{Accept: request.Route.QualityTarget, Unrated: true}
 	}
-	return planner.Plan(snapshot, request.Route, KindOf(request))
+	return planner.Plan(snapshot, request)
 }
 
-// blindStep runs one step without judging it, so that the mean holds the target by what was
-// learned before.
-func blindStep(request *Request, plan Plan, cheap bool) Step {
+// blindStep runs one step without judging it.
+func blindStep(request *Request, plan Plan) Step {
 	index := len(request.Route.Pools) - 1
-	if cheap {
+	if plan.Unrated {
 		index = 0
 	}
-	step := stepAt(request, index, plan, true)
+	step := stepAt(request, index, plan)
 	step.Judge = false
-	return step.because("no_rater", plan.Unrated)
+	return step.because("no_rater", 0)
 }
 
 // cheapestStart returns the step at which the cascade costs least, and that cost in micro-units of
-// currency. A failed step goes on with the next one.
-func cheapestStart(snapshot *contract.Snapshot, request *Request, quality Quality) (start int, cost float64) {
+// currency. A failed step goes on with the next one. Opening a step only if its worth exceeds its
+// price is the rule of Weitzman, "Optimal search for the best alternative", 1979.
+func cheapestStart(snapshot *contract.Snapshot, request *Request, quality Quality, accept float64) (start int, cost float64) {
 	pools := request.Route.Pools
 	last := len(pools) - 1
 	goOn := Price(snapshot, request, pools[last])
 	start, cost = last, goOn
 	for i := last - 1; i >= 0; i-- {
-		chance := 1.0
-		if quality != nil {
-			chance, _ = quality.PassChance(request.Route.Name, KindOf(request), i)
-		}
+		chance := worth(request, quality, i, accept)
 		goOn = Price(snapshot, request, pools[i]) + (1-chance)*goOn
 		if goOn <= cost {
 			start, cost = i, goOn
@@ -152,6 +151,18 @@
 	return start, cost
 }
 
+// worth asks the learner what a step is worth; one that does not plan knows pass chances only.
+func worth(request *Request, quality Quality, step int, accept float64) float64 {
+	if quality == nil {
+		return 1
+	}
+	if planner, ok := quality.(Planner); ok {
+		return planner.Worth(request, step, accept)
+	}
+	chance, _ := quality.PassChance(request.Route.Name, KindOf(request), step)
+	return chance
+}
+
 const (
 	tokensPerPrice      = 1000 // prices are per 1,000 tokens
 	defaultOutputTokens = 256  // expected of a request without a limit
@@ -189,10 +200,10 @@
 	return sum / weights
 }
 
-func stepAt(request *Request, index int, plan Plan, unrated bool) Step {
+func stepAt(request *Request, index int, plan Plan) Step {
 	pools := request.Route.Pools
 	judge := index < len(pools)-1 && request.Route.QualityTarget > 0
-	return Step{Index: index, Pool: pools[index], Judge: judge, Accept: plan.Accept, DeliverUnrated: unrated}
+	return Step{Index: index, Pool: pools[index], Judge: judge, Accept: plan.Accept, DeliverUnrated: plan.Unrated}
 }
 
 func (s Step) because(reason string, value float64) Step {
--- a/quality/learner.go
+++ b/quality/learner.go
@@ -13,19 +13,25 @@
 
 const (
 	learnerShards = 16
-	// timeGain smooths the time until an answer is rated.
-	timeGain = 0.05
+	// timeGain and priceGain smooth the time until an answer is rated and the last step's price.
+	timeGain  = 0.05
+	priceGain = 0.01
+	// Ends of the leniency, in points of score at the usual price.
+	minLeniency, maxLeniency = -1, 4
 )
 
 // Learner learns from ratings how well each step of each route answers each kind of request, and
-// steers the route's threshold. Its size grows with routes times kinds times steps. Safe for
+// steers the route's leniency. Its size grows with routes times kinds times steps. Safe for
 // concurrent use.
 //
-// The threshold of a route follows the answers delivered: each one that scores below the target
-// raises it and each one above lowers it, in proportion. The mean of n delivered answers then
-// differs from the target by at most range/(gain*n), whatever the scores do, as long as the
-// threshold stays off its ends; the argument is that of adaptive conformal inference (Gibbs and
-// Candès, 2021).
+// An answer is delivered if it falls short of what the last step would be expected to score by no
+// more than the leniency times the last step's price for this request, relative to the usual price:
+// the condition for the least cost at a given mean score, with the leniency as its multiplier. The
+// leniency follows the answers delivered: each one below the target lowers it and each one above
+// raises it, in proportion. The mean of n delivered answers then differs from the target by at most
+// range/(gain*n), whatever the scores do, as long as the leniency stays off its ends; the argument
+// is that of adaptive conformal inference (Gibbs and Candès, 2021). While no ratings can be had a
+// second leniency does the same with the scores that were learned before.
 type Learner struct {
 	settings Settings
 	source   contract.Source
@@ -39,11 +45,13 @@
 }
 
 type routeState struct {
-	threshold float64
-	target    float64 // for which the threshold was learned
-	steps     map[stepKey]*scores
-	byStep    map[int]*scores
-	stepTime  time.Duration
+	target   float64 // for which the leniencies were learned
+	leniency float64
+	blind    float64 // the leniency while no ratings can be had
+	price    float64 // usual price of the last step, in micro-units of currency
+	steps    map[stepKey]*scores
+	byStep   map[int]*scores
+	stepTime time.Duration
 }
 
 type stepKey struct {
@@ -79,11 +87,15 @@
 	f(state)
 }
 
-// steer sets a new threshold when the route's target has changed.
-func (s *routeState) steer(target float64) {
-	if s.target != target {
-		s.target, s.threshold = target, target
+// steer starts anew when the route's target has changed: at the usual price an answer must then
+// reach the target.
+func (s *routeState) steer(target, best float64) {
+	if s.target == target {
+		return
 	}
+	s.target = target
+	s.leniency = max(best-target, 0)
+	s.blind = s.leniency
 }
 
 // Learn enters a rating of a step's answer. Late ratings are as good as others.
@@ -101,15 +113,24 @@
 	})
 }
 
-// Delivered moves the route's threshold by what an answer that reached a caller scored.
+// Delivered moves the route's leniency by what an answer that reached a caller scored.
 func (l *Learner) Delivered(route *contract.Route, score float64) {
 	l.with(route.Name, func(state *routeState) {
-		state.steer(route.QualityTarget)
-		moved := state.threshold + l.settings.Gain*(route.QualityTarget-score)
-		state.threshold = min(max(moved, 0), 1)
+		state.leniency = l.moved(state.leniency, score-route.QualityTarget)
 	})
 }
 
+// DeliveredBlind does the same while no ratings can be had; score is what was learned before.
+func (l *Learner) DeliveredBlind(route *contract.Route, score float64) {
+	l.with(route.Name, func(state *routeState) {
+		state.blind = l.moved(state.blind, score-route.QualityTarget)
+	})
+}
+
+func (l *Learner) moved(leniency, surplus float64) float64 {
+	return min(max(leniency+l.settings.Gain*surplus, minLeniency), maxLeniency)
+}
+
 // Took enters the time from a request's arrival until its first answer was rated.
 func (l *Learner) Took(route string, elapsed time.Duration) {
 	l.with(route, func(state *routeState) {
@@ -121,20 +142,38 @@
 	})
 }
 
-// PassChance implements decide.Quality.
+// PassChance implements decide.Quality, at the usual price.
 func (l *Learner) PassChance(route string, kind decide.Kind, step int) (chance float64, ratings int) {
 	prior := l.prior(route, step)
+	accept := l.target(route)
 	l.with(route, func(state *routeState) {
-		threshold := state.threshold
-		if state.target == 0 {
-			threshold = l.target(route)
-		}
-		chance = priorPass(prior, threshold)
-		chance, ratings = l.estimate(state, stepKey{kind, step}, chance, func(s *scores) float64 { return s.above(threshold) })
+		pass := func(s *scores) float64 { return s.above(accept) }
+		chance, ratings = l.estimate(state, stepKey{kind, step}, priorPass(prior, accept), pass)
 	})
 	return chance, ratings
 }
 
+// Worth implements decide.Planner. A passing answer saves the last step's price and costs what it
+// falls short of the last step's score, which is worth that price at the threshold and nothing at
+// the last step's score.
+func (l *Learner) Worth(request *decide.Request, step int, accept float64) (worth float64) {
+	route := request.Route
+	kind := decide.KindOf(request)
+	span := l.Mean(route.Name, kind, len(route.Pools)-1) - accept
+	prior := l.prior(route.Name, step)
+	l.with(route.Name, func(state *routeState) {
+		if span <= 0 {
+			pass := func(s *scores) float64 { return s.above(accept) }
+			worth, _ = l.estimate(state, stepKey{kind, step}, priorPass(prior, accept), pass)
+			return
+		}
+		excess := func(s *scores) float64 { return s.excess(accept) }
+		worth, _ = l.estimate(state, stepKey{kind, step}, priorExcess(prior, accept), excess)
+		worth /= span
+	})
+	return worth
+}
+
 // Mean is the expected score of a step's answers.
 func (l *Learner) Mean(route string, kind decide.Kind, step int) (mean float64) {
 	prior := l.prior(route, step)
@@ -160,28 +199,33 @@
 }
 
 // Plan implements decide.Planner.
-func (l *Learner) Plan(_ *contract.Snapshot, route *contract.Route, kind decide.Kind) decide.Plan {
+func (l *Learner) Plan(snapshot *contract.Snapshot, request *decide.Request) (plan decide.Plan) {
+	route := request.Route
+	kind := decide.KindOf(request)
 	last := len(route.Pools) - 1
 	cheap := l.Mean(route.Name, kind, 0)
 	best := l.Mean(route.Name, kind, last)
-	plan := decide.Plan{Unrated: unratedShare(cheap, best, route.QualityTarget)}
+	price := decide.Price(snapshot, request, route.Pools[last])
 	l.with(route.Name, func(state *routeState) {
-		state.steer(route.QualityTarget)
-		plan.Accept = state.threshold
+		state.steer(route.QualityTarget, best)
+		relative := state.relative(price)
+		plan.Accept = best - state.leniency*relative
+		plan.Unrated = cheap >= best-state.blind*relative
 		plan.StepTime = state.stepTime
 	})
 	return plan
 }
 
-// unratedShare is the share of unrated cheap answers with which the mean just holds the target.
-func unratedShare(cheap, best, target float64) float64 {
-	switch {
-	case cheap >= target:
+// relative is a price as a multiple of the usual one, which it enters into.
+func (s *routeState) relative(price float64) float64 {
+	if s.price == 0 {
+		s.price = price
+	}
+	s.price += priceGain * (price - s.price)
+	if s.price == 0 {
 		return 1
-	case best <= target:
-		return 0
 	}
-	return (best - target) / (best - cheap)
+	return price / s.price
 }
 
 // target is the configured target of a route.
--- a/quality/scores.go
+++ b/quality/scores.go
@@ -37,6 +37,16 @@
 	return sum
 }
 
+// excess is the sum of what the ratings exceed a threshold by.
+func (s *scores) excess(threshold float64) float64 {
+	var sum float64
+	for i, weight := range s.weight {
+		middle := (float64(i) + 0.5) / buckets
+		sum += weight * max(middle-threshold, 0)
+	}
+	return sum
+}
+
 // priorSpread is how far scores are assumed to lie from a mean that is all that is known.
 const priorSpread = 0.1
 
@@ -45,6 +55,12 @@
 	return 1 / (1 + math.Exp((threshold-mean)/priorSpread))
 }
 
+// priorExcess is the assumed mean of what answers with the given mean score exceed a threshold by;
+// its slope in the mean is priorPass.
+func priorExcess(mean, threshold float64) float64 {
+	return priorSpread * math.Log1p(math.Exp((mean-threshold)/priorSpread))
+}
+
 // shrink combines an observed sum over total ratings with a prior that counts for n ratings.
 func shrink(sum, total, prior, n float64) float64 {
 	return (sum + prior*n) / (total + n)
--- a/replay/format.go
+++ b/replay/format.go
@@ -82,13 +82,13 @@
 
 // Learned is what had been learned of answers, the same for all routes and kinds of requests.
 type Learned struct {
-	// Chance per step that an answer passes.
+	// Chance per step that an answer passes; also what the step is worth.
 	Chance []float64 `json:"chance"`
 	Accept float64   `json:"accept"`
-	// Blind says that the rater is out; Unrated is then the share of unrated cheap answers.
-	Blind      bool    `json:"blind,omitempty"`
-	Unrated    float64 `json:"unrated,omitempty"`
-	StepTimeMS int     `json:"step_time_ms,omitempty"`
+	// Blind says that the rater is out; Unrated says to deliver unrated answers.
+	Blind      bool `json:"blind,omitempty"`
+	Unrated    bool `json:"unrated,omitempty"`
+	StepTimeMS int  `json:"step_time_ms,omitempty"`
 }
 
 // Request asks for the first choice of a request.
--- a/replay/observe.go
+++ b/replay/observe.go
@@ -71,7 +71,7 @@
 }
 
 // Plan implements decide.Planner.
-func (r recorded) Plan(*contract.Snapshot, *contract.Route, decide.Kind) decide.Plan {
+func (r recorded) Plan(*contract.Snapshot, *decide.Request) decide.Plan {
 	return decide.Plan{
 		Accept:   r.learned.Accept,
 		Blind:    r.learned.Blind,
@@ -79,3 +79,9 @@
 		StepTime: time.Duration(r.learned.StepTimeMS) * time.Millisecond,
 	}
 }
+
+// Worth implements decide.Planner.
+func (r recorded) Worth(_ *decide.Request, step int, _ float64) float64 {
+	chance, _ := r.PassChance("", 0, step)
+	return chance
+}
