rollout: compare ratings by the share below each level

Ruled out: sums of squares for an empirical Bernstein bound (depends on the order of the ratings, which merged counts don't have).

Change: tallies count ratings by tenths; the evidence is the mean over the nine shares below a level. Where the counts agree with the hypothesis the minimum is known without a search. A stage may spend 0.0003 false alarms, so that three stages stay below one in 1,000.

--- a/rollout/detector.go
+++ b/rollout/detector.go
@@ -82,8 +82,9 @@
 		Failures:   less(t.Failures, earlier.Failures),
 		FirstBytes: less(t.FirstBytes, earlier.FirstBytes),
 		Slow:       less(t.Slow, earlier.Slow),
-		Ratings:    less(t.Ratings, earlier.Ratings),
-		RatingSum:  max(t.RatingSum-earlier.RatingSum, 0),
+	}
+	for i := range difference.Ratings {
+		difference.Ratings[i] = less(t.Ratings[i], earlier.Ratings[i])
 	}
 	if !difference.plausible() {
 		return Tally{}
--- a/rollout/evalue.go
+++ b/rollout/evalue.go
@@ -2,8 +2,8 @@
 
 import "math"
 
-// arm is what was seen of one version by one measure: n outcomes between 0 and 1 and their sum, of
-// which lower is better.
+// arm is what was seen of one version by one measure: n outcomes of 0 or 1 and their sum, of which
+// lower is better.
 type arm struct{ n, sum float64 }
 
 // worse measures the evidence that the mean of next exceeds that of previous by more than margin.
@@ -12,7 +12,7 @@
 // the counts alone, so it may be worked out from merged, lagging counts.
 //
 // Each arm contributes a mixture likelihood ratio against its hypothetical mean (Robbins, 1970;
-// Howard et al., 2021, for outcomes between 0 and 1), their product is an e-process for a pair of
+// Howard et al., 2021), their product is an e-process for a pair of
 // means (Turner, Ly and Grünwald, 2021), and the least product over all pairs of the hypothesis is
 // one for the hypothesis as a whole.
 func worse(previous, next arm, margin float64) float64 {
@@ -20,14 +20,15 @@
 		return 0
 	}
 	mixture := logMixture(previous) + logMixture(next)
+	low, high := previous.sum/previous.n, next.sum/next.n-margin
+	if high <= low {
+		// The hypothesis holds the pair of means seen, at which each arm is likeliest.
+		return mixture - logLikelihood(previous, low) - logLikelihood(next, next.sum/next.n)
+	}
 	product := func(mean float64) float64 {
-		other := min(mean+margin, 1)
-		if next.sum <= other*next.n {
-			other = next.sum / next.n
-		}
-		return mixture - logLikelihood(previous, mean) - logLikelihood(next, other)
+		return mixture - logLikelihood(previous, mean) - logLikelihood(next, mean+margin)
 	}
-	return product(minimize(product))
+	return product(minimize(product, low, high))
 }
 
 // logMixture is the logarithm of the likelihood averaged over Jeffreys' prior for the mean.
@@ -54,14 +55,13 @@
 	return x * math.Log(y)
 }
 
-// minimize returns the argument between 0 and 1 at which a convex function is least, by golden
+// minimize returns the argument between low and high at which a convex function is least, by golden
 // section search.
-func minimize(f func(float64) float64) float64 {
+func minimize(f func(float64) float64, low, high float64) float64 {
 	const (
 		ratio = 0.6180339887498949
-		steps = 48 // an interval of 1e-10
+		steps = 30 // to a millionth of the interval
 	)
-	low, high := 0.0, 1.0
 	a, b := high-ratio*(high-low), low+ratio*(high-low)
 	fa, fb := f(a), f(b)
 	for range steps {
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -104,7 +104,9 @@
 // Rating implements Recorder.
 func (e *Evidence) Rating(version contract.VersionID, score float64) {
 	if score >= 0 && score <= 1 {
-		e.count(version, Tally{Ratings: 1, RatingSum: score})
+		var seen Tally
+		seen.Rate(score)
+		e.count(version, seen)
 	}
 }
 
--- a/rollout/settings.go
+++ b/rollout/settings.go
@@ -8,12 +8,13 @@
 // Settings tune the test of versions and the pace of roll-outs.
 type Settings struct {
 	// FalseAlarm is the chance of withdrawing a version that is as good as its predecessor, over
-	// the whole of one stage of a roll-out. Default 0.0001.
+	// the whole of one stage of a roll-out. Default 0.0003.
 	FalseAlarm float64 `toml:"false_alarm"`
 	// ErrorMargin is how much higher the share of failed attempts may be than the predecessor's,
 	// 0 to 1. Default 0.01.
 	ErrorMargin float64 `toml:"error_margin"`
-	// RatingMargin is how much lower the mean rating may be, 0 to 1. Default 0.03.
+	// RatingMargin is how much higher the share of ratings below any level may be, 0 to 1.
+	// Default 0.03.
 	RatingMargin float64 `toml:"rating_margin"`
 	// SlowMargin is how much higher the share of slow answers may be, 0 to 1. Default 0.05.
 	SlowMargin float64 `toml:"slow_margin"`
@@ -32,7 +33,7 @@
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
-		FalseAlarm:     0.0001,
+		FalseAlarm:     0.0003,
 		ErrorMargin:    0.01,
 		RatingMargin:   0.03,
 		SlowMargin:     0.05,
