entry: send refusals before the body, retry forwards over a new link; tests

Cause, found by TestBadInput/declared_too_large hanging: net/http reads the rest of a small body before it sends an answer, so that a refusal made before the body was read waited for a caller that might never send it. Change: such a refusal closes the connection (rules out a longer read deadline: the refusal would still wait for it). A forwarded idempotent request whose link was lost is sent again to the same instance if its zone has no other.

Before: declared_too_large, no answer within 15 s. After: answered.

--- a/entry/body.go
+++ b/entry/body.go
@@ -31,6 +31,7 @@
 	}
 	// net/http goes on reading to notice that the caller has left; that must not time out.
 	_ = control.SetReadDeadline(time.Time{})
+	exchangeOf(c).bodyRead = true
 	return body, nil
 }
 
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -149,6 +149,7 @@
 	header http.Header
 	body   string
 	err    error
+	closes bool // the answer ends its connection
 }
 
 func (r reply) refusal() openai.ErrorDetail {
@@ -170,7 +171,7 @@
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
-	return reply{response.StatusCode, response.Header, string(data), err}
+	return reply{response.StatusCode, response.Header, string(data), err, response.Close}
 }
 
 func (f *fleet) ask(model string, stream bool, header ...string) reply {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -21,7 +21,7 @@
 // maxHops is how many entry instances may pass a request on.
 const maxHops = 1
 
-// maxForwards bounds the instances of other zones that are tried.
+// maxForwards bounds the tries to forward a request.
 const maxForwards = 3
 
 // forward sends the request to an entry instance of the zone, or of any zone in service if zone is
@@ -31,7 +31,9 @@
 		return w.fail(verdict.Refuse(verdict.HopLimit, "the request has passed %d entry instances", w.request.Hops))
 	}
 	var last error = verdict.Refuse(verdict.ZoneOutOfService, "zone %s is out of service and no other can be reached", s.Self.Zone)
-	for _, member := range s.forwardTargets(w, zone) {
+	targets := s.forwardTargets(w, zone)
+	for try := 0; try < maxForwards && len(targets) > 0; try++ {
+		member := targets[try%len(targets)]
 		head := &link.ForwardHead{
 			RequestID: w.request.ID,
 			Customer:  w.request.Customer.Name,
@@ -85,7 +87,7 @@
 		spare := spareByZone(s.Zones(), w.request.Route)
 		slices.SortStableFunc(targets, func(a, b machine.Member) int { return spare[b.Zone] - spare[a.Zone] })
 	}
-	return targets[:min(len(targets), maxForwards)]
+	return targets
 }
 
 func spareByZone(loads []decide.ZoneLoad, route *contract.Route) map[string]int {
--- /dev/null
+++ b/entry/forward_test.go
@@ -0,0 +1,152 @@
+package entry_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"storj.io/drpc/drpcmux"
+
+	"plumbarrow.example/plumbarrow/entry"
+	"plumbarrow.example/plumbarrow/link"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+// fixedMembers is a list of members that does not change.
+type fixedMembers []machine.Member
+
+func (m fixedMembers) Self() machine.Member   { return m[0] }
+func (m fixedMembers) Live() []machine.Member { return m }
+
+// twoZones returns an instance in zone a, which is out of service, and one in zone b that it can
+// forward to. cut ends the peer link at once.
+func twoZones(c *qt.C) (a, b *fleet, cut func()) {
+	b = newFleet(c, "b", nil)
+	mux := drpcmux.New()
+	c.Assert(link.NewForwardServer(b.server, 1<<20).Register(mux), qt.IsNil)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- link.ServePeers(ctx, listener, mux) }()
+	conns := make(chan net.Conn, 8)
+	peers := link.NewPeerDialerWith(func(ctx context.Context, network, address string) (net.Conn, error) {
+		var dialer net.Dialer
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err == nil {
+			conns <- conn
+		}
+		return conn, err
+	})
+	c.Cleanup(func() { peers.Close(); cancel(); <-served })
+	a = newFleet(c, "a", func(parts *entry.Parts) {
+		parts.Forwarder = link.NewForwardClient(peers)
+		parts.Members = fixedMembers{parts.Self, {ID: "entry-b", Zone: "b", Address: listener.Addr().String()}}
+	})
+	out := func(d string) string {
+		return strings.Replace(d, `name = "a", region`, `name = "a", out_of_service = true, region`, 1)
+	}
+	a.configure(out)
+	b.configure(out)
+	return a, b, func() { (<-conns).Close() }
+}
+
+// TestForwardedRequests sends requests to a zone that is out of service: another zone claims, bills
+// and answers, and one hop is the limit.
+func TestForwardedRequests(t *testing.T) {
+	c := qt.New(t)
+	a, b, _ := twoZones(c)
+	b.add("small-engines", "small@v1", engine("v1"))
+	b.add("booking", "", func(w http.ResponseWriter, r *http.Request) {
+		c.Check(r.Header.Get("Authorization"), qt.Equals, "")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, r.URL.RequestURI())
+	})
+	c.Assert(a.server.Ready(), qt.IsFalse)
+	first := a.ask("assistant", true)
+	c.Assert(first.body, qt.Equals, strings.Join(streamEvents[:3], "")+streamEvents[4])
+	session := first.header.Get(link.HeaderSession)
+	c.Assert(session, qt.Not(qt.Equals), "")
+	whole := a.ask("assistant", false, link.HeaderSession, session)
+	c.Assert(whole.body, qt.Equals, wholeAnswer)
+	for _, replayed := range []string{"", "1"} {
+		booked := a.send(http.MethodPost, "/bookings/7?x=1", "{}", link.HeaderIdempotencyKey, "k")
+		c.Assert(booked.status, qt.Equals, http.StatusCreated)
+		c.Assert(booked.body, qt.Equals, "/bookings/7?x=1")
+		c.Assert(booked.header.Get(link.HeaderReplayed), qt.Equals, replayed)
+	}
+	c.Assert(a.ledger.Bills(), qt.HasLen, 0)
+	c.Assert(b.ledger.Bills(), qt.HasLen, 3)
+	here, there := a.explain(whole), b.explain(whole)
+	c.Assert([]verdict.Verdict{here.Verdict, there.Verdict}, qt.DeepEquals, []verdict.Verdict{verdict.Ran, verdict.Ran})
+	c.Assert([]any{here.ForwardedTo, here.Hops, there.Hops}, qt.DeepEquals, []any{"entry-b", 0, 1})
+
+	b.configure(func(d string) string {
+		return strings.ReplaceAll(d, `region = "r"`, `region = "r", out_of_service = true`)
+	})
+	assertRefused(c, a.ask("assistant", true), verdict.HopLimit, verdict.NotRun)
+}
+
+// TestForwardingLinkLost cuts the peer link while the other zone works. Idempotent work that has
+// delivered nothing goes over a new link, a begun stream ends in an error event, and a booking is
+// not repeated: its key finds the outcome.
+func TestForwardingLinkLost(t *testing.T) {
+	c := qt.New(t)
+	a, b, cut := twoZones(c)
+	running, finish := make(chan string), make(chan struct{})
+	gets := 0
+	b.add("booking", "", func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			running <- r.Method
+			<-finish
+		} else if gets++; gets == 1 {
+			running <- r.Method
+			<-r.Context().Done()
+		}
+		_, _ = io.WriteString(w, "done")
+	})
+	b.add("small-engines", "small@v1", func(w http.ResponseWriter, r *http.Request) {
+		_ = chatBody(w, r, "v1")
+		_, _ = io.WriteString(w, streamEvents[0])
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	replies := make(chan reply, 1)
+	go func() { replies <- a.send(http.MethodGet, "/bookings", "") }()
+	<-running
+	cut()
+	c.Assert((<-replies).body, qt.Equals, "done")
+	c.Assert(gets, qt.Equals, 2)
+
+	go func() { replies <- a.send(http.MethodPost, "/bookings", "{}", link.HeaderIdempotencyKey, "k") }()
+	<-running
+	cut()
+	assertRefused(c, <-replies, verdict.UpstreamTruncated, verdict.MayHaveRun)
+	close(finish)
+	for {
+		again := a.send(http.MethodPost, "/bookings", "{}", link.HeaderIdempotencyKey, "k")
+		if again.status != http.StatusConflict {
+			c.Assert(again.body, qt.Equals, "done")
+			c.Assert(again.header.Get(link.HeaderReplayed), qt.Equals, "1")
+			break
+		}
+	}
+
+	request, err := http.NewRequest(http.MethodPost, a.url+"/v1/chat/completions", strings.NewReader(`{"model":"assistant","stream":true}`))
+	c.Assert(err, qt.IsNil)
+	request.Header.Set("Authorization", "Bearer sk-acme")
+	response, err := http.DefaultClient.Do(request)
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	_, err = io.ReadFull(response.Body, make([]byte, len(streamEvents[0])))
+	c.Assert(err, qt.IsNil)
+	cut()
+	rest, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(rest), qt.Matches, `data: \{"error".*"verdict":"may_have_run".*\}\n\n`)
+}
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -24,6 +24,8 @@
 // exchange is one caller's request as the log sees it. One goroutine at a time uses it.
 type exchange struct {
 	record Record
+	// bodyRead says that the caller's body was read to its end.
+	bodyRead bool
 	// aborted says that the answer broke off after its head, so that the connection has to be
 	// cut for the caller to notice.
 	aborted bool
--- a/entry/refuse.go
+++ b/entry/refuse.go
@@ -26,6 +26,10 @@
 		seconds := int64((refusal.RetryAfter + time.Second - 1) / time.Second)
 		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
 	}
+	if c.Request().ContentLength != 0 && !exchangeOf(c).bodyRead {
+		// Else net/http would wait for the rest of the body before it sends the refusal.
+		c.Response().Header().Set(echo.HeaderConnection, "close")
+	}
 	_ = c.JSON(refusal.Reason.Status(), ErrorBody(refusal, requestID(c)))
 }
 
