--- /dev/null
+++ b/entry/bench_test.go
@@ -0,0 +1,89 @@
+package entry_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// benchTargets runs the benchmark against the engine directly and through an entry instance.
+func benchTargets(b *testing.B, handler http.HandlerFunc, body string, run func(b *testing.B, send func() int)) {
+	c := qt.New(b)
+	f := newFleet(c, "a", nil)
+	f.add("small-engines", "small@v1", handler)
+	direct := httptest.NewServer(handler)
+	defer direct.Close()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	defer client.CloseIdleConnections()
+	for _, target := range []struct{ name, url string }{{"direct", direct.URL}, {"proxied", f.url}} {
+		b.Run(target.name, func(b *testing.B) {
+			run(b, func() int {
+				request, _ := http.NewRequest(http.MethodPost, target.url+"/v1/chat/completions", strings.NewReader(body))
+				request.Header.Set("Authorization", "Bearer sk-acme")
+				response, err := client.Do(request)
+				if err != nil {
+					b.Error(err)
+					return 0
+				}
+				defer response.Body.Close()
+				n, err := io.Copy(io.Discard, response.Body)
+				if err != nil || response.StatusCode != http.StatusOK {
+					b.Errorf("status %d: %v", response.StatusCode, err)
+				}
+				return int(n)
+			})
+		})
+	}
+}
+
+// BenchmarkRequest measures one whole answer after another.
+func BenchmarkRequest(b *testing.B) {
+	body := `{"model":"assistant","messages":[{"role":"user","content":"` + strings.Repeat("word ", 100) + `"}]}`
+	benchTargets(b, engine("v1"), body, func(b *testing.B, send func() int) {
+		took := make([]time.Duration, 0, b.N)
+		for b.Loop() {
+			start := time.Now()
+			send()
+			took = append(took, time.Since(start))
+		}
+		slices.Sort(took)
+		b.ReportMetric(float64(took[len(took)/2].Nanoseconds())/1000, "p50-µs")
+		b.ReportMetric(float64(took[len(took)*99/100].Nanoseconds())/1000, "p99-µs")
+	})
+}
+
+// BenchmarkTokens measures streamed tokens, one an event, over parallel streams. The engine sends
+// each token on its own, or several at once as a batching engine does when a caller lags.
+func BenchmarkTokens(b *testing.B) {
+	const tokens = 1000
+	for _, batch := range []int{1, 20} {
+		b.Run(map[int]string{1: "single", 20: "batched"}[batch], func(b *testing.B) {
+			token := []byte(event("word "))
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				_ = chatBody(w, r, "v1")
+				control := http.NewResponseController(w)
+				for i := range tokens {
+					_, _ = w.Write(token)
+					if i%batch == batch-1 {
+						_ = control.Flush()
+					}
+				}
+				_, _ = io.WriteString(w, strings.Join(streamEvents[3:], ""))
+			}
+			benchTargets(b, handler, `{"model":"assistant","stream":true}`, func(b *testing.B, send func() int) {
+				b.RunParallel(func(pb *testing.PB) {
+					for pb.Next() {
+						send()
+					}
+				})
+				b.ReportMetric(float64(b.N*tokens)/b.Elapsed().Seconds(), "tokens/s")
+			})
+		})
+	}
+}
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -8,6 +8,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"plumbarrow.example/plumbarrow/decide"
 	"plumbarrow.example/plumbarrow/ledger"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/verdict"
@@ -19,6 +20,14 @@
 	inProgressRetry = time.Second
 )
 
+var standings = map[ledger.Standing]string{
+	ledger.Granted:    "granted",
+	ledger.InProgress: "in_progress",
+	ledger.Finished:   "replayed",
+	ledger.Lost:       "lost",
+	ledger.Mismatch:   "other_request",
+}
+
 // take claims the idempotency key before anything is dispatched. replayed says that the caller has
 // got the recorded outcome.
 func (f *serviceFlow) take(ctx context.Context, key string) (replayed bool, err error) {
@@ -40,6 +49,7 @@
 		}
 		return false, err
 	}
+	f.note(decide.Note{Stage: "claim", Reason: standings[result.Standing]})
 	switch result.Standing {
 	case ledger.Granted:
 		f.claim = &claim
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -52,6 +52,7 @@
 [[pools]]
 name = "small-engines"
 model = "small"
+cold_concurrent = 32
 routes = ["assistant", "careful"]
 [[pools]]
 name = "large-engines"
