--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -52,6 +52,7 @@
 [[pools]]
 name = "small-engines"
 model = "small"
+cold_concurrent = 32
 routes = ["assistant", "careful"]
 [[pools]]
 name = "large-engines"
@@ -149,6 +150,7 @@
 	header http.Header
 	body   string
 	err    error
+	closes bool // the answer ends its connection
 }
 
 func (r reply) refusal() openai.ErrorDetail {
@@ -170,7 +172,7 @@
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
-	return reply{response.StatusCode, response.Header, string(data), err}
+	return reply{response.StatusCode, response.Header, string(data), err, response.Close}
 }
 
 func (f *fleet) ask(model string, stream bool, header ...string) reply {
