--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"plumbarrow.example/plumbarrow/limit"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/operate"
 	"plumbarrow.example/plumbarrow/platform"
 	"plumbarrow.example/plumbarrow/quality"
 	"plumbarrow.example/plumbarrow/replica"
@@ -47,6 +48,7 @@
 	inForce    *quarantine
 	judge      *quality.RaterJudge
 	entry      *entry.Server
+	operate    *operate.Server
 
 	dispatcher *link.Dispatcher
 	dialer     *link.PeerDialer
@@ -77,6 +79,9 @@
 	d.assembleRollout()
 	d.assembleJudge()
 	d.assembleEntry()
+	if err := d.assembleOperate(); err != nil {
+		return nil, fmt.Errorf("operators' surface: %w", err)
+	}
 	if err := d.register(); err != nil {
 		return nil, fmt.Errorf("register peer services: %w", err)
 	}
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"time"
 
-	"github.com/labstack/echo/v4"
 	"github.com/oklog/run"
 
 	"plumbarrow.example/plumbarrow/link"
@@ -38,7 +37,7 @@
 		group.Add(func() error { return part(background) }, func(error) { cancel() })
 	}
 	d.addServer(&group, d.listeners.Callers, d.entry.Handler())
-	d.addServer(&group, d.listeners.Operators, d.operators())
+	d.addServer(&group, d.listeners.Operators, d.operate.Handler())
 	err := group.Run()
 	d.dispatcher.Close()
 	d.dialer.Close()
@@ -55,6 +54,7 @@
 		d.permits.Run,
 		d.guard.Run,
 		d.judge.Run,
+		d.operate.Run,
 		func(ctx context.Context) error { return link.ServePeers(ctx, d.listeners.Peers, d.peers) },
 	}
 }
@@ -90,22 +90,3 @@
 		_ = server.Shutdown(ctx)
 	})
 }
-
-// operators returns the operators' HTTP surface.
-func (d *Daemon) operators() http.Handler {
-	e := echo.New()
-	e.HideBanner = true
-	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
-	e.GET("/readyz", func(c echo.Context) error {
-		if !d.entry.Ready() {
-			return c.String(http.StatusServiceUnavailable, "not ready\n")
-		}
-		return c.String(http.StatusOK, "ready\n")
-	})
-	e.GET("/metrics", func(c echo.Context) error {
-		c.Response().Header().Set(echo.HeaderContentType, echo.MIMETextPlain)
-		d.counters.Write(c.Response())
-		return nil
-	})
-	return e
-}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -216,6 +216,6 @@
 }
 
 // apply puts a configuration file into force.
-func (d *deployment) apply(_ *entry, file string) {
-	d.cli("config", "apply", "--store", d.storeAddr, file)
+func (d *deployment) apply(e *entry, file string) {
+	d.cli("config", "apply", "--operators", e.Operators, "--token-file", d.token, file)
 }
--- a/entry/place.go
+++ b/entry/place.go
@@ -10,9 +10,13 @@
 	"plumbarrow.example/plumbarrow/verdict"
 )
 
-// maxPlacements bounds the picks that fail without waiting: permits lost to others and versions
-// withdrawn meanwhile.
-const maxPlacements = 8
+const (
+	// maxPlacements bounds the picks that fail without waiting: permits lost to others and versions
+	// withdrawn meanwhile.
+	maxPlacements = 8
+	// permitTries is how many permits may be lost in a row before the request waits in the queue.
+	permitTries = 3
+)
 
 // placement is an endpoint chosen for one attempt, with the permit to use it; or a zone that should
 // serve the request.
@@ -25,6 +29,7 @@
 // pool is full. Its last step checks the choice against the configuration in force at that moment.
 func (w *work) place(ctx context.Context, pool string) (*placement, error) {
 	var last *verdict.Refusal
+	lost := 0
 	for tries := 0; tries < maxPlacements; tries++ {
 		if ctx.Err() != nil {
 			return nil, verdict.Refuse(verdict.CallerGone, "the caller left")
@@ -51,6 +56,13 @@
 			return placed, nil
 		}
 		last = refusal
+		lost++
+		if refusal.Reason == verdict.NoEndpoint && lost%permitTries == 0 && w.server.Queue != nil {
+			if waited := w.wait(ctx, pool); waited != nil {
+				return nil, waited
+			}
+			tries = 0
+		}
 	}
 	return nil, last
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"os"
+	"path/filepath"
 	"time"
 
 	"plumbarrow.example/plumbarrow/load"
@@ -45,11 +47,16 @@
 
 // Run runs the demo and prints a summary. It returns ErrBroken if an invariant broke.
 func Run(ctx context.Context, options Options) error {
-	f, err := fleet.New(fleet.Options{Log: options.Log})
+	token, err := writeToken()
 	if err != nil {
 		return err
 	}
-	if err := start(ctx, f); err != nil {
+	defer os.RemoveAll(filepath.Dir(token))
+	f, err := fleet.New(fleet.Options{Log: options.Log, OperatorsTokenFile: token})
+	if err != nil {
+		return err
+	}
+	if err := start(ctx, f, options.Out); err != nil {
 		return errors.Join(err, f.Close())
 	}
 	fmt.Fprintf(options.Out, "plumbarrow demo: %d entry instances in %d zones, %d engines, %d booking instances, all on loopback\n",
@@ -83,13 +90,13 @@
 	return ErrBroken
 }
 
-func start(ctx context.Context, f *fleet.Fleet) error {
+func start(ctx context.Context, f *fleet.Fleet, out io.Writer) error {
 	for _, zone := range zones {
 		if err := startZone(f, zone); err != nil {
 			return err
 		}
 	}
-	if err := apply(ctx, f); err != nil {
+	if err := apply(ctx, f, out); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
--- a/internal/demo/operate.go
+++ b/internal/demo/operate.go
@@ -4,54 +4,79 @@
 	"context"
 	"fmt"
 	"io"
-	"log/slog"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
 	"time"
 
-	"plumbarrow.example/plumbarrow/contract"
-	"plumbarrow.example/plumbarrow/internal/telemetry"
+	"plumbarrow.example/plumbarrow/operate/api"
+	"plumbarrow.example/plumbarrow/operate/client"
 	"plumbarrow.example/plumbarrow/replica"
 	"plumbarrow.example/plumbarrow/standin/fleet"
 )
 
+const (
+	operatorsToken = "demo-operators-token"
+	author         = "demo"
+	applyWait      = 10 * time.Second
+)
+
+// writeToken writes the operators' token to a file of its own folder, which the caller removes.
+func writeToken() (file string, err error) {
+	dir, err := os.MkdirTemp("", "plumbarrow-demo")
+	if err != nil {
+		return "", err
+	}
+	file = filepath.Join(dir, "token")
+	return file, os.WriteFile(file, []byte(operatorsToken), 0o600)
+}
+
+// operators returns a client of all entry instances.
+func operators(f *fleet.Fleet) *client.Client {
+	var addresses []string
+	for _, id := range slices.Sorted(maps.Keys(f.Daemons)) {
+		addresses = append(addresses, f.Daemons[id].Settings.OperatorsAddress)
+	}
+	return client.New(addresses, operatorsToken)
+}
+
 // apply puts the demo's configuration into force.
-func apply(ctx context.Context, f *fleet.Fleet) error {
-	_, err := replica.Propose(ctx, f.Store, "demo", configuration)
-	return err
+func apply(ctx context.Context, f *fleet.Fleet, out io.Writer) error {
+	applied, err := operators(f).Apply(ctx, api.Apply{
+		ChangeID: replica.NewChangeID(),
+		Author:   author,
+		Document: string(configuration),
+		WaitMS:   int(applyWait.Milliseconds()),
+	})
+	if err != nil {
+		return err
+	}
+	if applied.Outcome != replica.Accepted {
+		return fmt.Errorf("configuration: %s: %s", applied.Outcome, applied.Detail)
+	}
+	fmt.Fprintf(out, "configuration accepted as revision %d, not yet confirmed by %d\n", applied.Revision, len(applied.Unconfirmed))
+	return nil
 }
 
 // takeZoneOutAndBack takes the second zone out of service for a while. It returns broken promises.
 func takeZoneOutAndBack(ctx context.Context, f *fleet.Fleet, out io.Writer) []string {
 	zone := zones[1]
+	order := api.Order{Author: author}
 	pause(ctx, zoneOutAt)
-	if err := setZone(ctx, f, zone, true); err != nil {
+	order.ChangeID = replica.NewChangeID()
+	ordered, err := operators(f).ZoneOut(ctx, zone, order)
+	if err != nil {
 		return []string{err.Error()}
 	}
-	fmt.Fprintf(out, "  %s: zone %s out of service\n", zoneOutAt, zone)
+	fmt.Fprintf(out, "  after %s: zone %s taken out: %s\n", zoneOutAt, zone, ordered.Standing)
 	pause(ctx, zoneInAt-zoneOutAt)
-	if err := setZone(ctx, f, zone, false); err != nil {
+	order.ChangeID = replica.NewChangeID()
+	ordered, err = operators(f).ZoneIn(ctx, zone, order)
+	if err != nil {
 		return []string{err.Error()}
 	}
-	fmt.Fprintf(out, "  %s: zone %s back in service\n", zoneInAt, zone)
-	return nil
-}
-
-func setZone(ctx context.Context, f *fleet.Fleet, zone string, outOfService bool) error {
-	proposer := replica.NewProposer(f.Store, nil, telemetry.New(), slog.New(slog.DiscardHandler))
-	result := proposer.Edit(ctx, replica.Edit{
-		ChangeID: replica.NewChangeID(),
-		Author:   "demo",
-		Apply: func(document *contract.Document) error {
-			for i := range document.Zones {
-				if document.Zones[i].Name == zone {
-					document.Zones[i].OutOfService = outOfService
-				}
-			}
-			return nil
-		},
-	})
-	if result.Outcome != replica.Accepted {
-		return fmt.Errorf("zone %s: %s: %s", zone, result.Outcome, result.Detail)
-	}
+	fmt.Fprintf(out, "  after %s: zone %s brought back: %s\n", zoneInAt, zone, ordered.Standing)
 	return nil
 }
 
--- a/internal/demo/summary.go
+++ b/internal/demo/summary.go
@@ -6,8 +6,10 @@
 	"io"
 	"maps"
 	"slices"
+	"time"
 
 	"plumbarrow.example/plumbarrow/load"
+	"plumbarrow.example/plumbarrow/operate/api"
 	"plumbarrow.example/plumbarrow/standin/fleet"
 )
 
@@ -32,5 +34,41 @@
 			broken = append(broken, fmt.Sprintf("engine %s got more load than it could bear while cold", id))
 		}
 	}
-	return broken
+	return append(broken, summarizeBills(ctx, out, f, report)...)
+}
+
+const billsTimeout = 10 * time.Second
+
+// summarizeBills waits until the store holds the bills of all whole answers and compares them.
+func summarizeBills(ctx context.Context, out io.Writer, f *fleet.Fleet, report *load.Report) []string {
+	ctx, cancel := context.WithTimeout(ctx, billsTimeout)
+	defer cancel()
+	var bills []api.Bill
+	var err error
+	for {
+		bills, err = operators(f).Bills(ctx)
+		if err != nil {
+			return []string{"bills: " + err.Error()}
+		}
+		if count(bills) >= int64(report.Whole) || ctx.Err() != nil {
+			break
+		}
+		pause(ctx, 100*time.Millisecond)
+	}
+	for _, bill := range bills {
+		fmt.Fprintf(out, "  billed %-14s %4d requests, %7d tokens, %8d micro-units\n",
+			bill.Customer, bill.Bills, bill.PromptTokens+bill.OutputTokens, bill.Micros)
+	}
+	if got := count(bills); got != int64(report.Whole) {
+		return []string{fmt.Sprintf("%d whole answers and %d bills", report.Whole, got)}
+	}
+	return nil
+}
+
+func count(bills []api.Bill) int64 {
+	var total int64
+	for _, bill := range bills {
+		total += bill.Bills
+	}
+	return total
 }
--- a/machine/local.go
+++ b/machine/local.go
@@ -1,8 +1,7 @@
 package machine
 
-// Acquire counts a request of this instance alone, without regard to the others.
-//
-// Deprecated: use Permits, which keeps the limit over all entry instances.
+// Acquire counts a request of this instance alone, up to the pool's full limit. It suits an entry
+// instance that is alone in its zone; Permits keeps the limit over all of them.
 func (t *Table) Acquire(endpoint Endpoint) (release func(), ok bool) {
 	one := t.get(endpoint.ID)
 	if one == nil {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -35,6 +35,7 @@
 	// Runs counts the executions of all services.
 	Runs *service.Ledger
 
+	token   string // file with the operators' token
 	log     *slog.Logger
 	tune    func(*daemon.Settings)
 	store   *server
@@ -67,6 +68,8 @@
 // Options of a fleet.
 type Options struct {
 	Log *slog.Logger
+	// OperatorsTokenFile holds the operators' token; without it only reads are served.
+	OperatorsTokenFile string
 	// Tune, if set, changes the settings of each daemon before it starts.
 	Tune func(*daemon.Settings)
 }
@@ -81,6 +84,7 @@
 		Services: make(map[string]*Service),
 		Daemons:  make(map[string]*Daemon),
 		Runs:     service.NewLedger(),
+		token:    options.OperatorsTokenFile,
 		log:      options.Log,
 		tune:     options.Tune,
 	}
@@ -158,6 +162,7 @@
 	settings.StoreAddress = f.store.address()
 	settings.ListAddress = f.list.address()
 	settings.RaterAddress = f.rater.address()
+	settings.OperatorsTokenFile = f.token
 	settings.StopGraceMS = 0 // there is no balancer to wait for
 	if f.tune != nil {
 		f.tune(&settings)
