--- a/machine/fleet_test.go
+++ b/machine/fleet_test.go
@@ -78,7 +78,7 @@
 	paused   atomic.Bool // finishes nothing and starts nothing
 	idle     atomic.Bool // gets no requests
 	served   int
-	refusals map[verdict.Reason]int
+	refusals map[int]int // by priority
 }
 
 func (n *node) Self() machine.Member { return n.self }
@@ -132,7 +132,7 @@
 }
 
 func (f *fleet) start(t testing.TB, self machine.Member, live []machine.Member) {
-	n := &node{fleet: f, self: self, live: live, nudged: make(chan struct{}, 1), refusals: make(map[verdict.Reason]int)}
+	n := &node{fleet: f, self: self, live: live, nudged: make(chan struct{}, 1), refusals: make(map[int]int)}
 	n.table = machine.NewTable(machine.DefaultSettings(), self.ID)
 	n.queue = machine.NewQueue(machine.DefaultSettings())
 	end := f.network.Node(self.Address)
@@ -244,7 +244,7 @@
 		}
 		if refusal := n.queue.Wait(n.ctx, "p", priority, deadline); refusal != nil {
 			n.mu.Lock()
-			n.refusals[refusal.Reason]++
+			n.refusals[priority]++
 			n.mu.Unlock()
 			return
 		}
@@ -394,6 +394,16 @@
 	return all, least
 }
 
+// refused counts the refusals of a priority.
+func (f *fleet) refused(priority int) (sum int) {
+	for _, n := range f.nodes {
+		n.mu.Lock()
+		sum += n.refusals[priority]
+		n.mu.Unlock()
+	}
+	return sum
+}
+
 // total sums a figure over the endpoints.
 func (f *fleet) total(figure func(*endpoint) int) (sum int) {
 	for _, e := range f.endpoints {
--- /dev/null
+++ b/machine/spare.go
@@ -0,0 +1,34 @@
+package machine
+
+import "time"
+
+// staleLoad is the age after which a load report says nothing any more.
+const staleLoad = 5 * time.Second
+
+// Spare estimates per pool how many more requests the zone's endpoints could start now: their
+// limits over all instances less what they reported, or, without a recent report, less this
+// instance's own requests times the number of instances.
+func (t *Table) Spare() map[string]int {
+	now := time.Now()
+	spare := make(map[string]int)
+	for name, view := range t.index.Load().pools {
+		spare[name] = 0
+		for _, one := range view.endpoints {
+			spare[name] += one.spare(now)
+		}
+	}
+	return spare
+}
+
+func (t *tracked) spare(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.listed || t.leaving || t.warmth.leaving || t.warmth.refusing || !t.breaker.allows(now) {
+		return 0
+	}
+	busy := t.endpoint.InFlight * max(t.home.instances, 1)
+	if now.Sub(t.endpoint.ReportedAt) < staleLoad {
+		busy = max(t.endpoint.ReportedRunning+t.endpoint.ReportedQueued, t.endpoint.InFlight)
+	}
+	return max(0, t.limits.at(t.warmth.progress)-busy)
+}
--- a/machine/tracked.go
+++ b/machine/tracked.go
@@ -17,6 +17,7 @@
 	mu       sync.Mutex
 	endpoint Endpoint
 	limits   limits
+	polled   bool // its pool's endpoints publish their load
 	listed   bool // the list shows it
 	goneAt   time.Time
 	leaving  bool // by the list
@@ -77,6 +78,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.listed = true
+	t.polled = pool.Kind == contract.PoolEngine
 	t.endpoint.Pool = pool.Name
 	t.endpoint.Zone = instance.Zone
 	t.endpoint.Address = instance.Address
--- a/zone/contacts.go
+++ b/zone/contacts.go
@@ -37,6 +37,9 @@
 	}
 	// A member that leaves stays so until a new incarnation speaks.
 	leaving := one.GetLeaving() || known.leaving && known.member.Incarnation == member.Incarnation
+	if known.member != member || known.leaving != leaving || !known.failingSince.IsZero() {
+		m.builtAt = time.Time{}
+	}
 	known.member, known.heardAt, known.leaving = member, at, leaving
 	if direct {
 		known.failingSince = time.Time{}
--- a/zone/membership.go
+++ b/zone/membership.go
@@ -27,6 +27,7 @@
 	listed  map[machine.InstanceID]listedMember
 	contact map[machine.InstanceID]*contact
 	live    []machine.Member
+	builtAt time.Time // of live; zero after news
 	changed []func([]platform.Instance)
 }
 
@@ -79,6 +80,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.leaving = true
+	m.builtAt = time.Time{}
 }
 
 // OnList registers a function that is called with each list read.
@@ -116,6 +118,7 @@
 	}
 	m.mu.Lock()
 	m.listed = listed
+	m.builtAt = time.Time{}
 	changed := slices.Clone(m.changed)
 	m.mu.Unlock()
 	for _, f := range changed {
@@ -132,8 +135,30 @@
 	}
 }
 
-// rebuild recomputes the live members in the order of their ids.
+// Listed returns how many instances of the own zone the list shows as live, those that do not
+// answer included.
+func (m *Membership) Listed() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, one := range m.listed {
+		if one.member.Zone == m.self.Zone && one.state == platform.StateLive {
+			n++
+		}
+	}
+	return n
+}
+
+// rebuildEvery bounds the age of the live members when nothing was heard: time alone makes some
+// of them suspected or forgotten.
+const rebuildEvery = 100 * time.Millisecond
+
+// rebuild recomputes the live members in the order of their ids, unless they are recent.
 func (m *Membership) rebuild(now time.Time) {
+	if now.Sub(m.builtAt) < rebuildEvery {
+		return
+	}
+	m.builtAt = now
 	m.live = m.live[:0]
 	if !m.leaving {
 		m.live = append(m.live, m.self)
--- a/zone/orders_test.go
+++ b/zone/orders_test.go
@@ -31,6 +31,15 @@
 	return all
 }
 
+func membersOf(n *node, zoneName string) (members []machine.Member) {
+	for _, member := range n.membership.Live() {
+		if member.Zone == zoneName {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
 // TestZoneOutReachesAll gives an order at one instance while no store exists, with one instance
 // paused, and wants it in force at all others within the bound.
 func TestZoneOutReachesAll(t *testing.T) {
@@ -88,10 +97,12 @@
 		c.Assert(err, qt.IsNil)
 		c.Assert(later.ID == order.ID, qt.IsFalse)
 		for range 20 {
-			time.Sleep(time.Second)
+			time.Sleep(outBound)
 			c.Assert(inService(f.nodes[:4], "z1"), qt.DeepEquals, repeated(true, 4))
 			c.Assert(inService(f.nodes[:4], "z0"), qt.DeepEquals, repeated(true, 4))
 			c.Assert(inService(cutOff, "z1"), qt.DeepEquals, repeated(false, 2))
+			c.Assert(inService(cutOff, "z0"), qt.DeepEquals, repeated(false, 2)) // its own order holds within it
+			c.Assert(len(membersOf(cutOff[0], "z2")), qt.Equals, 2)              // and it goes on as a zone
 		}
 		f.network.Cut(nil)
 		for i := range 20 {
