--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -11,6 +11,7 @@
 	"plumbarrow.example/plumbarrow/entry"
 	"plumbarrow.example/plumbarrow/internal/tomlfile"
 	"plumbarrow.example/plumbarrow/ledger"
+	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/quality"
 	"plumbarrow.example/plumbarrow/rollout"
 	"plumbarrow.example/plumbarrow/zone"
@@ -54,6 +55,7 @@
 	Ledger   ledger.Settings  `toml:"ledger"`
 	Quality  quality.Settings `toml:"quality"`
 	Rollout  rollout.Settings `toml:"rollout"`
+	Machine  machine.Settings `toml:"machine"`
 	Exchange zone.Settings    `toml:"exchange"`
 }
 
@@ -73,6 +75,7 @@
 		Ledger:           ledger.DefaultSettings(),
 		Quality:          quality.DefaultSettings(),
 		Rollout:          rollout.DefaultSettings(),
+		Machine:          machine.DefaultSettings(),
 		Exchange:         zone.DefaultSettings(),
 	}
 }
@@ -165,6 +168,7 @@
 		{"ledger", s.Ledger.Validate},
 		{"quality", s.Quality.Validate},
 		{"rollout", s.Rollout.Validate},
+		{"machine", s.Machine.Validate},
 		{"exchange", s.Exchange.Validate},
 	}
 	for _, section := range sections {
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -52,6 +52,7 @@
 [[pools]]
 name = "small-engines"
 model = "small"
+cold_concurrent = 32
 routes = ["assistant", "careful"]
 [[pools]]
 name = "large-engines"
@@ -98,7 +99,7 @@
 
 // newFleet returns an instance in the zone; change may alter its parts.
 func newFleet(c *qt.C, zone string, change func(*entry.Parts)) *fleet {
-	f := &fleet{c: c, zone: zone, table: machine.NewTable(), ledger: ledger.NewMemory(), counters: telemetry.New()}
+	f := &fleet{c: c, zone: zone, table: machine.NewTable(machine.DefaultSettings(), machine.InstanceID("entry-"+zone)), ledger: ledger.NewMemory(), counters: telemetry.New()}
 	f.configure(func(string) string { return fixtureDocument })
 	dispatcher := link.NewDispatcher()
 	c.Cleanup(dispatcher.Close)
@@ -149,6 +150,7 @@
 	header http.Header
 	body   string
 	err    error
+	closes bool // the answer ends its connection
 }
 
 func (r reply) refusal() openai.ErrorDetail {
@@ -170,7 +172,7 @@
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
-	return reply{response.StatusCode, response.Header, string(data), err}
+	return reply{response.StatusCode, response.Header, string(data), err, response.Close}
 }
 
 func (f *fleet) ask(model string, stream bool, header ...string) reply {
