--- a/ledger/bills_test.go
+++ b/ledger/bills_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/standin/kv"
 	"plumbarrow.example/plumbarrow/verdict"
 )
@@ -94,6 +95,36 @@
 	return ""
 }
 
+// TestBillsOfTheDeadWithStaleLists crashes the zone's biller. One holder of its copies still takes
+// it for the biller; the other one passes its copies to that holder again and again.
+func TestBillsOfTheDeadWithStaleLists(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(kv.New(), 1, 0, "a", "a", "a")
+		stop := f.run()
+		defer stop()
+		byID := make(map[machine.InstanceID]*node)
+		for _, n := range f.nodes {
+			byID[n.self.ID] = n
+		}
+		order := ranked(f.nodes[0].Live(), billsPrefix+"a", 3)
+		dead, stale, fresh := byID[order[0].ID], byID[order[1].ID], byID[order[2].ID]
+		dead.set(func(n *node) { n.noStore = true })
+		c.Assert(dead.ledger.Bills.Record(t.Context(), billOf("request", "acme", 7)), qt.IsNil)
+		dead.set(func(n *node) { n.dead = true })
+		fresh.set(func(n *node) { n.unlisted[string(dead.self.ID)] = true })
+		bills, _ := dead.ledger.Bills.queue.after(0)
+		fresh.ledger.Bills.copies.add(dead.ledger.Bills.request(bills, 0))
+		time.Sleep(5 * time.Second)
+		stale.ledger.Bills.copies.add(dead.ledger.Bills.request(bills, 0))
+		time.Sleep(30 * time.Second)
+		totals, err := Totals(t.Context(), f.store)
+		c.Assert(err, qt.IsNil)
+		c.Assert(totals, qt.HasLen, 1)
+		c.Assert(totals[0].Bills, qt.Equals, int64(1))
+	})
+}
+
 // TestBillsBacklog keeps the store and all peers away until an instance refuses billable work, then
 // lets the store come back.
 func TestBillsBacklog(t *testing.T) {
--- a/ledger/home.go
+++ b/ledger/home.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"plumbarrow.example/plumbarrow/ledger/ledgerpb"
+	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
 )
 
@@ -53,7 +54,7 @@
 		s.journal.count("home_failed")
 		s.journal.suspects.add(home)
 		for _, op := range batch {
-			op.sent = true
+			op.sent = op.sent || !link.NotSent(err)
 		}
 		return batch
 	}
--- /dev/null
+++ b/ledger/service_test.go
@@ -0,0 +1,93 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"storj.io/drpc/drpcmux"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/internal/telemetry"
+	"plumbarrow.example/plumbarrow/link"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/standin/kv"
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+// fixedMembers is a list that never changes.
+type fixedMembers struct {
+	self machine.Member
+	live []machine.Member
+}
+
+// Self implements machine.Members.
+func (m fixedMembers) Self() machine.Member { return m.self }
+
+// Live implements machine.Members.
+func (m fixedMembers) Live() []machine.Member { return m.live }
+
+// TestOverConnections runs two ledgers over drpc on loopback sockets: every call is served by the
+// peer, none falls back to the store.
+func TestOverConnections(t *testing.T) {
+	c := qt.New(t)
+	store := kv.New()
+	var live []machine.Member
+	var listeners []net.Listener
+	for i := range 2 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		id := fmt.Sprint("entry-", i)
+		listeners = append(listeners, listener)
+		live = append(live, machine.Member{ID: machine.InstanceID(id), Incarnation: machine.Incarnation(id + "/1"), Zone: "a", Address: listener.Addr().String()})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	var ledgers []*Ledger
+	counters := telemetry.New()
+	for i := range 2 {
+		dialer := link.NewPeerDialer()
+		defer dialer.Close()
+		one := New(Parts{Store: store, Members: fixedMembers{live[i], live}, Peers: dialer, Counters: counters, Log: slog.New(slog.DiscardHandler), Settings: DefaultSettings()})
+		mux := drpcmux.New()
+		c.Assert(one.Register(mux), qt.IsNil)
+		go func() { done <- link.ServePeers(ctx, listeners[i], mux) }()
+		ledgers = append(ledgers, one)
+	}
+	customer := &contract.Customer{Name: "acme", MonthlyBudget: 1000}
+	for i, one := range ledgers {
+		for n := range 4 {
+			claim := Claim{Key: ClaimKey{Key: fmt.Sprint(n)}, RequestID: fmt.Sprint(i, n), Claimer: live[i]}
+			result, err := one.Claims.Claim(ctx, claim)
+			c.Assert(err, qt.IsNil)
+			c.Assert(result.Standing, qt.Equals, []Standing{Granted, Finished}[i])
+			if i == 0 {
+				c.Assert(one.Claims.Finish(ctx, claim, Outcome{Verdict: verdict.Ran}), qt.IsNil)
+				c.Assert(one.Claims.Flush(ctx), qt.IsNil)
+			}
+		}
+		settle, err := one.Bills.Admit(ctx, customer, 100)
+		c.Assert(err, qt.IsNil)
+		c.Assert(one.Bills.Record(ctx, billOf(fmt.Sprint(i), "acme", 70)), qt.IsNil)
+		settle()
+		c.Assert(one.Bills.copies.len()+ledgers[1-i].Bills.copies.len(), qt.Equals, i+1)
+	}
+	for _, one := range ledgers {
+		c.Assert(one.Bills.Flush(ctx), qt.IsNil)
+		one.Claims.Close()
+	}
+	totals, err := Totals(ctx, store)
+	c.Assert(err, qt.IsNil)
+	c.Assert(totals[0].Bills, qt.Equals, int64(2))
+	for _, failed := range []string{"home_failed", "home_unreachable"} {
+		c.Assert(counters.Value("plumbarrow_ledger_claims_total", "event", failed), qt.Equals, uint64(0))
+	}
+	c.Assert(counters.Value("plumbarrow_budgets_total", "event", "moved") > 0, qt.IsTrue)
+	cancel()
+	for range ledgers {
+		c.Assert(<-done, qt.IsNil)
+	}
+}
