--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -11,6 +12,8 @@
 	qt "github.com/frankban/quicktest"
 	"storj.io/drpc/drpcmux"
 
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/decide"
 	"plumbarrow.example/plumbarrow/entry"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
@@ -25,7 +28,7 @@
 
 // twoZones returns an instance in zone a, which is out of service, and one in zone b that it can
 // forward to. cut ends the peer link at once.
-func twoZones(c *qt.C) (a, b *fleet, cut func()) {
+func twoZones(c *qt.C, picker decide.Picker) (a, b *fleet, cut func()) {
 	b = newFleet(c, "b", nil)
 	mux := drpcmux.New()
 	c.Assert(link.NewForwardServer(b.server, 1<<20).Register(mux), qt.IsNil)
@@ -45,6 +48,7 @@
 	})
 	c.Cleanup(func() { peers.Close(); cancel(); <-served })
 	a = newFleet(c, "a", func(parts *entry.Parts) {
+		parts.Picker = picker
 		parts.Forwarder = link.NewForwardClient(peers)
 		parts.Members = fixedMembers{parts.Self, {ID: "entry-b", Zone: "b", Address: listener.Addr().String()}}
 	})
@@ -60,7 +64,7 @@
 // and answers, and one hop is the limit.
 func TestForwardedRequests(t *testing.T) {
 	c := qt.New(t)
-	a, b, _ := twoZones(c)
+	a, b, _ := twoZones(c, decide.LeastLoaded{})
 	b.add("small-engines", "small@v1", engine("v1"))
 	b.add("booking", "", func(w http.ResponseWriter, r *http.Request) {
 		c.Check(r.Header.Get("Authorization"), qt.Equals, "")
@@ -92,12 +96,42 @@
 	assertRefused(c, a.ask("assistant", true), verdict.HopLimit, verdict.NotRun)
 }
 
+// spillPicker finds no endpoint in its own zone and room in zone b.
+type spillPicker struct{}
+
+func (spillPicker) Pick(_ *contract.Snapshot, request *decide.Request, pool string, version contract.VersionID,
+	_ *decide.Observation, _ []machine.EndpointID, _ *rand.Rand,
+) (decide.Choice, *verdict.Refusal) {
+	if request.Hops > 0 {
+		return decide.Choice{}, verdict.Refuse(verdict.NoEndpoint, "full")
+	}
+	return decide.Choice{Zone: "b", Pool: pool, Version: version}, nil
+}
+
+// TestSpill forwards what the picker sends to another zone, before anything is claimed here.
+func TestSpill(t *testing.T) {
+	c := qt.New(t)
+	a, b, _ := twoZones(c, spillPicker{})
+	a.configure(func(d string) string { return d })
+	b.add("small-engines", "small@v1", engine("v1"))
+	b.add("booking", "", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })
+	c.Assert(a.server.Ready(), qt.IsTrue)
+	c.Assert(strings.HasSuffix(a.ask("assistant", true).body, "[DONE]\n\n"), qt.IsTrue)
+	c.Assert(a.ask("careful", false).body, qt.Equals, wholeAnswer)
+	for _, replayed := range []string{"", "1"} {
+		r := a.send(http.MethodPost, "/bookings", "{}", link.HeaderIdempotencyKey, "k")
+		c.Assert([]string{r.body, r.header.Get(link.HeaderReplayed)}, qt.DeepEquals, []string{"done", replayed})
+	}
+	c.Assert(b.ledger.Bills(), qt.HasLen, 3)
+	c.Assert(a.ledger.Bills(), qt.HasLen, 0)
+}
+
 // TestForwardingLinkLost cuts the peer link while the other zone works. Idempotent work that has
 // delivered nothing goes over a new link, a begun stream ends in an error event, and a booking is
 // not repeated: its key finds the outcome.
 func TestForwardingLinkLost(t *testing.T) {
 	c := qt.New(t)
-	a, b, cut := twoZones(c)
+	a, b, cut := twoZones(c, decide.LeastLoaded{})
 	running, finish := make(chan string), make(chan struct{})
 	gets := 0
 	b.add("booking", "", func(w http.ResponseWriter, r *http.Request) {
--- a/entry/place.go
+++ b/entry/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"plumbarrow.example/plumbarrow/contract"
@@ -10,9 +11,13 @@
 	"plumbarrow.example/plumbarrow/verdict"
 )
 
-// maxPlacements bounds the picks that fail without waiting: permits lost to others and versions
-// withdrawn meanwhile.
-const maxPlacements = 8
+const (
+	// maxPlacements bounds the picks that the last check before dispatch turns down.
+	maxPlacements = 8
+	// maxTaken bounds the endpoints whose permits are asked for before the request queues: each one
+	// may cost a call to another entry instance.
+	maxTaken = 4
+)
 
 // placement is an endpoint chosen for one attempt, with the permit to use it; or a zone that should
 // serve the request.
@@ -24,20 +29,22 @@
 // place chooses version and endpoint in the pool and takes a permit, waiting in the queue while the
 // pool is full. Its last step checks the choice against the configuration in force at that moment.
 func (w *work) place(ctx context.Context, pool string) (*placement, error) {
+	var taken []machine.EndpointID // their permits went to others
 	var last *verdict.Refusal
-	for tries := 0; tries < maxPlacements; tries++ {
+	for tries := 0; tries < maxPlacements && len(taken) < maxPlacements; {
 		if ctx.Err() != nil {
 			return nil, verdict.Refuse(verdict.CallerGone, "the caller left")
 		}
 		if refusal := w.refresh(); refusal != nil {
 			return nil, refusal
 		}
-		choice, refusal := w.choose(ctx, pool)
-		if refusal != nil && refusal.Reason == verdict.NoEndpoint && w.server.Queue != nil {
+		choice, refusal := w.choose(ctx, pool, taken)
+		full := len(taken) >= maxTaken || refusal != nil && refusal.Reason == verdict.NoEndpoint
+		if full && w.server.Queue != nil {
 			if waited := w.wait(ctx, pool); waited != nil {
 				return nil, waited
 			}
-			tries--
+			taken = nil
 			continue
 		}
 		if refusal != nil {
@@ -51,6 +58,11 @@
 			return placed, nil
 		}
 		last = refusal
+		if refusal.Reason == verdict.NoEndpoint {
+			taken = append(taken, choice.Endpoint.ID)
+		} else {
+			tries++
+		}
 	}
 	return nil, last
 }
@@ -79,7 +91,7 @@
 }
 
 // choose picks a version of the pool's model and an endpoint that serves it.
-func (w *work) choose(ctx context.Context, name string) (decide.Choice, *verdict.Refusal) {
+func (w *work) choose(ctx context.Context, name string, taken []machine.EndpointID) (decide.Choice, *verdict.Refusal) {
 	pool := w.snapshot.Pools[name]
 	if pool == nil {
 		return decide.Choice{}, verdict.Refuse(verdict.NoEndpoint, "pool %s is no longer configured", name)
@@ -88,10 +100,10 @@
 	if refusal != nil {
 		return decide.Choice{}, refusal
 	}
-	choice, refusal := w.pick(name, version, w.excluded)
+	choice, refusal := w.pick(name, version, slices.Concat(w.excluded, taken))
 	if refusal != nil && len(w.excluded) > 0 {
 		// Better an endpoint that failed once than none.
-		choice, refusal = w.pick(name, version, nil)
+		choice, refusal = w.pick(name, version, taken)
 	}
 	if refusal != nil {
 		return choice, refusal
