--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -37,7 +37,10 @@
 	exchange   *zone.Exchange
 	orders     *zone.Orders
 	effective  *zone.Effective
+	listed     lastList
 	table      *machine.Table
+	permits    *machine.SharedPermits
+	queue      *machine.PriorityQueue
 	ledger     *ledger.Ledger
 	evidence   *rollout.Evidence
 	guard      *rollout.Guard
@@ -63,12 +66,13 @@
 			Zone:        settings.Zone,
 			Address:     settings.PeersAddress,
 		},
-		table:      machine.NewTable(),
 		dispatcher: link.NewDispatcher(),
 		dialer:     link.NewPeerDialer(),
 		peers:      drpcmux.New(),
 	}
+	d.table = machine.NewTable(settings.Machine, d.self.ID)
 	d.assembleFleet()
+	d.assemblePermits()
 	d.assembleLedger()
 	d.assembleRollout()
 	d.assembleJudge()
@@ -90,21 +94,38 @@
 	d.effective = zone.NewEffective(d.replica, d.orders)
 	d.exchange.Add(d.replica)
 	d.exchange.Add(d.orders)
-	listed := &lastList{}
 	d.membership.OnList(func(instances []platform.Instance) {
-		listed.set(instances)
-		d.applyList(instances, d.replica.Current())
+		d.listed.set(instances)
+		d.applyList()
 	})
-	d.replica.OnChange(func(snapshot *contract.Snapshot) { d.applyList(listed.get(), snapshot) })
+	d.replica.OnChange(func(*contract.Snapshot) { d.applyList() })
 }
 
-// applyList takes over a new instance list or a new configuration.
-func (d *Daemon) applyList(instances []platform.Instance, snapshot *contract.Snapshot) {
-	if snapshot != nil {
-		d.table.Apply(d.settings.Zone, instances, snapshot)
+// applyList takes over a new instance list, configuration or order.
+func (d *Daemon) applyList() {
+	if snapshot := d.effective.Current(); snapshot != nil {
+		d.table.Apply(d.settings.Zone, d.listed.get(), snapshot)
 	}
 }
 
+// assemblePermits shares the limits of endpoints with the zone's other entry instances.
+func (d *Daemon) assemblePermits() {
+	d.queue = machine.NewQueue(d.settings.Machine)
+	d.permits = machine.NewPermits(machine.Parts{
+		Settings: d.settings.Machine,
+		Table:    d.table,
+		Members:  d.membership,
+		Listed:   func() int { return d.listed.entriesIn(d.settings.Zone) },
+		Conns:    d.dialer,
+		Dial:     dialOnce,
+		Freed:    d.queue.Freed,
+		Nudge:    d.exchange.Nudge,
+		Counters: d.counters,
+		Log:      d.log,
+	})
+	d.exchange.Add(machine.NewStateTopic(d.permits))
+}
+
 func (d *Daemon) counter(name string) platform.CallCounter {
 	return func(operation string) { d.counters.Add(name, "op", operation) }
 }
@@ -149,12 +170,14 @@
 		Picker:       decide.NewPicker(d.settings.Decide),
 		Dispatcher:   d.dispatcher,
 		Claims:       d.ledger.Claims,
-		Bills:        ledger.NewMemory(),
+		Bills:        d.ledger.Bills,
 		Pins:         d.ledger.Pins,
 		Counters:     d.counters,
 		Log:          d.log,
 		MaxBodyBytes: d.settings.MaxBodyBytes,
 		Settings:     d.settings.Entry,
+		Permits:      d.permits,
+		Queue:        d.queue,
 		Retries:      decide.NewRetryBudget(),
 		Forwarder:    link.NewForwardClient(d.dialer),
 		Members:      d.membership,
@@ -173,5 +196,6 @@
 		d.exchange.Register(d.peers),
 		d.replica.Register(d.peers),
 		d.ledger.Register(d.peers),
+		d.permits.Register(d.peers),
 	)
 }
