--- a/entry/server.go
+++ b/entry/server.go
@@ -49,6 +49,7 @@
 	Source     contract.Source
 	Table      *machine.Table
 	Picker     decide.Picker
+	Permits    machine.Permits
 	Dispatcher Dispatcher
 	Claims     ledger.Claims
 	Bills      ledger.Bills
@@ -58,7 +59,6 @@
 	MaxBodyBytes int64
 
 	Settings  Settings                 // zero means DefaultSettings
-	Permits   machine.Permits          // optional; the table's own limits without it
 	Queue     machine.Queue            // optional; a full pool refuses without it
 	Retries   *decide.RetryBudget      // optional; retries are bounded per request only without it
 	Pins      Pins                     // optional; bare session ids are refused without it
@@ -90,9 +90,6 @@
 	if parts.Settings == (Settings{}) {
 		parts.Settings = DefaultSettings()
 	}
-	if parts.Permits == nil {
-		parts.Permits = tablePermits{parts.Table}
-	}
 	s := &Server{Parts: parts, explain: newExplainRing(parts.Settings.ExplainRecords)}
 	s.handler = s.routes()
 	return s
--- a/link/dispatcher.go
+++ b/link/dispatcher.go
@@ -57,6 +57,9 @@
 // *Failure; an answer by which the endpoint declares that it has not run the request is one too.
 func (d *Dispatcher) Do(ctx context.Context, attempt *Attempt) (*Answer, error) {
 	caller := ctx
+	if err := caller.Err(); err != nil {
+		return nil, &Failure{Verdict: verdict.NotRun, Reason: verdict.RetryNotSent, Err: err}
+	}
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(caller))
 	detach := context.AfterFunc(caller, func() { cancel(context.Cause(caller)) })
 	timer := time.AfterFunc(attempt.FirstByte, func() { cancel(errSilent) })
