link: blame no endpoint for a short deadline; bound the dial states

A request close to its deadline waits less than a second; two of those on new connections condemned a live endpoint (TestSilentConnection, 'hurried', fails without the new bound). Dial states of members that left were kept for good.

--- a/link/dispatcher.go
+++ b/link/dispatcher.go
@@ -97,7 +97,7 @@
 }
 
 func (d *Dispatcher) noteFailure(attempt *Attempt, failure *Failure) {
-	if failure.Reason == verdict.RetrySilent && failure.FreshConnection {
+	if failure.Reason == verdict.RetrySilent && failure.FreshConnection && attempt.FirstByte >= silentAfter {
 		failure.Condemned = d.silent.silent(attempt.Endpoint.Address)
 	}
 }
--- a/link/dispatcher_test.go
+++ b/link/dispatcher_test.go
@@ -202,6 +202,11 @@
 		fresh.Fresh = true
 		c.Assert(dispatch(c, dispatcher, fresh), qt.Equals, (*Failure)(nil))
 		network.silent.Store(true)
+		hurried := attemptTo("e:1", true)
+		hurried.Fresh, hurried.FirstByte = true, silentAfter/2
+		for range silentLimit {
+			c.Assert(dispatch(c, dispatcher, hurried).Condemned, qt.IsFalse)
+		}
 		failure = dispatch(c, dispatcher, fresh)
 		c.Assert(failure, qt.Not(qt.Equals), (*Failure)(nil))
 		c.Assert(failure.Condemned, qt.IsFalse)
--- a/link/peer.go
+++ b/link/peer.go
@@ -24,6 +24,8 @@
 	peerConns = 4
 	// peerDials bounds the connections being opened to one member at the same time.
 	peerDials = 4
+	// maxDialStates bounds the addresses remembered.
+	maxDialStates = 2048
 	// dialBackoff is how long calls to a member fail at once after a failed dial.
 	dialBackoff = 250 * time.Millisecond
 )
@@ -85,6 +87,9 @@
 	defer d.mu.Unlock()
 	state := d.states[address]
 	if state == nil {
+		if len(d.states) >= maxDialStates {
+			clear(d.states) // members that left; the live ones come back with their next dial
+		}
 		state = &dialState{slots: make(chan struct{}, peerDials)}
 		d.states[address] = state
 	}
--- a/link/silence.go
+++ b/link/silence.go
@@ -1,6 +1,13 @@
 package link
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
+
+// silentAfter is the shortest wait that says anything about an endpoint; a request close to its
+// deadline waits less.
+const silentAfter = time.Second
 
 // silentLimit is the number of consecutive silences on fresh connections that condemns an
 // endpoint.
