Let requests that can't hop any more wait in their zone; wire spare capacity and load polls

Ruled out: raising the hop limit (loops while two zones report room that is gone); moving the claim along.

Change: work.bound keeps a request that is claimed, billed or begun in its zone; hop_limit counts as full. daemon wires zone.Loads, machine.Poller; entry tells loads of each request sent to another zone.

Failing runs first: TestForwardedRequestQueues got hop_limit, want "done"; TestClaimedRequestStays got no_endpoint, want "done".

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/http"
+	"time"
 
 	"github.com/google/uuid"
 	"storj.io/drpc/drpcmux"
@@ -24,6 +26,8 @@
 	"plumbarrow.example/plumbarrow/zone"
 )
 
+const pollTimeout = time.Second // of one read of an engine's load
+
 // Daemon is one entry instance.
 type Daemon struct {
 	settings  Settings
@@ -42,6 +46,8 @@
 	table      *machine.Table
 	permits    *machine.SharedPermits
 	queue      *machine.PriorityQueue
+	poller     *machine.Poller
+	loads      *zone.Loads
 	ledger     *ledger.Ledger
 	evidence   *rollout.Evidence
 	guard      *rollout.Guard
@@ -129,6 +135,9 @@
 		Log:      d.log,
 	})
 	d.exchange.Add(machine.NewStateTopic(d.permits))
+	d.poller = machine.NewPoller(d.permits, machine.HTTPFetch(&http.Client{Timeout: pollTimeout}))
+	d.loads = zone.NewLoads(d.membership, d.effective, d.table.Spare, d.log)
+	d.exchange.Add(d.loads)
 }
 
 func (d *Daemon) counter(name string) platform.CallCounter {
@@ -188,6 +197,8 @@
 		Members:      d.membership,
 		Judge:        d.judge,
 		Recorder:     d.evidence,
+		Zones:        d.loads.Zones,
+		Forwarded:    d.loads.Forwarded,
 		Confirmed:    d.replica.Confirmed,
 		Limits:       limit.NewCustomers(d.membership),
 	})
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -52,6 +52,7 @@
 		d.exchange.Run,
 		d.ledger.Run,
 		d.permits.Run,
+		d.poller.Run,
 		d.guard.Run,
 		d.judge.Run,
 		d.operate.Run,
--- a/entry/cascade.go
+++ b/entry/cascade.go
@@ -104,14 +104,12 @@
 // runStep dispatches until one attempt ends in a whole answer or the retry policy stops.
 func (f *chatFlow) runStep(ctx context.Context, step decide.Step) (*stepAnswer, error) {
 	for attempts := 1; ; attempts++ {
+		f.bound = len(f.lines) > 0 || f.live != nil && f.live.begun
 		placed, err := f.place(ctx, step.Pool)
 		if err != nil {
 			return nil, f.fail(err)
 		}
 		if placed.choice.Zone != "" {
-			if len(f.lines) > 0 || f.live != nil && f.live.begun {
-				return nil, f.fail(verdict.Refuse(verdict.NoEndpoint, "no endpoint of this zone can go on with the request"))
-			}
 			return nil, errElsewhere{placed.choice.Zone}
 		}
 		answer, failed, err := f.try(ctx, step, placed)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -45,6 +45,9 @@
 		}
 		w.note(decide.Note{Stage: "forward", Reason: string(member.ID)})
 		w.record.ForwardedTo = string(member.ID)
+		if s.Forwarded != nil {
+			s.Forwarded(member.Zone, w.request.Route.Pools[0])
+		}
 		err := s.forwardTo(w, c, member, head)
 		var failure *link.Failure
 		if err == nil || !errors.As(err, &failure) {
--- /dev/null
+++ b/entry/nohop_test.go
@@ -0,0 +1,73 @@
+package entry_test
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/decide"
+	"plumbarrow.example/plumbarrow/entry"
+	"plumbarrow.example/plumbarrow/link"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+// TestForwardedRequestQueues: a request that another zone passed on waits here while the pool is
+// full; it is not refused for having no further hop.
+func TestForwardedRequestQueues(t *testing.T) {
+	c := qt.New(t)
+	permits := &scriptedPermits{refusals: 2}
+	f := newFleet(c, "b", func(parts *entry.Parts) {
+		parts.Picker = decide.NewPicker(decide.DefaultSettings())
+		parts.Permits = permits
+		parts.Queue = permits
+	})
+	f.add("booking", "", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })
+	recorder := httptest.NewRecorder()
+	outcome := f.server.ServeForwarded(t.Context(), recorder, &link.ForwardHead{
+		RequestID: "r1", Customer: "acme", Method: http.MethodGet, Path: "/bookings", Header: http.Header{}, Hops: 1,
+	})
+	c.Assert(recorder.Body.String(), qt.Equals, "done")
+	c.Assert(outcome, qt.Equals, verdict.Ran)
+	c.Assert(permits.waits > 0, qt.IsTrue)
+}
+
+// fullThenFree finds no room at first; then, if it is offered other zones, it spills, and else it
+// finds room at home.
+type fullThenFree struct{ picks int }
+
+func (p *fullThenFree) Pick(snapshot *contract.Snapshot, request *decide.Request, pool string, version contract.VersionID,
+	seen *decide.Observation, excluded []machine.EndpointID, random *rand.Rand,
+) (decide.Choice, *verdict.Refusal) {
+	p.picks++
+	if p.picks == 1 {
+		return decide.Choice{}, verdict.Refuse(verdict.NoEndpoint, "full")
+	}
+	if len(seen.Zones) > 0 {
+		return decide.Choice{Zone: "b", Pool: pool}, nil
+	}
+	return decide.LeastLoaded{}.Pick(snapshot, request, pool, version, seen, excluded, random)
+}
+
+// TestClaimedRequestStays: once a booking is claimed here, a full pool makes it wait here, since the
+// claim can't go with it to another zone.
+func TestClaimedRequestStays(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, "a", func(parts *entry.Parts) {
+		parts.Picker = &fullThenFree{}
+		parts.Queue = &scriptedPermits{}
+		parts.Forwarder = link.NewForwardClient(nil)
+		parts.Zones = func() []decide.ZoneLoad {
+			return []decide.ZoneLoad{{Zone: "b", Spare: map[string]int{"booking": 1}, At: time.Now()}}
+		}
+	})
+	f.add("booking", "", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })
+	r := f.send(http.MethodPost, "/bookings", "{}", link.HeaderIdempotencyKey, "k")
+	c.Assert(r.body, qt.Equals, "done")
+}
--- a/entry/place.go
+++ b/entry/place.go
@@ -39,7 +39,7 @@
 			return nil, refusal
 		}
 		choice, refusal := w.choose(ctx, pool, taken)
-		full := len(taken) >= maxTaken || refusal != nil && refusal.Reason == verdict.NoEndpoint
+		full := len(taken) >= maxTaken || refusal != nil && meansFull(refusal.Reason)
 		if full && w.server.Queue != nil {
 			if waited := w.wait(ctx, pool); waited != nil {
 				return nil, waited
@@ -67,6 +67,12 @@
 	return nil, last
 }
 
+// meansFull says whether a pick failed only because the pool has no room now. hop_limit means that
+// besides the request may not go to another zone.
+func meansFull(reason verdict.Reason) bool {
+	return reason == verdict.NoEndpoint || reason == verdict.HopLimit
+}
+
 // acquire takes a permit and then checks the choice for the last time before its dispatch.
 func (w *work) acquire(ctx context.Context, choice decide.Choice) (*placement, *verdict.Refusal) {
 	permit, refusal := w.server.Permits.Acquire(ctx, &choice.Endpoint)
@@ -118,7 +124,7 @@
 		Zone: w.server.Self.Zone,
 		Pool: func(name string) decide.Candidates { return w.server.Table.Pool(name) },
 	}
-	if w.server.Zones != nil && w.server.Forwarder != nil && w.request.Hops == 0 {
+	if w.server.Zones != nil && w.server.Forwarder != nil && w.request.Hops == 0 && !w.bound {
 		seen.Zones = w.server.Zones()
 	}
 	return w.server.Picker.Pick(w.snapshot, w.request, pool, version, seen, excluded, w.random)
--- a/entry/server.go
+++ b/entry/server.go
@@ -67,6 +67,7 @@
 	Forwarder Forwarder                // optional; nothing is forwarded without it
 	Members   machine.Members          // needed by Forwarder
 	Zones     func() []decide.ZoneLoad // optional; spare capacity of other zones
+	Forwarded func(zone, pool string)  // optional; told of each request sent to another zone
 	Limits    *limit.Customers         // optional; customers' request rates are not limited without it
 	Confirmed func() bool              // optional; whether the configuration in force is confirmed
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -101,11 +101,9 @@
 
 // run dispatches until one attempt ends in an answer or the retry policy stops.
 func (f *serviceFlow) run(ctx context.Context) error {
+	f.bound = true
 	for attempts := 1; ; attempts++ {
 		placed, err := f.place(ctx, f.pool())
-		if err == nil && placed.choice.Zone != "" {
-			err = verdict.Refuse(verdict.NoEndpoint, "no endpoint of this zone can take the request now")
-		}
 		if err != nil {
 			err = f.fail(err)
 			f.finish(outcomeOf(err))
--- a/entry/work.go
+++ b/entry/work.go
@@ -26,6 +26,7 @@
 	outcome  verdict.Verdict // the worst over the attempts so far
 	excluded []machine.EndpointID
 	fresh    bool // the next attempt needs a new connection
+	bound    bool // claimed, billed or begun here, so that no other zone can go on with it
 	resume   *resumption
 }
 
