Hold planned stops and claims to their promises

Ruled out: a longer queue time. Change: it leaves after the drain. Cause (b): entry ignored the end of a claim's grant, so a process paused for longer than half the retry window could have dispatched a key that had run as a new request. Change: checked last before dispatch.

--- a/daemon/run.go
+++ b/daemon/run.go
@@ -16,6 +16,7 @@
 const (
 	headerTimeout   = 10 * time.Second // a caller that sends its header more slowly is cut off
 	shutdownTimeout = 5 * time.Second
+	leaveNotice     = 300 * time.Millisecond // for the peers to hear that the instance leaves
 )
 
 // Run serves until ctx ends or a part fails. When ctx ends it makes a planned stop: not ready, a
@@ -64,14 +65,16 @@
 func (d *Daemon) stop() {
 	d.log.Info("planned stop")
 	d.entry.Stop()
-	d.membership.Leave()
-	d.exchange.Nudge()
 	time.Sleep(time.Duration(d.settings.StopGraceMS) * time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.StopTimeoutMS)*time.Millisecond)
 	defer cancel()
 	if err := d.entry.Drain(ctx); err != nil {
 		d.log.Error("requests were still in progress at the end of the stop timeout", "error", err)
 	}
+	// Only now: an instance that has left owns no permits, and its queued requests would starve.
+	d.membership.Leave()
+	d.exchange.Nudge()
+	time.Sleep(leaveNotice)
 }
 
 func (d *Daemon) addServer(group *run.Group, listener net.Listener, handler http.Handler) {
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -81,6 +81,7 @@
 // TestKilledClaimer kills an entry instance after the service ran its booking and before the answer
 // came. A repeat at another instance must not run again and must say that it may have run.
 func TestKilledClaimer(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	d := newDeployment(c)
 	a, b := d.ready()
@@ -98,6 +99,7 @@
 
 // TestFrozenClaimer freezes an entry instance instead; when it thaws, nothing runs a second time.
 func TestFrozenClaimer(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	d := newDeployment(c)
 	a, b := d.ready()
@@ -116,6 +118,7 @@
 // TestFrozenStore freezes the platform's store: chats go on, bookings with a key are refused and did
 // not run, and run once the store is back.
 func TestFrozenStore(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	d := newDeployment(c)
 	a, _ := d.ready()
@@ -133,6 +136,7 @@
 
 // TestTerminate stops an entry instance in the planned way under streams: none is cut short.
 func TestTerminate(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	d := newDeployment(c)
 	a, b := d.ready()
--- a/entry/nohop_test.go
+++ b/entry/bound_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -13,6 +14,7 @@
 	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/decide"
 	"plumbarrow.example/plumbarrow/entry"
+	"plumbarrow.example/plumbarrow/ledger"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/verdict"
@@ -71,3 +73,23 @@
 	r := f.send(http.MethodPost, "/bookings", "{}", link.HeaderIdempotencyKey, "k")
 	c.Assert(r.body, qt.Equals, "done")
 }
+
+// lateClaims grants claims whose time is over when they arrive, as a paused process finds them.
+type lateClaims struct{ ledger.Claims }
+
+func (l lateClaims) Claim(ctx context.Context, claim ledger.Claim) (ledger.ClaimResult, error) {
+	result, err := l.Claims.Claim(ctx, claim)
+	result.Expires = time.Now().Add(-time.Second)
+	return result, err
+}
+
+// TestExpiredClaim: a claim that ended while this process was paused is never dispatched.
+func TestExpiredClaim(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, "a", func(parts *entry.Parts) { parts.Claims = lateClaims{parts.Claims} })
+	runs := 0
+	f.add("booking", "", func(http.ResponseWriter, *http.Request) { runs++ })
+	r := f.send(http.MethodPost, "/bookings", "{}", link.HeaderIdempotencyKey, "k")
+	assertRefused(c, r, verdict.ClaimExpired, verdict.NotRun)
+	c.Assert(runs, qt.Equals, 0)
+}
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -53,6 +53,7 @@
 	switch result.Standing {
 	case ledger.Granted:
 		f.claim = &claim
+		f.claimEnds = result.Expires
 		return false, nil
 	case ledger.Finished:
 		return true, f.replay(result.Outcome)
@@ -67,6 +68,15 @@
 	}
 }
 
+// claimEnded refuses a dispatch under a claim whose time is over: this process was paused, and a
+// repeat of the key may have run meanwhile as a new request.
+func (f *serviceFlow) claimEnded(now time.Time) error {
+	if f.claim == nil || f.claimEnds.IsZero() || now.Before(f.claimEnds) {
+		return nil
+	}
+	return verdict.Refuse(verdict.ClaimExpired, "the claim of the idempotency key ended before the dispatch")
+}
+
 // digest identifies the request's method, target and body.
 func (f *serviceFlow) digest() ledger.Digest {
 	hash := sha256.New()
--- a/entry/service.go
+++ b/entry/service.go
@@ -12,6 +12,7 @@
 	"plumbarrow.example/plumbarrow/decide"
 	"plumbarrow.example/plumbarrow/ledger"
 	"plumbarrow.example/plumbarrow/link"
+	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/verdict"
 )
 
@@ -25,6 +26,8 @@
 	context echo.Context
 	body    []byte
 	claim   *ledger.Claim // nil without an idempotency key
+	// claimEnds is when the claim's grant ends by this process's clock; zero means never.
+	claimEnds time.Time
 	// dispatching is the context of dispatched work: the caller's own for idempotent work, else one
 	// that goes on when the caller leaves.
 	dispatching context.Context
@@ -103,7 +106,7 @@
 func (f *serviceFlow) run(ctx context.Context) error {
 	f.bound = true
 	for attempts := 1; ; attempts++ {
-		placed, err := f.place(ctx, f.pool())
+		placed, err := f.placeClaimed(ctx)
 		if err != nil {
 			err = f.fail(err)
 			f.finish(outcomeOf(err))
@@ -120,6 +123,19 @@
 	}
 }
 
+// placeClaimed places the request and checks last that its claim still holds.
+func (f *serviceFlow) placeClaimed(ctx context.Context) (*placement, error) {
+	placed, err := f.place(ctx, f.pool())
+	if err != nil {
+		return nil, err
+	}
+	if err := f.claimEnded(time.Now()); err != nil {
+		placed.permit.Done(machine.Result{})
+		return nil, err
+	}
+	return placed, nil
+}
+
 // try makes one attempt. A failure means that nothing was delivered; after err the request is over.
 func (f *serviceFlow) try(placed *placement) (*link.Failure, error) {
 	request := f.context.Request()
