replica: prove repeats after crashes of the proposer, and parts whose content comes back

Cause: TestHistoryBounded used every content once, so a part dropped while a later change refers to the same content would not have been noticed (seen: with that check off the test passed). Change: contents come back every 20 changes and every document of the head is read at the end. TestRacingOperators also crashes proposing instances and repeats every change under its id. Failing runs: parts in use dropped: TestHistoryBounded (read part: key not found); parts never dropped: TestHistoryBounded (200 parts); no read-back: TestRacingOperators 'operation 0 ... repeated ... no change'; unknown taken for accepted: TestRacingOperators '0 times in the history'. Unknown guessed as refused is not caught by TestRacingOperators, only by TestProposeFaults.

--- a/replica/proposer_test.go
+++ b/replica/proposer_test.go
@@ -156,9 +156,9 @@
 // TestHistoryBounded: after many changes head, parts and calls stay bounded and the history whole.
 func TestHistoryBounded(t *testing.T) {
 	inBubble(t, func(c *qt.C, f *fleet) {
-		const changes = 200
+		const changes, contents = 200, 20
 		for i := range changes {
-			propose(c, f, contract.Revision(i), zonesDocument(i, 1))
+			propose(c, f, contract.Revision(i), zonesDocument(i%contents, 1)) // contents come back
 		}
 		calls := f.store.Calls()
 		c.Logf("store calls per change: %.2f writes, %.2f reads, %.2f deletes", float64(calls[kv.OpSwap])/changes,
@@ -171,7 +171,13 @@
 		c.Assert(len(head.Records) <= maxRecords, qt.IsTrue)
 		parts, err := f.store.List(f.ctx, partPrefix)
 		c.Assert(err, qt.IsNil)
-		c.Assert(parts, qt.HasLen, len(head.Records))
+		distinct := make(map[string]bool)
+		for _, record := range head.Records {
+			distinct[record.Digest] = true
+			_, _, err := f.proposer().Document(f.ctx, record.Revision)
+			c.Assert(err, qt.IsNil)
+		}
+		c.Assert(parts, qt.HasLen, len(distinct))
 		records, err := f.proposer().History(f.ctx, changes)
 		c.Assert(err, qt.IsNil)
 		c.Assert(records, qt.HasLen, changes)
@@ -191,11 +197,13 @@
 	Dropped      int // writes dropped
 	Failed       int // writes refused
 	Down         time.Duration
+	Crash        time.Duration // of the proposing instance after this time; 0 for none
 }
 
 // TestRacingOperators: operators edit entries at the same time while the store loses answers, drops
-// writes and fails. Whatever is reported accepted is in the history exactly once, what is reported
-// refused is not, and no entry's accepted change is lost to another's.
+// writes and fails, and proposing instances crash. Whatever is reported accepted is in the history exactly once, what is reported
+// refused is not, and no entry's accepted change is lost to another's. Repeating a change under its
+// id, at another instance, tells its outcome and changes nothing that was accepted.
 func TestRacingOperators(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		operations := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) operation {
@@ -205,6 +213,7 @@
 				Lost:  rapid.IntRange(0, 3).Draw(t, "lost"), Dropped: rapid.IntRange(0, 2).Draw(t, "dropped"),
 				Failed: rapid.IntRange(0, 2).Draw(t, "failed"),
 				Down:   time.Duration(rapid.SampledFrom([]int{0, 0, 1, 40}).Draw(t, "down")) * time.Second,
+				Crash:  time.Duration(rapid.SampledFrom([]int{0, 0, 30, 50, 70, 90, 400}).Draw(t, "crash")) * time.Millisecond,
 			}
 		}), 1, 8).Draw(rt, "operations")
 		var failed string
@@ -228,9 +237,12 @@
 			f.store.Fail(kv.Faults{Delay: 20 * time.Millisecond, LostAnswers: operation.Lost, DroppedWrites: operation.Dropped,
 				FailedWrites: operation.Failed, Down: operation.Down > 0})
 			time.AfterFunc(operation.Down, func() { f.store.Fail(kv.Faults{Delay: 20 * time.Millisecond}) })
-			regions := []int{1, 1, 1}
-			regions[operation.Zone] = operation.Region
-			results[i] = f.proposer().Propose(f.ctx, Proposal{ChangeID: fmt.Sprint(i), Base: 1, Document: zonesDocument(regions...)})
+			ctx, cancel := context.WithCancel(f.ctx)
+			if operation.Crash > 0 {
+				time.AfterFunc(operation.Crash, cancel)
+			}
+			results[i] = f.proposer().Propose(ctx, Proposal{ChangeID: fmt.Sprint(i), Base: 1, Document: operation.document()})
+			cancel()
 			done <- i
 		}()
 	}
@@ -238,7 +250,43 @@
 		<-done
 	}
 	f.store.Fail(kv.Faults{})
-	return checkRace(f, operations, results)
+	if failed := checkRace(f, operations, results); failed != "" {
+		return failed
+	}
+	return repeatAll(f, operations, results)
+}
+
+// repeatAll proposes everything again under the same change ids.
+func repeatAll(f *fleet, operations []operation, results []Result) string {
+	for i, operation := range operations {
+		again := f.proposer().Propose(f.ctx, Proposal{ChangeID: fmt.Sprint(i), Base: 1, Document: operation.document()})
+		was := results[i]
+		if again.Outcome == Unknown || was.Outcome == Accepted && was.Detail == "" && again.Revision != was.Revision {
+			return fmt.Sprintf("operation %d: %+v, repeated: %+v", i, was, again)
+		}
+	}
+	return countedOnce(f)
+}
+
+func countedOnce(f *fleet) string {
+	records, err := f.proposer().History(f.ctx, 100)
+	if err != nil {
+		return err.Error()
+	}
+	seen := make(map[string]bool)
+	for _, record := range records {
+		if seen[record.ChangeID] {
+			return "twice in the history: " + record.ChangeID
+		}
+		seen[record.ChangeID] = true
+	}
+	return ""
+}
+
+func (o operation) document() []byte {
+	regions := []int{1, 1, 1}
+	regions[o.Zone] = o.Region
+	return zonesDocument(regions...)
 }
 
 func checkRace(f *fleet, operations []operation, results []Result) string {
