--- a/contract/check_parties.go
+++ b/contract/check_parties.go
@@ -12,6 +12,7 @@
 	minSigningKeyValues  = 8 // distinct bytes; fewer means a typed-in placeholder
 	maxLifetimeMinutes   = 525_600
 	maxRequestsPerSecond = 1_000_000
+	maxClearedOrders     = 1_024
 )
 
 var keyHash = regexp.MustCompile(`^[0-9a-f]{64}$`)
@@ -107,3 +108,12 @@
 	}
 	return n
 }
+
+func (c *checker) orders() {
+	orders := &c.document.Orders
+	at := place{table: "orders", index: -1, field: "cleared"}
+	if len(orders.Cleared) > maxClearedOrders {
+		c.add(at, "%d ids, at most %d", len(orders.Cleared), maxClearedOrders)
+	}
+	c.unique(at, orders.Cleared)
+}
--- a/contract/checker.go
+++ b/contract/checker.go
@@ -73,6 +73,7 @@
 	c.pools()
 	c.routes()
 	c.sessions()
+	c.orders()
 }
 
 func (c *checker) add(at place, format string, args ...any) {
--- a/contract/validate_test.go
+++ b/contract/validate_test.go
@@ -89,6 +89,7 @@
 	{"shared key", `bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb`, strings.Repeat("a", 64), `f.toml:18: customers "beta": key_hashes: the hash aaaaaaaa… belongs to customer "acme" too`},
 	{"weak signing key", `MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY=`, `c2hvcnQ=`, `f.toml:70: sessions: signing_keys: key 1 is weak: want at least 32 random bytes`},
 	{"signing key not base64", `MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY=`, `not base64`, `f.toml:70: sessions: signing_keys: key 1 is not base64`},
+	{"order settled twice", "[sessions]", "[orders]\ncleared = [\"1.x\", \"1.x\"]\n[sessions]", `f.toml:70: orders: cleared: "1.x" is listed twice`},
 	{"negative lifetime", "[sessions]", "[sessions]\nlifetime_minutes = -1", `f.toml:70: sessions: lifetime_minutes: -1 is not between 1 and 525600`},
 }
 
--- a/replica/change.go
+++ b/replica/change.go
@@ -170,18 +170,14 @@
 
 // floor is the revision that the change must exceed.
 func (c *change) floor(head *Head) (contract.Revision, *Result) {
-	floor := head.Revision()
-	if c.proposer.inForce == nil {
-		return floor, nil
-	}
-	current := c.proposer.inForce.Current()
-	if current == nil || current.Revision <= floor {
-		return floor, nil
+	if !c.proposer.lostHead(head) {
+		return head.Revision(), nil
 	}
+	current := c.proposer.inForce.Current().Revision
 	if !c.recover {
-		return 0, refused(ReasonLowerHead, "the store's head is at revision %d, but revision %d is in force", floor, current.Revision)
+		return 0, refused(ReasonLowerHead, "the store's head is at revision %d, but revision %d is in force", head.Revision(), current)
 	}
-	return current.Revision, nil
+	return current, nil
 }
 
 func (c *change) present(ctx context.Context, head *Head) (*contract.Document, error) {
--- a/replica/proposer.go
+++ b/replica/proposer.go
@@ -32,6 +32,7 @@
 	Author   string
 	Document []byte // TOML
 	// Recover numbers the change above the revision in force, after the store has lost its head.
+	// While the head is not below it, Recover changes nothing.
 	Recover bool
 }
 
@@ -139,7 +140,7 @@
 
 // rebase returns the document to write above head.
 func (p *Proposer) rebase(ctx context.Context, head *Head, proposal Proposal) ([]byte, *Result, error) {
-	if head.Revision() == 0 && proposal.Base == 0 || proposal.Recover {
+	if head.Revision() == 0 && proposal.Base == 0 || proposal.Recover && p.lostHead(head) {
 		return proposal.Document, nil, nil
 	}
 	if head.Revision() == proposal.Base {
@@ -175,6 +176,15 @@
 	return merged, nil, nil
 }
 
+// lostHead says whether the store's head is below the revision in force.
+func (p *Proposer) lostHead(head *Head) bool {
+	if p.inForce == nil {
+		return false
+	}
+	current := p.inForce.Current()
+	return current != nil && current.Revision > head.Revision()
+}
+
 // keepOrders returns the document with the settled orders of the one in force.
 func (p *Proposer) keepOrders(ctx context.Context, head *Head, document []byte) ([]byte, *Result, error) {
 	present, err := p.document(ctx, head.newest())
--- a/replica/proposer_test.go
+++ b/replica/proposer_test.go
@@ -193,6 +193,47 @@
 	})
 }
 
+// TestSweep: a part left behind goes at the second look, unless it was written again in between;
+// parts in use stay.
+func TestSweep(t *testing.T) {
+	inBubble(t, func(c *qt.C, f *fleet) {
+		propose(c, f, 0, zonesDocument(1, 1))
+		for _, text := range []string{"left behind", "needed again"} {
+			_, err := writePart(f.ctx, f.store, []byte(text))
+			c.Assert(err, qt.IsNil)
+		}
+		s := &sweeper{store: f.store}
+		for _, want := range []int{0, 1, 1} {
+			deleted, err := s.sweep(f.ctx)
+			c.Assert(err, qt.IsNil)
+			c.Assert(deleted, qt.Equals, want)
+			if want == 0 {
+				_, err := writePart(f.ctx, f.store, []byte("needed again"))
+				c.Assert(err, qt.IsNil)
+			}
+		}
+		_, _, err := f.proposer().Document(f.ctx, 1)
+		c.Assert(err, qt.IsNil)
+	})
+}
+
+// TestManyParts: a document that packs to more than one part.
+func TestManyParts(t *testing.T) {
+	inBubble(t, func(c *qt.C, f *fleet) {
+		document := append(zonesDocument(1), "[[customers]]\nname = \"c\"\nkey_hashes = [\n"...)
+		for i := range 9_000 {
+			document = fmt.Appendf(document, "%q,\n", contract.HashKey(fmt.Sprint(i)))
+		}
+		propose(c, f, 0, append(document, "]\n"...))
+		head, _, err := readHead(f.ctx, f.store)
+		c.Assert(err, qt.IsNil)
+		c.Assert(len(head.newest().Parts), qt.Equals, 2)
+		n := f.add("a1", "a")
+		time.Sleep(time.Second)
+		c.Assert(n.Current().Customers["c"].KeyHashes, qt.HasLen, 9_000)
+	})
+}
+
 // operation is one operator's edit in TestRacingOperators.
 type operation struct {
 	Zone, Region int
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -166,6 +166,7 @@
 	group.Go(func() error { return r.follow(ctx) })
 	group.Go(func() error { return r.start(ctx) })
 	group.Go(func() error { return r.fetchLoop(ctx) })
+	group.Go(func() error { return r.sweepLoop(ctx) })
 	return group.Wait()
 }
 
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -172,6 +172,8 @@
 		proposal.Recover = true
 		result := proposer.Propose(f.ctx, proposal)
 		c.Assert(result.Revision, qt.Equals, revision+1)
+		proposal.ChangeID, proposal.Document = "second", zonesDocument(6, 5)
+		c.Assert(proposer.Propose(f.ctx, proposal).Outcome, qt.Equals, Refused) // nothing left to recover
 		time.Sleep(inForceWithin)
 		c.Assert(f.lagging(revision+1), qt.HasLen, 0)
 		c.Assert(f.nodes["b3"].Confirmed(), qt.IsTrue)
