--- a/cmd/plumbarrow/main.go
+++ b/cmd/plumbarrow/main.go
@@ -9,11 +9,12 @@
 )
 
 type arguments struct {
-	Config  *configCommand  `arg:"subcommand:config" help:"check, apply and show the configuration"`
-	Load    *loadCommand    `arg:"subcommand:load" help:"send a mix of requests to a running deployment"`
-	Replay  *replayCommand  `arg:"subcommand:replay" help:"play a trace through today's decisions"`
-	Rollout *rolloutCommand `arg:"subcommand:rollout" help:"start, watch, resume and abort roll-outs"`
-	Standin *standinCommand `arg:"subcommand:standin" help:"run a stand-in of the platform, an engine or a service"`
+	Config     *configCommand     `arg:"subcommand:config" help:"check, apply and show the configuration"`
+	Experiment *experimentCommand `arg:"subcommand:experiment" help:"run a policy beside its baselines"`
+	Load       *loadCommand       `arg:"subcommand:load" help:"send a mix of requests to a running deployment"`
+	Replay     *replayCommand     `arg:"subcommand:replay" help:"play a trace through today's decisions"`
+	Rollout    *rolloutCommand    `arg:"subcommand:rollout" help:"start, watch, resume and abort roll-outs"`
+	Standin    *standinCommand    `arg:"subcommand:standin" help:"run a stand-in of the platform, an engine or a service"`
 }
 
 // Description heads the help text.
@@ -26,6 +27,8 @@
 	switch {
 	case args.Config != nil:
 		err = args.Config.run()
+	case args.Experiment != nil:
+		err = args.Experiment.run()
 	case args.Load != nil:
 		err = args.Load.run()
 	case args.Replay != nil:
--- /dev/null
+++ b/experiment/report.go
@@ -0,0 +1,74 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// Report is the outcome of an experiment.
+type Report struct {
+	Name     string    `json:"name"`
+	Seed     uint64    `json:"seed"`
+	Variants []Variant `json:"variants"`
+	// Aims say whether the policy reached what it should.
+	Aims []Aim `json:"aims"`
+}
+
+// Variant is one run of all policies on the same arrivals and faults.
+type Variant struct {
+	Name    string   `json:"name"`
+	Columns []string `json:"columns"`
+	Rows    []Row    `json:"rows"`
+}
+
+// Row is one policy's figures, one per column.
+type Row struct {
+	Policy  string    `json:"policy"`
+	Figures []float64 `json:"figures"`
+}
+
+// Aim is a bound on a figure.
+type Aim struct {
+	Text   string  `json:"text"`
+	Figure float64 `json:"figure"`
+	Bound  float64 `json:"bound"`
+	Met    bool    `json:"met"`
+}
+
+// atMost is an aim that a figure does not exceed a bound.
+func atMost(text string, figure, bound float64) Aim {
+	return Aim{Text: text, Figure: figure, Bound: bound, Met: figure <= bound}
+}
+
+// Print writes the report as text.
+func (r *Report) Print(w io.Writer) error {
+	for _, variant := range r.Variants {
+		fmt.Fprintf(w, "%s, %s (seed %d)\n", r.Name, variant.Name, r.Seed)
+		table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+		fmt.Fprint(table, "policy\t")
+		for _, column := range variant.Columns {
+			fmt.Fprintf(table, "%s\t", column)
+		}
+		fmt.Fprintln(table)
+		for _, row := range variant.Rows {
+			fmt.Fprintf(table, "%s\t", row.Policy)
+			for _, figure := range row.Figures {
+				fmt.Fprintf(table, "%.4g\t", figure)
+			}
+			fmt.Fprintln(table)
+		}
+		if err := table.Flush(); err != nil {
+			return err
+		}
+		fmt.Fprintln(w)
+	}
+	for _, aim := range r.Aims {
+		state := "met"
+		if !aim.Met {
+			state = "MISSED"
+		}
+		fmt.Fprintf(w, "%s: %s: %.4g, at most %.4g\n", state, aim.Text, aim.Figure, aim.Bound)
+	}
+	return nil
+}
