rollout: orders over HTTP; a version made active again can be withdrawn again

Cause: the withdrawal's change id named the version only, so that the second withdrawal of a version that operators had made active again counted as already accepted. Orders had no adapter.

Ruled out: a random change id (a repeat after a lost answer would be a second change); net/http's default body, which it may send twice.

Change: the id carries the revision under which the version was found bad; HTTPOrders speaks GET and POST /orders.

Before (revision left out of the id): TestQuarantineThenWithdrawal got "active", want "withdrawn". Fence not passed on: TestFencedOrder fails. After: both pass.

--- a/rollout/evidence_test.go
+++ b/rollout/evidence_test.go
@@ -137,7 +137,8 @@
 }
 
 // TestQuarantineThenWithdrawal: with the store down a bad version stops at this instance at once, and
-// is withdrawn from the fleet once the store is back; when operators make it active again, it is.
+// is withdrawn from the fleet once the store is back; when operators make it active again, it is, and
+// can be withdrawn again.
 func TestQuarantineThenWithdrawal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
@@ -169,9 +170,14 @@
 
 		configuration.mu.Lock()
 		configuration.document.Models[0].Versions[1].State = contract.VersionActive
+		configuration.revision++
 		configuration.mu.Unlock()
 		time.Sleep(2 * time.Second)
 		c.Assert(guard.Quarantined(), qt.HasLen, 0)
+		serve(evidence, oldVersion, 500, 0.01, random)
+		serve(evidence, newVersion, 100, 0.4, random)
+		time.Sleep(3 * time.Second)
+		c.Assert(configuration.Current().Versions[newVersion].State, qt.Equals, contract.VersionWithdrawn)
 		cancel()
 		<-done
 	})
--- a/rollout/guard.go
+++ b/rollout/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"maps"
 	"math"
@@ -51,6 +52,9 @@
 // quarantine of one version at this instance.
 type quarantine struct {
 	since time.Time
+	// revision of the configuration under which the version was found bad. It is part of the change
+	// id, so that a version made active again can be withdrawn again.
+	revision contract.Revision
 	// inForce says that the accepted configuration has withdrawn the version since.
 	inForce bool
 }
@@ -109,12 +113,12 @@
 	alarm := math.Log(1 / g.settings.FalseAlarm)
 	for _, finding := range g.evidence.Findings() {
 		if finding.LogEvidence >= alarm {
-			g.quarantine(finding)
+			g.quarantine(finding, snapshot.Revision)
 		}
 	}
 	g.follow(snapshot)
-	for _, version := range g.due(time.Now()) {
-		g.withdraw(ctx, version)
+	for version, one := range g.due(time.Now()) {
+		g.withdraw(ctx, version, one.revision)
 	}
 }
 
@@ -139,11 +143,11 @@
 	}
 }
 
-func (g *Guard) quarantine(finding Finding) {
+func (g *Guard) quarantine(finding Finding, revision contract.Revision) {
 	g.mu.Lock()
 	_, known := g.quarantined[finding.Version]
 	if !known {
-		g.quarantined[finding.Version] = quarantine{since: time.Now()}
+		g.quarantined[finding.Version] = quarantine{since: time.Now(), revision: revision}
 	}
 	g.mu.Unlock()
 	if known {
@@ -156,14 +160,14 @@
 }
 
 // due returns the quarantined versions whose withdrawal this instance should propose now.
-func (g *Guard) due(now time.Time) []contract.VersionID {
+func (g *Guard) due(now time.Time) map[contract.VersionID]quarantine {
 	rank := g.rank()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var due []contract.VersionID
+	due := make(map[contract.VersionID]quarantine)
 	for version, one := range g.quarantined {
 		if !one.inForce && now.Sub(one.since) >= time.Duration(rank)*proposeStagger {
-			due = append(due, version)
+			due[version] = one
 		}
 	}
 	return due
@@ -182,11 +186,12 @@
 }
 
 // withdraw proposes a withdrawal once.
-func (g *Guard) withdraw(ctx context.Context, version contract.VersionID) {
+func (g *Guard) withdraw(ctx context.Context, version contract.VersionID, revision contract.Revision) {
 	limited, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	outcome := "accepted"
-	if err := g.proposer.Propose(limited, "withdraw-"+version.String(), Withdraw(version)); err != nil {
+	changeID := fmt.Sprintf("withdraw-%s-%d", version, revision)
+	if err := g.proposer.Propose(limited, changeID, Withdraw(version)); err != nil {
 		outcome = "failed"
 		g.log.Warn("withdrawal not accepted yet", "version", version, "error", err)
 	}
--- /dev/null
+++ b/rollout/httporders.go
@@ -0,0 +1,103 @@
+package rollout
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/platform"
+)
+
+const (
+	ordersPath     = "/orders"
+	maxOrderAnswer = 4 << 10 // bytes
+	orderIdle      = 5 * time.Second
+)
+
+// HTTPOrders gives orders to engines over HTTP: GET /orders tells the version served and the highest
+// fence seen, POST /orders gives an order. Safe for concurrent use.
+type HTTPOrders struct {
+	client *http.Client
+	listed func() []platform.Instance
+}
+
+var _ Orderer = (*HTTPOrders)(nil)
+
+// NewHTTPOrders returns an orderer for the engines of the platform's list; listed gives its last
+// copy.
+func NewHTTPOrders(listed func() []platform.Instance) *HTTPOrders {
+	return &HTTPOrders{client: &http.Client{Transport: &http.Transport{IdleConnTimeout: orderIdle}}, listed: listed}
+}
+
+// orderMessage is the body of orders and of their answers.
+type orderMessage struct {
+	Version string `json:"version"`
+	Fence   uint64 `json:"fence"`
+}
+
+// Engines implements Orderer.
+func (o *HTTPOrders) Engines(pool string) []machine.Endpoint {
+	var engines []machine.Endpoint
+	for _, one := range o.listed() {
+		if one.Kind != platform.KindEngine || one.Pool != pool || one.State == platform.StateLeaving {
+			continue
+		}
+		engines = append(engines, machine.Endpoint{
+			ID:          machine.EndpointID(one.ID),
+			Incarnation: one.Incarnation,
+			Pool:        one.Pool,
+			Zone:        one.Zone,
+			Address:     one.Address,
+			Version:     contract.VersionID{Model: one.Model, Name: one.Version},
+		})
+	}
+	return engines
+}
+
+// Loaded implements Orderer.
+func (o *HTTPOrders) Loaded(ctx context.Context, engine machine.Endpoint) (contract.VersionID, error) {
+	answer, err := o.call(ctx, http.MethodGet, engine, nil)
+	if err != nil {
+		return contract.VersionID{}, err
+	}
+	return contract.VersionID{Model: engine.Version.Model, Name: answer.Version}, nil
+}
+
+// Load implements Orderer.
+func (o *HTTPOrders) Load(ctx context.Context, engine machine.Endpoint, order Order) error {
+	body, err := json.Marshal(orderMessage{Version: order.Version.Name, Fence: order.Fence})
+	if err != nil {
+		return err
+	}
+	_, err = o.call(ctx, http.MethodPost, engine, body)
+	return err
+}
+
+func (o *HTTPOrders) call(ctx context.Context, method string, engine machine.Endpoint, body []byte) (orderMessage, error) {
+	var answer orderMessage
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+engine.Address+ordersPath, nil)
+	if err != nil {
+		return answer, err
+	}
+	if body != nil {
+		// A body without GetBody keeps net/http from sending the order a second time by itself.
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		request.ContentLength = int64(len(body))
+	}
+	response, err := o.client.Do(request)
+	if err != nil {
+		return answer, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return answer, fmt.Errorf("engine %s answered %d", engine.ID, response.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(response.Body, maxOrderAnswer)).Decode(&answer)
+	return answer, err
+}
--- /dev/null
+++ b/rollout/httporders_test.go
@@ -0,0 +1,29 @@
+package rollout_test
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/rollout"
+	"plumbarrow.example/plumbarrow/standin/engine"
+)
+
+// TestFencedOrder: an engine that checks fences refuses an order of an earlier holder.
+func TestFencedOrder(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(engine.New(engine.Settings{Model: "small", Version: "v1", ChecksFence: true}).Handler())
+	defer server.Close()
+	orders := rollout.NewHTTPOrders(func() []platform.Instance {
+		return []platform.Instance{{ID: "e1", Kind: platform.KindEngine, Pool: "engines", Address: server.Listener.Addr().String(), Model: "small", Version: "v1"}}
+	})
+	engines := orders.Engines("engines")
+	c.Assert(engines, qt.HasLen, 1)
+	c.Assert(orders.Load(t.Context(), engines[0], rollout.Order{Version: newVersion, Fence: 7}), qt.IsNil)
+	c.Assert(orders.Load(t.Context(), engines[0], rollout.Order{Version: oldVersion, Fence: 6}), qt.ErrorMatches, "engine e1 answered 409")
+	loaded, err := orders.Loaded(t.Context(), engines[0])
+	c.Assert(err, qt.IsNil)
+	c.Assert(loaded, qt.Equals, newVersion)
+}
