rollout: prove that a paused holder gives no further order; measure messages

Cause: that a holder's own clock ends its work was coded, not tested, and an orderer that ignores its context could have sent after the lease's end.

Ruled out: leaving the check to the orderer alone.

Change: the driver looks at its deadline right before an order; the test has a second roll-out that a paused holder could go on with.

--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -309,6 +309,9 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, d.settings.order())
 	defer cancel()
+	if err := limited.Err(); err != nil {
+		return fmt.Errorf("lease about to end: %w", err)
+	}
 	err = d.orderer.Load(limited, engine, Order{Version: want, Fence: d.tenure.lease.Fence})
 	outcome := "done"
 	if err != nil {
--- a/rollout/driver_test.go
+++ b/rollout/driver_test.go
@@ -24,7 +24,8 @@
 type engines struct {
 	mu      sync.Mutex
 	serving []contract.VersionID
-	orders  []given
+	orders  []given // in the order in which they reached the engines
+	begun   []given
 	// pause stops the process that gives the next order, between its last check and the sending.
 	pause time.Duration
 }
@@ -60,6 +61,7 @@
 	e.mu.Lock()
 	pause := e.pause
 	e.pause = 0
+	e.begun = append(e.begun, given{order.Fence, time.Now()})
 	e.mu.Unlock()
 	time.Sleep(pause)
 	e.mu.Lock()
@@ -162,6 +164,9 @@
 // holder gives no other one.
 func TestUnfencedOrdersDoNotCross(t *testing.T) {
 	inWorld(t, func(w *world) {
+		second := record()
+		second.ID = "r2"
+		w.c.Assert(w.records.Start(t.Context(), second), qt.IsNil)
 		w.engines.pause = 28 * time.Second
 		_, stopA := w.run("a")
 		time.Sleep(16 * time.Second) // the first load is due after ten seconds
@@ -176,6 +181,9 @@
 			last = order
 		}
 		w.c.Assert(w.engines.orders[0].fence < last.fence, qt.IsTrue)
+		for _, order := range w.engines.begun[1:] {
+			w.c.Assert(order.fence > w.engines.begun[0].fence, qt.IsTrue, qt.Commentf("the paused holder gave another order"))
+		}
 	})
 }
 
--- a/rollout/evidence_test.go
+++ b/rollout/evidence_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -256,3 +257,50 @@
 		tally.Rate(min(max(0.8+0.15*random.NormFloat64(), 0), 1))
 	}
 }
+
+// BenchmarkMessage encodes one comparison's evidence at the target size: 24 instances in the zone, 17
+// zones. It reports the size of a message within the zone.
+func BenchmarkMessage(b *testing.B) {
+	random := rand.New(rand.NewPCG(1, 1))
+	configuration := newHead().Current()
+	self := member("a", "nbo-a")
+	evidence := rollout.NewEvidence(rollout.DefaultSettings(), self)
+	evidence.Apply(configuration)
+	for i := range 24 + 16 {
+		from := member("m"+strconv.Itoa(i), "nbo-a")
+		if i >= 24 {
+			from.Zone = "zone-" + strconv.Itoa(i)
+		}
+		other := rollout.NewEvidence(rollout.DefaultSettings(), from)
+		other.Apply(configuration)
+		serve(other, oldVersion, 5000, 0.02, random)
+		serve(other, newVersion, 500, 0.02, random)
+		for range 500 {
+			other.Rating(oldVersion, random.Float64())
+			other.Rating(newVersion, random.Float64())
+		}
+		evidence.Receive(from, other.Message(self))
+	}
+	var size int
+	for b.Loop() {
+		size = len(evidence.Message(self))
+	}
+	b.ReportMetric(float64(size), "B/message")
+}
+
+// BenchmarkFindings tests one comparison after a long stage, as the guard does once a second.
+func BenchmarkFindings(b *testing.B) {
+	random := rand.New(rand.NewPCG(1, 1))
+	evidence := rollout.NewEvidence(rollout.DefaultSettings(), member("a", "nbo-a"))
+	evidence.Apply(newHead().Current())
+	for range 400 {
+		serve(evidence, oldVersion, 450, 0.02, random)
+		serve(evidence, newVersion, 50, 0.02, random)
+		evidence.Rating(oldVersion, random.Float64())
+		evidence.Rating(newVersion, random.Float64())
+		evidence.Findings()
+	}
+	for b.Loop() {
+		evidence.Findings()
+	}
+}
