decide: take retries from the budget that requests pay into

Cause: entry pays by route and leaves Failed.Pool empty, so retries came out of a budget named "" that nobody pays into: after ten retries in all, by anyone, there would never be another one.

Ruled out: changing entry here; it belongs to another hand. A budget by pool needs entry to give the pool to both Paid and Retry.

Change: an empty pool stands for the route's name.

Before (empty pool kept): TestRetryBudgetByRoute stops at request 200. After: passes.

--- a/decide/retry.go
+++ b/decide/retry.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"cmp"
 	"time"
 
 	"plumbarrow.example/plumbarrow/verdict"
@@ -11,6 +12,8 @@
 
 // Failed is an attempt that did not end in a whole answer.
 type Failed struct {
+	// Pool whose retry budget is used, the one that RetryBudget.Paid was told; empty for the route's
+	// name.
 	Pool    string
 	Verdict verdict.Verdict
 	Reason  verdict.Reason // a retry reason
@@ -69,7 +72,7 @@
 		refusal.Reason = verdict.DeadlineExceeded
 		return stop(refusal, "deadline")
 	}
-	if budget != nil && !budget.Take(request.Customer.Name, failed.Pool) {
+	if budget != nil && !budget.Take(request.Customer.Name, cmp.Or(failed.Pool, request.Route.Name)) {
 		return stop(refusal, "retry_budget")
 	}
 	action := Elsewhere
--- a/decide/retry_test.go
+++ b/decide/retry_test.go
@@ -62,6 +62,19 @@
 	})
 }
 
+// TestRetryBudgetByRoute: a caller that counts requests by route finds what they paid.
+func TestRetryBudgetByRoute(t *testing.T) {
+	ask := request(build(document()))
+	budget := decide.NewRetryBudget()
+	for i := range 1000 {
+		budget.Paid("acme", "assistant")
+		if i%20 == 0 {
+			after := decide.Retry(ask, decide.Failed{Attempts: 1}, budget, epoch)
+			qt.Assert(t, after.Action, qt.Equals, decide.Elsewhere, qt.Commentf("request %d", i))
+		}
+	}
+}
+
 // TestShedByPriorityAndDeadline checks who waits in a queue that fills up.
 func TestShedByPriorityAndDeadline(t *testing.T) {
 	snapshot := build(document())
