--- a/machine/signals.go
+++ b/machine/signals.go
@@ -145,9 +145,11 @@
 		return t.warmth.progress - back, true
 	case result.FirstByte > 0:
 		busy := t.endpoint.ReportedQueued > 0 || t.endpoint.InFlight > t.ownSlots()/2
-		usual := t.endpoint.Latency
-		t.smoothLatency(result.FirstByte)
-		return 0, t.sharing() && t.steps.latency(result.FirstByte, usual, busy)
+		step := t.sharing() && t.steps.latency(result.FirstByte, t.endpoint.Latency, busy)
+		if t.steps.late == 0 {
+			t.smoothLatency(result.FirstByte) // late answers do not change what is usual
+		}
+		return 0, step
 	}
 	return 0, false
 }
--- a/zone/orders_test.go
+++ b/zone/orders_test.go
@@ -94,8 +94,7 @@
 		// z2 is cut off and misses the return.
 		cutOff := f.nodes[4:]
 		f.network.Cut(func(from, to string) bool { return strings.HasPrefix(from, "z2") != strings.HasPrefix(to, "z2") })
-		back := *first
-		back.Zones = append([]contract.Zone(nil), first.Zones...)
+		back := clone(first)
 		zone.BringBack(&back, "z1", f.nodes[0].orders.Active())
 		accept(t, &back, 3, f.nodes[:4]...)
 		later, err := cutOff[0].orders.TakeOut("z0")
@@ -142,14 +141,30 @@
 			one := nodes[rapid.IntRange(0, n-1).Draw(r, "node")]
 			other := nodes[rapid.IntRange(0, n-1).Draw(r, "other")]
 			name := rapid.SampledFrom(names).Draw(r, "zone")
-			switch rapid.IntRange(0, 3).Draw(r, "step") {
+			switch rapid.IntRange(0, 5).Draw(r, "step") {
 			case 0:
 				order, _ := one.orders.TakeOut(name)
 				given[order.ID] = order
+			case 4:
+				order, _ := one.orders.Withdraw(contract.VersionID{Model: "small", Name: "v1"})
+				given[order.ID] = order
+			case 5: // the store is back: the orders are written
+				head = clone(&head)
+				orders := one.orders.Active()
+				zone.Settle(&head, orders)
+				revision++
+				next := head
+				accept(t, &next, revision, one)
+				for _, order := range orders {
+					version := one.source.Current().Versions[order.Version]
+					if one.source.Current().ZoneInService(order.Zone) || version != nil && version.State != contract.VersionWithdrawn {
+						r.Fatalf("the document lists order %s and does not hold it", order.ID)
+					}
+				}
 			case 1:
 				other.orders.Receive(machine.Member{}, one.orders.Message(machine.Member{}))
 			case 2: // accepted at the store, seen by one instance first
-				head.Zones = append([]contract.Zone(nil), head.Zones...)
+				head = clone(&head)
 				zone.BringBack(&head, name, one.orders.Active())
 				revision++
 				next := head
@@ -170,6 +185,10 @@
 					if node.effective.Current().ZoneInService(order.Zone) {
 						r.Fatalf("zone %s is in service against order %s", order.Zone, order.ID)
 					}
+					version := node.effective.Current().Versions[order.Version]
+					if version != nil && version.State != contract.VersionWithdrawn {
+						r.Fatalf("version %s is open against order %s", order.Version, order.ID)
+					}
 				}
 			}
 		}
@@ -198,6 +217,17 @@
 	})
 }
 
+// clone copies the parts of a document that orders edit.
+func clone(document *contract.Document) contract.Document {
+	next := *document
+	next.Zones = slices.Clone(document.Zones)
+	next.Models = slices.Clone(document.Models)
+	for i := range next.Models {
+		next.Models[i].Versions = slices.Clone(next.Models[i].Versions)
+	}
+	return next
+}
+
 // TestNudgePastSilentPeers spreads an order by a nudge alone, between two periodic rounds, while
 // half of the zone's instances have just stopped answering.
 func TestNudgePastSilentPeers(t *testing.T) {
