--- a/cmd/plumbarrowd/main.go
+++ b/cmd/plumbarrowd/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"os"
 	"syscall"
@@ -37,14 +38,22 @@
 	if err != nil {
 		return err
 	}
-	instance := daemon.New(settings, log)
+	listeners, err := daemon.Listen(&settings)
+	if err != nil {
+		return err
+	}
+	log.Info("listening", "instance", settings.Instance, "callers", settings.CallersAddress,
+		"operators", settings.OperatorsAddress, "peers", settings.PeersAddress)
+	instance, err := daemon.New(settings, listeners, log)
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group run.Group
 	group.Add(func() error { return instance.Run(ctx) }, func(error) { cancel() })
 	group.Add(run.SignalHandler(ctx, syscall.SIGINT, syscall.SIGTERM))
-	err = group.Run()
-	if _, stopped := err.(run.SignalError); stopped {
-		return nil
+	if err := group.Run(); !errors.Is(err, run.ErrSignal) {
+		return err
 	}
-	return err
+	return nil
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -1,151 +1,217 @@
 package daemon
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/labstack/echo/v4"
-	"github.com/oklog/run"
 	"storj.io/drpc/drpcmux"
 
+	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/decide"
 	"plumbarrow.example/plumbarrow/entry"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/ledger"
+	"plumbarrow.example/plumbarrow/limit"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/operate"
 	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/quality"
 	"plumbarrow.example/plumbarrow/replica"
+	"plumbarrow.example/plumbarrow/rollout"
 	"plumbarrow.example/plumbarrow/zone"
 )
 
-const (
-	headerTimeout = 10 * time.Second // a caller that sends its header more slowly is cut off
-	drainTimeout  = time.Minute
-)
+const pollTimeout = time.Second // of one read of an engine's load
 
 // Daemon is one entry instance.
 type Daemon struct {
-	settings   Settings
-	log        *slog.Logger
-	counters   *telemetry.Counters
+	settings  Settings
+	listeners Listeners
+	log       *slog.Logger
+	counters  *telemetry.Counters
+
+	self       machine.Member
+	store      platform.Store
 	replica    *replica.Replica
 	membership *zone.Membership
+	exchange   *zone.Exchange
+	orders     *zone.Orders
+	effective  *zone.Effective
+	listed     lastList
 	table      *machine.Table
+	permits    *machine.SharedPermits
+	queue      *machine.PriorityQueue
+	poller     *machine.Poller
+	loads      *zone.Loads
+	ledger     *ledger.Ledger
+	evidence   *rollout.Evidence
+	guard      *rollout.Guard
+	inForce    *quarantine
+	judge      *quality.RaterJudge
 	entry      *entry.Server
+	operate    *operate.Server
+
+	dispatcher *link.Dispatcher
+	dialer     *link.PeerDialer
 	peers      *drpcmux.Mux
 }
 
-// New assembles a daemon; nothing runs before Run.
-func New(settings Settings, log *slog.Logger) *Daemon {
-	counters := telemetry.New()
-	store := platform.NewConsul(settings.StoreAddress, func(op string) { counters.Add("plumbarrow_store_calls_total", "op", op) })
-	list := platform.NewHTTPList(settings.ListAddress, func(op string) { counters.Add("plumbarrow_platform_calls_total", "op", op) })
-	self := machine.Member{
-		ID:          machine.InstanceID(settings.Instance),
-		Incarnation: machine.Incarnation(uuid.NewString()),
-		Zone:        settings.Zone,
-		Address:     settings.PeersAddress,
-	}
+// New assembles a daemon that serves on the listeners; nothing runs before Run.
+func New(settings Settings, listeners Listeners, log *slog.Logger) (*Daemon, error) {
 	d := &Daemon{
-		settings:   settings,
-		log:        log,
-		counters:   counters,
-		replica:    replica.New(store, log),
-		membership: zone.NewMembership(zone.DefaultSettings(), self, list, log),
-		table:      machine.NewTable(machine.DefaultSettings(), self.ID),
+		settings:  settings,
+		listeners: listeners,
+		log:       log,
+		counters:  telemetry.New(),
+		self: machine.Member{
+			ID:          machine.InstanceID(settings.Instance),
+			Incarnation: machine.Incarnation(uuid.NewString()),
+			Zone:        settings.Zone,
+			Address:     settings.PeersAddress,
+		},
+		dispatcher: link.NewDispatcher(),
+		dialer:     link.NewPeerDialer(),
 		peers:      drpcmux.New(),
 	}
+	d.table = machine.NewTable(settings.Machine, d.self.ID)
+	d.assembleFleet()
+	d.assemblePermits()
+	d.assembleLedger()
+	d.assembleRollout()
+	d.assembleJudge()
+	d.assembleEntry()
+	if err := d.assembleOperate(); err != nil {
+		return nil, fmt.Errorf("operators' surface: %w", err)
+	}
+	if err := d.register(); err != nil {
+		return nil, fmt.Errorf("register peer services: %w", err)
+	}
+	return d, nil
+}
+
+// assembleFleet joins what the instance knows of the platform and of its peers.
+func (d *Daemon) assembleFleet() {
+	d.store = platform.NewConsul(d.settings.StoreAddress, d.counter("plumbarrow_store_calls_total"))
+	list := platform.NewHTTPList(d.settings.ListAddress, d.counter("plumbarrow_platform_calls_total"))
+	d.membership = zone.NewMembership(d.settings.Exchange, d.self, list, d.log)
+	d.exchange = zone.NewExchange(d.settings.Exchange, d.membership, d.dialer, d.counters, d.log)
+	d.replica = replica.New(d.store, d.log, replica.WithCounters(d.counters), replica.WithPeers(d.membership, d.dialer))
+	d.orders = zone.NewOrders(d.replica, d.exchange.Nudge, d.counters, d.log)
+	d.effective = zone.NewEffective(d.replica, d.orders)
+	d.exchange.Add(d.replica)
+	d.exchange.Add(d.orders)
 	d.membership.OnList(func(instances []platform.Instance) {
-		if snapshot := d.replica.Current(); snapshot != nil {
-			d.table.Apply(settings.Zone, instances, snapshot)
-		}
-	})
-	memory := ledger.NewMemory()
-	d.entry = entry.New(entry.Parts{
-		Self:         self,
-		Source:       d.replica,
-		Table:        d.table,
-		Picker:       decide.LeastLoaded{},
-		Dispatcher:   link.NewDispatcher(),
-		Claims:       memory,
-		Bills:        memory,
-		Counters:     counters,
-		Log:          log,
-		MaxBodyBytes: settings.MaxBodyBytes,
+		d.listed.set(instances)
+		d.applyList()
 	})
-	return d
+	d.replica.OnChange(func(*contract.Snapshot) { d.applyList() })
 }
 
-// Run serves until ctx ends, then finishes what has started.
-func (d *Daemon) Run(ctx context.Context) error {
-	var group run.Group
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	group.Add(func() error { <-ctx.Done(); return nil }, func(error) { cancel() })
-	add := func(f func(context.Context) error) {
-		group.Add(func() error { return f(ctx) }, func(error) { cancel() })
+// applyList takes over a new instance list, configuration or order.
+func (d *Daemon) applyList() {
+	if snapshot := d.effective.Current(); snapshot != nil {
+		d.table.Apply(d.settings.Zone, d.listed.get(), snapshot)
 	}
-	add(d.replica.Run)
-	add(d.membership.Run)
-	add(d.servePeers)
-	if err := d.addServer(&group, d.settings.CallersAddress, d.entry.Handler()); err != nil {
-		return err
-	}
-	if err := d.addServer(&group, d.settings.OperatorsAddress, d.operators()); err != nil {
-		return err
-	}
-	return group.Run()
 }
 
-func (d *Daemon) servePeers(ctx context.Context) error {
-	listener, err := net.Listen("tcp", d.settings.PeersAddress)
-	if err != nil {
-		return fmt.Errorf("peers address: %w", err)
-	}
-	return link.ServePeers(ctx, listener, d.peers)
+// assemblePermits shares the limits of endpoints with the zone's other entry instances.
+func (d *Daemon) assemblePermits() {
+	d.queue = machine.NewQueue(d.settings.Machine)
+	d.permits = machine.NewPermits(machine.Parts{
+		Settings: d.settings.Machine,
+		Table:    d.table,
+		Members:  d.membership,
+		Listed:   func() int { return d.listed.entriesIn(d.settings.Zone) },
+		Conns:    d.dialer,
+		Dial:     dialOnce,
+		Freed:    d.queue.Freed,
+		Nudge:    d.exchange.Nudge,
+		Counters: d.counters,
+		Log:      d.log,
+	})
+	d.exchange.Add(machine.NewStateTopic(d.permits))
+	d.poller = machine.NewPoller(d.permits, machine.HTTPFetch(&http.Client{Timeout: pollTimeout}))
+	d.loads = zone.NewLoads(d.membership, d.effective, d.table.Spare, d.log)
+	d.exchange.Add(d.loads)
 }
 
-func (d *Daemon) addServer(group *run.Group, address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	group.Add(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
-		defer cancel()
-		_ = server.Shutdown(ctx)
-	})
-	return nil
+func (d *Daemon) counter(name string) platform.CallCounter {
+	return func(operation string) { d.counters.Add(name, "op", operation) }
 }
 
-// operators returns the operators' HTTP surface.
-func (d *Daemon) operators() http.Handler {
-	e := echo.New()
-	e.HideBanner = true
-	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
-	e.GET("/readyz", func(c echo.Context) error {
-		if d.replica.Current() == nil {
-			return c.String(http.StatusServiceUnavailable, "no configuration\n")
-		}
-		return c.String(http.StatusOK, "ready\n")
+func (d *Daemon) assembleLedger() {
+	d.ledger = ledger.New(ledger.Parts{
+		Store:    d.store,
+		Members:  d.membership,
+		Peers:    d.dialer,
+		Counters: d.counters,
+		Log:      d.log,
+		Settings: d.settings.Ledger,
 	})
-	e.GET("/metrics", func(c echo.Context) error {
-		c.Response().Header().Set(echo.HeaderContentType, echo.MIMETextPlain)
-		d.counters.Write(c.Response())
-		return nil
+}
+
+// assembleRollout joins the evidence against bad versions with those who act on it.
+func (d *Daemon) assembleRollout() {
+	proposer := replica.NewProposer(d.store, d.replica, d.counters, d.log)
+	d.evidence = rollout.NewEvidence(d.settings.Rollout, d.self)
+	d.replica.OnChange(d.evidence.Apply)
+	d.exchange.Add(d.evidence)
+	withdrawals := proposals{proposer: proposer, author: "guard", restrictive: true}
+	d.inForce = &quarantine{source: d.effective}
+	d.guard = rollout.NewGuard(d.settings.Rollout, d.evidence, d.replica, d.membership, withdrawals, d.counters, d.log)
+	d.guard.OnChange(d.inForce.set)
+}
+
+// assembleJudge asks the platform's rater; without one the judge decides by configured quality.
+func (d *Daemon) assembleJudge() {
+	var rater platform.Rater = noRater{}
+	if d.settings.RaterAddress != "" {
+		rater = platform.NewHTTPRater(d.settings.RaterAddress, d.counter("plumbarrow_platform_calls_total"))
+	}
+	d.judge = quality.NewJudge(d.settings.Quality, d.inForce, rater, d.evidence, d.counters, d.log)
+}
+
+func (d *Daemon) assembleEntry() {
+	d.entry = entry.New(entry.Parts{
+		Self:         d.self,
+		Source:       d.inForce,
+		Table:        d.table,
+		Picker:       decide.NewPicker(d.settings.Decide),
+		Dispatcher:   d.dispatcher,
+		Claims:       d.ledger.Claims,
+		Bills:        d.ledger.Bills,
+		Pins:         d.ledger.Pins,
+		Counters:     d.counters,
+		Log:          d.log,
+		MaxBodyBytes: d.settings.MaxBodyBytes,
+		Settings:     d.settings.Entry,
+		Permits:      d.permits,
+		Queue:        d.queue,
+		Retries:      decide.NewRetryBudget(),
+		Forwarder:    link.NewForwardClient(d.dialer),
+		Members:      d.membership,
+		Judge:        d.judge,
+		Recorder:     d.evidence,
+		Zones:        d.loads.Zones,
+		Forwarded:    d.loads.Forwarded,
+		Confirmed:    d.replica.Confirmed,
+		Limits:       limit.NewCustomers(d.membership),
 	})
-	return e
+}
+
+// register adds the services for other entry instances.
+func (d *Daemon) register() error {
+	return errors.Join(
+		link.NewLiveness(d.self).Register(d.peers),
+		link.NewForwardServer(d.entry, d.settings.MaxBodyBytes).Register(d.peers),
+		d.exchange.Register(d.peers),
+		d.replica.Register(d.peers),
+		d.ledger.Register(d.peers),
+		d.permits.Register(d.peers),
+	)
 }
--- /dev/null
+++ b/internal/demo/operate.go
@@ -0,0 +1,88 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"plumbarrow.example/plumbarrow/operate/api"
+	"plumbarrow.example/plumbarrow/operate/client"
+	"plumbarrow.example/plumbarrow/replica"
+	"plumbarrow.example/plumbarrow/standin/fleet"
+)
+
+const (
+	operatorsToken = "demo-operators-token"
+	author         = "demo"
+	applyWait      = 10 * time.Second
+)
+
+// writeToken writes the operators' token to a file of its own folder, which the caller removes.
+func writeToken() (file string, err error) {
+	dir, err := os.MkdirTemp("", "plumbarrow-demo")
+	if err != nil {
+		return "", err
+	}
+	file = filepath.Join(dir, "token")
+	return file, os.WriteFile(file, []byte(operatorsToken), 0o600)
+}
+
+// operators returns a client of all entry instances.
+func operators(f *fleet.Fleet) *client.Client {
+	var addresses []string
+	for _, id := range slices.Sorted(maps.Keys(f.Daemons)) {
+		addresses = append(addresses, f.Daemons[id].Settings.OperatorsAddress)
+	}
+	return client.New(addresses, operatorsToken)
+}
+
+// apply puts the demo's configuration into force.
+func apply(ctx context.Context, f *fleet.Fleet, out io.Writer) error {
+	applied, err := operators(f).Apply(ctx, api.Apply{
+		ChangeID: replica.NewChangeID(),
+		Author:   author,
+		Document: string(configuration),
+		WaitMS:   int(applyWait.Milliseconds()),
+	})
+	if err != nil {
+		return err
+	}
+	if applied.Outcome != replica.Accepted {
+		return fmt.Errorf("configuration: %s: %s", applied.Outcome, applied.Detail)
+	}
+	fmt.Fprintf(out, "configuration accepted as revision %d, not yet confirmed by %d\n", applied.Revision, len(applied.Unconfirmed))
+	return nil
+}
+
+// takeZoneOutAndBack takes the second zone out of service for a while. It returns broken promises.
+func takeZoneOutAndBack(ctx context.Context, f *fleet.Fleet, out io.Writer) []string {
+	zone := zones[1]
+	order := api.Order{Author: author}
+	pause(ctx, zoneOutAt)
+	order.ChangeID = replica.NewChangeID()
+	ordered, err := operators(f).ZoneOut(ctx, zone, order)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	fmt.Fprintf(out, "  after %s: zone %s taken out: %s\n", zoneOutAt, zone, ordered.Standing)
+	pause(ctx, zoneInAt-zoneOutAt)
+	order.ChangeID = replica.NewChangeID()
+	ordered, err = operators(f).ZoneIn(ctx, zone, order)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	fmt.Fprintf(out, "  after %s: zone %s brought back: %s\n", zoneInAt, zone, ordered.Standing)
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/standin/engine/orders.go
@@ -0,0 +1,50 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+)
+
+// Order tells an engine which version to serve.
+type Order struct {
+	Version string `json:"version"`
+	Fence   uint64 `json:"fence"`
+}
+
+// order loads a version. An engine that checks fences refuses a number below the highest one seen.
+func (g *Engine) order(c echo.Context) error {
+	var order Order
+	if err := json.NewDecoder(c.Request().Body).Decode(&order); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	if !g.load(order) {
+		return c.JSON(http.StatusConflict, order)
+	}
+	if g.settings.OnLoad != nil {
+		g.settings.OnLoad(order.Version, g.Incarnation())
+	}
+	return c.JSON(http.StatusOK, order)
+}
+
+func (g *Engine) load(order Order) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.settings.ChecksFence && order.Fence < g.fence {
+		return false
+	}
+	g.fence = max(g.fence, order.Fence)
+	if g.version != order.Version {
+		g.version = order.Version
+		g.restart()
+	}
+	return true
+}
+
+// orderState reports the version served and the highest fencing number seen.
+func (g *Engine) orderState(c echo.Context) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return c.JSON(http.StatusOK, Order{Version: g.version, Fence: g.fence})
+}
