--- a/machine/signals.go
+++ b/machine/signals.go
@@ -133,8 +133,8 @@
 	switch {
 	case result.ConnectionRefused, opened:
 		return 0, true
-	case result.Restarted && t.warmth.progress > uint64(t.limits.warmAfter):
-		return 0, true // below that it has hardly climbed, and the word may be repeated
+	case result.Restarted && t.warmth.progress > 0:
+		return 0, true // the endpoint says it once a start; repeating it would keep it at the floor
 	case result.Failure == verdict.RetryConnection && t.steps.connectionLost(now):
 		return 0, true
 	case result.Failure == verdict.RetryOverloaded && t.sharing():
--- a/machine/signals_test.go
+++ b/machine/signals_test.go
@@ -60,7 +60,7 @@
 				f := newFleet(t, 1, 1, 0)
 				n := f.nodes[0]
 				time.Sleep(3 * time.Second)
-				for range 40 {
+				for range 60 { // 32 until it is shared, then enough to know what is usual
 					n.finish(whole)
 				}
 				for range test.times {
--- a/zone/orders.go
+++ b/zone/orders.go
@@ -30,6 +30,7 @@
 	log      *slog.Logger
 
 	mu      sync.Mutex
+	added   []func()
 	active  []Order       // replaced, never edited in place
 	changes atomic.Uint64 // counts the changes of active
 }
@@ -42,6 +43,24 @@
 	return &Orders{source: source, nudge: nudge, counters: counters, log: log}
 }
 
+// OnChange registers a function that is called after new orders are in force.
+func (o *Orders) OnChange(f func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.added = append(o.added, f)
+}
+
+// announce spreads new orders and tells the registered functions.
+func (o *Orders) announce() {
+	o.nudge()
+	o.mu.Lock()
+	added := o.added[:len(o.added):len(o.added)]
+	o.mu.Unlock()
+	for _, f := range added {
+		f()
+	}
+}
+
 // TakeOut takes a zone out of service at every reachable instance. It needs no store.
 func (o *Orders) TakeOut(zone string) (Order, error) {
 	snapshot := o.source.Current()
@@ -73,7 +92,7 @@
 	if at < 0 && !added {
 		return Order{}, verdict.Refuse(verdict.ShedOverload, "%d orders are in force, no more are taken", maxOrders)
 	}
-	o.nudge()
+	o.announce()
 	return order, nil
 }
 
@@ -146,7 +165,7 @@
 		return
 	}
 	if o.merge(message) {
-		o.nudge()
+		o.announce()
 	}
 }
 
