Wire the roll-out driver and orders that reach the endpoint table at once

Cause: roll-outs had no driver in the daemon; an order's zone reached the table with the next list. Change: rollout.Driver with HTTPOrders; zone.Orders.OnChange.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -51,6 +51,7 @@
 	ledger     *ledger.Ledger
 	evidence   *rollout.Evidence
 	guard      *rollout.Guard
+	driver     *rollout.Driver
 	inForce    *quarantine
 	judge      *quality.RaterJudge
 	entry      *entry.Server
@@ -110,6 +111,7 @@
 		d.applyList()
 	})
 	d.replica.OnChange(func(*contract.Snapshot) { d.applyList() })
+	d.orders.OnChange(d.applyList)
 }
 
 // applyList takes over a new instance list, configuration or order.
@@ -165,6 +167,16 @@
 	d.inForce = &quarantine{source: d.effective}
 	d.guard = rollout.NewGuard(d.settings.Rollout, d.evidence, d.replica, d.membership, withdrawals, d.counters, d.log)
 	d.guard.OnChange(d.inForce.set)
+	d.driver = rollout.NewDriver(d.settings.Rollout, rollout.Parts{
+		Store:    d.store,
+		Evidence: d.evidence,
+		Source:   d.replica,
+		Members:  d.membership,
+		Proposer: proposals{proposer: proposer, author: "rollout"},
+		Orderer:  rollout.NewHTTPOrders(d.listed.get),
+		Counters: d.counters,
+		Log:      d.log,
+	})
 }
 
 // assembleJudge asks the platform's rater; without one the judge decides by configured quality.
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -55,6 +55,7 @@
 		d.permits.Run,
 		d.poller.Run,
 		d.guard.Run,
+		d.driver.Run,
 		d.judge.Run,
 		d.operate.Run,
 		func(ctx context.Context) error { return link.ServePeers(ctx, d.listeners.Peers, d.peers) },
