entry: let a queued request leave a zone that is taken out

Ruled out: refusing earlier (they can be served); moving a claim (the claim of a request that was never dispatched is freed instead, and the other zone claims anew). Change: a placement that fails because the own zone went out becomes a hop if nothing has run. Failing run first: TestZoneGoesOutWhileQueued got 503 zone_out_of_service for /bookings and for chat.

--- a/entry/bound_test.go
+++ b/entry/bound_test.go
@@ -93,3 +93,41 @@
 	assertRefused(c, r, verdict.ClaimExpired, verdict.NotRun)
 	c.Assert(runs, qt.Equals, 0)
 }
+
+// zoneGoesOut is a queue whose wait ends with the zone being taken out of service.
+type zoneGoesOut struct {
+	scriptedPermits
+	takeOut func()
+}
+
+func (q *zoneGoesOut) Wait(context.Context, string, int, time.Time) *verdict.Refusal {
+	q.takeOut()
+	return nil
+}
+
+// TestZoneGoesOutWhileQueued: a request that waits when its zone is taken out is served by another
+// zone, where a booking is claimed anew.
+func TestZoneGoesOutWhileQueued(t *testing.T) {
+	for _, path := range []string{"/bookings", "/v1/chat/completions"} {
+		t.Run(path, func(t *testing.T) {
+			c := qt.New(t)
+			queue := &zoneGoesOut{scriptedPermits: scriptedPermits{refusals: 100}}
+			a, b, _ := twoZones(c, decide.NewPicker(decide.DefaultSettings()), func(parts *entry.Parts) {
+				parts.Permits = queue
+				parts.Queue = queue
+			})
+			out := a.snapshot.Load()
+			a.configure(func(d string) string { return d })
+			queue.takeOut = func() { a.snapshot.Store(out) }
+			done := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") }
+			a.add("booking", "", done)
+			b.add("booking", "", done)
+			a.add("small-engines", "small@v1", engine("v1"))
+			b.add("small-engines", "small@v1", engine("v1"))
+			r := a.send(http.MethodPost, path, `{"model":"assistant"}`, link.HeaderIdempotencyKey, "k")
+			c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
+			c.Assert(b.ledger.Bills(), qt.HasLen, 1)
+			c.Assert(a.ledger.Bills(), qt.HasLen, 0)
+		})
+	}
+}
--- a/entry/cascade.go
+++ b/entry/cascade.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -86,26 +85,17 @@
 	}
 }
 
-// errElsewhere asks for the request to be served in another zone.
-type errElsewhere struct{ zone string }
-
-// Error implements error.
-func (e errElsewhere) Error() string { return "serve in zone " + e.zone }
-
-// forwardZone returns the zone that should serve the request instead, or "".
-func forwardZone(err error) string {
-	var elsewhere errElsewhere
-	if errors.As(err, &elsewhere) {
-		return elsewhere.zone
-	}
-	return ""
-}
-
 // runStep dispatches until one attempt ends in a whole answer or the retry policy stops.
 func (f *chatFlow) runStep(ctx context.Context, step decide.Step) (*stepAnswer, error) {
 	for attempts := 1; ; attempts++ {
 		f.bound = len(f.lines) > 0 || f.live != nil && f.live.begun
 		placed, err := f.place(ctx, step.Pool)
+		if !f.bound {
+			err = f.moved(err)
+		}
+		if _, elsewhere := elsewhereOf(err); elsewhere {
+			return nil, err
+		}
 		if err != nil {
 			return nil, f.fail(err)
 		}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -64,8 +64,8 @@
 		return s.forward(flow.work, c, "", body)
 	}
 	if err := flow.serve(c.Request().Context()); err != nil {
-		if elsewhere := forwardZone(err); elsewhere != "" {
-			return s.forward(flow.work, c, elsewhere, body)
+		if zone, elsewhere := elsewhereOf(err); elsewhere {
+			return s.forward(flow.work, c, zone, body)
 		}
 		return flow.broken(err)
 	}
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -28,7 +28,7 @@
 
 // twoZones returns an instance in zone a, which is out of service, and one in zone b that it can
 // forward to. cut ends the peer link at once.
-func twoZones(c *qt.C, picker decide.Picker) (a, b *fleet, cut func()) {
+func twoZones(c *qt.C, picker decide.Picker, change ...func(*entry.Parts)) (a, b *fleet, cut func()) {
 	b = newFleet(c, "b", nil)
 	mux := drpcmux.New()
 	c.Assert(link.NewForwardServer(b.server, 1<<20).Register(mux), qt.IsNil)
@@ -51,6 +51,9 @@
 		parts.Picker = picker
 		parts.Forwarder = link.NewForwardClient(peers)
 		parts.Members = fixedMembers{parts.Self, {ID: "entry-b", Zone: "b", Address: listener.Addr().String()}}
+		for _, f := range change {
+			f(parts)
+		}
 	})
 	out := func(d string) string {
 		return strings.Replace(d, `name = "a", region`, `name = "a", out_of_service = true, region`, 1)
--- a/entry/service.go
+++ b/entry/service.go
@@ -71,7 +71,11 @@
 	if zone := flow.elsewhere(); zone != "" {
 		return s.forward(work, c, zone, body)
 	}
-	return flow.serve(request.Context())
+	err = flow.serve(request.Context())
+	if zone, elsewhere := elsewhereOf(err); elsewhere {
+		return s.forward(work, c, zone, body)
+	}
+	return err
 }
 
 // elsewhere looks where the request would go, before anything is claimed for it here. "" means
@@ -107,6 +111,10 @@
 	f.bound = true
 	for attempts := 1; ; attempts++ {
 		placed, err := f.placeClaimed(ctx)
+		if _, elsewhere := elsewhereOf(err); elsewhere {
+			f.finish(ledger.Outcome{Verdict: verdict.NotRun})
+			return err
+		}
 		if err != nil {
 			err = f.fail(err)
 			f.finish(outcomeOf(err))
@@ -127,7 +135,7 @@
 func (f *serviceFlow) placeClaimed(ctx context.Context) (*placement, error) {
 	placed, err := f.place(ctx, f.pool())
 	if err != nil {
-		return nil, err
+		return nil, f.moved(err)
 	}
 	if err := f.claimEnded(time.Now()); err != nil {
 		placed.permit.Done(machine.Result{})
