--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -13,6 +13,7 @@
 	"plumbarrow.example/plumbarrow/ledger"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/quality"
+	"plumbarrow.example/plumbarrow/replica"
 	"plumbarrow.example/plumbarrow/rollout"
 	"plumbarrow.example/plumbarrow/zone"
 )
@@ -54,6 +55,7 @@
 	Decide   decide.Settings  `toml:"decide"`
 	Ledger   ledger.Settings  `toml:"ledger"`
 	Quality  quality.Settings `toml:"quality"`
+	Replica  replica.Settings `toml:"replica"`
 	Rollout  rollout.Settings `toml:"rollout"`
 	Machine  machine.Settings `toml:"machine"`
 	Exchange zone.Settings    `toml:"exchange"`
@@ -74,6 +76,7 @@
 		Decide:           decide.DefaultSettings(),
 		Ledger:           ledger.DefaultSettings(),
 		Quality:          quality.DefaultSettings(),
+		Replica:          replica.DefaultSettings(),
 		Rollout:          rollout.DefaultSettings(),
 		Machine:          machine.DefaultSettings(),
 		Exchange:         zone.DefaultSettings(),
@@ -167,6 +170,7 @@
 		{"decide", s.Decide.Validate},
 		{"ledger", s.Ledger.Validate},
 		{"quality", s.Quality.Validate},
+		{"replica", s.Replica.Validate},
 		{"rollout", s.Rollout.Validate},
 		{"machine", s.Machine.Validate},
 		{"exchange", s.Exchange.Validate},
--- a/daemon/settings_test.go
+++ b/daemon/settings_test.go
@@ -3,6 +3,8 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -44,3 +46,25 @@
 		})
 	}
 }
+
+// TestEverySettingDocumented checks that docs/SETTINGS.md has a row for each field of each section.
+func TestEverySettingDocumented(t *testing.T) {
+	page, err := os.ReadFile("../docs/SETTINGS.md")
+	qt.Assert(t, err, qt.IsNil)
+	top, sections, _ := strings.Cut(string(page), "## `[")
+	settings := reflect.TypeFor[daemon.Settings]()
+	for i := range settings.NumField() {
+		field := settings.Field(i)
+		name := field.Tag.Get("toml")
+		if field.Type.Kind() != reflect.Struct {
+			qt.Check(t, strings.Contains(top, "\n| `"+name+"`"), qt.IsTrue, qt.Commentf("%s", name))
+			continue
+		}
+		_, section, _ := strings.Cut("## `["+sections, "## `["+name+"]`")
+		section, _, _ = strings.Cut(section, "\n## ")
+		for j := range field.Type.NumField() {
+			inner := field.Type.Field(j).Tag.Get("toml")
+			qt.Check(t, strings.Contains(section, "\n| `"+inner+"`"), qt.IsTrue, qt.Commentf("[%s] %s", name, inner))
+		}
+	}
+}
