ledger: bound what a crash keeps from being spent of a budget

Cause: the member that draws for its zone drew a quarter of the zone's share of what was left. A crash keeps that drawn until the month ends: after five crashes of it 765,500 of a budget of 1,000,000 could be spent.

Ruled out: returning a dead member's allowance; nobody can know how much of it was spent before its last bills are in.

Change: at most a thousandth of the monthly budget is drawn at a time.

Proof: TestCrashKeepsBudget fails with the old portion ("765500 could be spent") and passes with the new one.

--- a/ledger/budget_home.go
+++ b/ledger/budget_home.go
@@ -13,8 +13,11 @@
 	// passedShare divides a home's allowance by its zone's members: each call passes this part of
 	// a fair share on.
 	passedShare = 2
-	// lowStock is how many reservations one call should pass on at least; below it the home draws.
+	// lowStock is how many reservations a home has in stock at least, or else it draws.
 	lowStock = 8
+	// zoneShare divides what is left of a budget: a zone draws this part of its fair share at most,
+	// so that the last of it doesn't lie in one zone.
+	zoneShare = 4
 )
 
 var errMove = errors.New("the member could not move the allowance")
@@ -64,16 +67,17 @@
 }
 
 func (b *budgets) drawFromStore(ctx context.Context, one *allowance, budget, missing int64) (int64, error) {
-	drawn, err := b.change(ctx, one.key, func(total int64) int64 { return b.portion(budget-total, missing) })
+	drawn, err := b.change(ctx, one.key, func(total int64) int64 { return b.portion(budget, total, missing) })
 	if err == nil && drawn > 0 {
 		b.count("drawn")
 	}
 	return drawn, err
 }
 
-// portion returns how much to draw of what is left in the budget: a part of the zone's fair share,
-// at least what is missing, nothing if that much is not left.
-func (b *budgets) portion(left, missing int64) int64 {
+// portion returns how much to draw: a small part of the budget, less when little is left, at least
+// what is missing, nothing if that much is not left.
+func (b *budgets) portion(budget, drawn, missing int64) int64 {
+	left := budget - drawn
 	if left < missing {
 		return 0
 	}
@@ -81,7 +85,7 @@
 	for _, member := range b.parts.Members.Live() {
 		zones[member.Zone] = struct{}{}
 	}
-	share := left / int64(max(len(zones), 1)*b.parts.Settings.AllowanceShare)
+	share := min(budget/int64(b.parts.Settings.AllowanceShare), left/int64(max(len(zones), 1)*zoneShare))
 	return min(left, max(missing, share))
 }
 
@@ -125,7 +129,7 @@
 		return &ledgerpb.MoveAllowanceResponse{Status: ledgerpb.MoveAllowanceResponse_MOVED}
 	}
 	members := int64(len(zoneMembers(b.parts.Members)))
-	if err := b.stock(ctx, one, request, passedShare*members); err != nil {
+	if err := b.stock(ctx, one, request); err != nil {
 		if verdict.Of(err).Reason == verdict.BudgetExhausted {
 			return &ledgerpb.MoveAllowanceResponse{Status: ledgerpb.MoveAllowanceResponse_EXHAUSTED}
 		}
@@ -139,8 +143,8 @@
 }
 
 // stock draws when the allowance is low. Its error matters only if the request can't be met.
-func (b *budgets) stock(ctx context.Context, one *allowance, request *ledgerpb.MoveAllowanceRequest, parts int64) error {
-	if one.covers(lowStock * parts * request.Micros) {
+func (b *budgets) stock(ctx context.Context, one *allowance, request *ledgerpb.MoveAllowanceRequest) error {
+	if one.covers(lowStock * request.Micros) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -151,7 +155,7 @@
 		return refuseDraw()
 	}
 	defer func() { <-one.drawing }()
-	if one.covers(lowStock*parts*request.Micros) || one.exhausted(request.Micros) && one.covers(request.Micros) {
+	if one.covers(lowStock*request.Micros) || one.exhausted(request.Micros) && one.covers(request.Micros) {
 		return nil
 	}
 	if one.exhausted(request.Micros) {
--- a/ledger/budget_test.go
+++ b/ledger/budget_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -110,7 +111,7 @@
 		c.Assert(admit(0), qt.IsNil)
 		f.store.Fail(kv.Faults{Down: true})
 		for range 9 {
-			c.Assert(admit(0), qt.IsNil) // 8000 / 2 instances / AllowanceShare
+			c.Assert(admit(0), qt.IsNil) // 8000 / AllowanceShare
 		}
 		for _, n := range []int{0, 1} {
 			refusal := verdict.Of(admit(n))
@@ -123,3 +124,33 @@
 		c.Assert(verdict.Of(admit(1)).Reason, qt.Equals, verdict.BudgetExhausted)
 	})
 }
+
+// TestCrashKeepsBudget crashes the member that draws for its zone, five times over, and spends what
+// is left of the budget: nearly all of it.
+func TestCrashKeepsBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(kv.New(), 1, 0)
+		for i := range 6 {
+			f.add(fmt.Sprint("entry-", i), "a", DefaultSettings())
+		}
+		customer := &contract.Customer{Name: "acme", MonthlyBudget: 1_000_000}
+		alive := f.nodes
+		for range 5 {
+			for _, n := range alive {
+				_, err := n.ledger.Bills.Admit(t.Context(), customer, 100)
+				c.Assert(err, qt.IsNil)
+			}
+			home := ranked(alive[0].Live(), budgetsPrefix+"acme", 1)[0]
+			alive = slices.DeleteFunc(slices.Clone(alive), func(n *node) bool { return n.self.ID == home.ID })
+			for _, n := range f.nodes {
+				n.set(func(n *node) { n.dead = n.dead || n.self.ID == home.ID; n.unlisted[string(home.ID)] = true })
+			}
+		}
+		spent := 0
+		for _, err := alive[0].ledger.Bills.Admit(t.Context(), customer, 100); err == nil; spent += 100 {
+			_, err = alive[0].ledger.Bills.Admit(t.Context(), customer, 100)
+		}
+		c.Assert(spent > 980_000, qt.IsTrue, qt.Commentf("%d could be spent", spent))
+	})
+}
--- a/ledger/fakes_test.go
+++ b/ledger/fakes_test.go
@@ -65,7 +65,8 @@
 func newFleet(store *kv.Store, seed uint64, chance float64, zones ...string) *fleet {
 	f := &fleet{store: store, random: rand.New(rand.NewPCG(seed, 1)), chance: chance, writes: make(map[string]tally)}
 	settings := DefaultSettings()
-	settings.SealBytes = 100 // so that a few records are enough to seal and merge segments
+	settings.SealBytes = 100    // so that a few records are enough to seal and merge segments
+	settings.AllowanceShare = 8 // so that instances hold enough to overspend a small budget
 	for i, zone := range zones {
 		f.add(fmt.Sprintf("entry-%d", i), zone, settings)
 	}
--- a/ledger/service_test.go
+++ b/ledger/service_test.go
@@ -18,40 +18,28 @@
 	"plumbarrow.example/plumbarrow/verdict"
 )
 
-// fixedMembers is a list that never changes.
-type fixedMembers struct {
-	self machine.Member
-	live []machine.Member
-}
-
-// Self implements machine.Members.
-func (m fixedMembers) Self() machine.Member { return m.self }
-
-// Live implements machine.Members.
-func (m fixedMembers) Live() []machine.Member { return m.live }
-
 // TestOverConnections runs two ledgers over drpc on loopback sockets: every call is served by the
 // peer, none falls back to the store.
 func TestOverConnections(t *testing.T) {
 	c := qt.New(t)
-	store := kv.New()
-	var live []machine.Member
+	f := newFleet(kv.New(), 1, 0)
 	var listeners []net.Listener
 	for i := range 2 {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		c.Assert(err, qt.IsNil)
 		id := fmt.Sprint("entry-", i)
 		listeners = append(listeners, listener)
-		live = append(live, machine.Member{ID: machine.InstanceID(id), Incarnation: machine.Incarnation(id + "/1"), Zone: "a", Address: listener.Addr().String()})
+		self := machine.Member{ID: machine.InstanceID(id), Incarnation: machine.Incarnation(id + "/1"), Zone: "a", Address: listener.Addr().String()}
+		f.nodes = append(f.nodes, &node{fleet: f, self: self})
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
 	var ledgers []*Ledger
 	counters := telemetry.New()
-	for i := range 2 {
+	for i, n := range f.nodes {
 		dialer := link.NewPeerDialer()
 		defer dialer.Close()
-		one := New(Parts{Store: store, Members: fixedMembers{live[i], live}, Peers: dialer, Counters: counters, Log: slog.New(slog.DiscardHandler), Settings: DefaultSettings()})
+		one := New(Parts{Store: f.store, Members: n, Peers: dialer, Counters: counters, Log: slog.New(slog.DiscardHandler), Settings: DefaultSettings()})
 		mux := drpcmux.New()
 		c.Assert(one.Register(mux), qt.IsNil)
 		go func() { done <- link.ServePeers(ctx, listeners[i], mux) }()
@@ -60,7 +48,7 @@
 	customer := &contract.Customer{Name: "acme", MonthlyBudget: 1000}
 	for i, one := range ledgers {
 		for n := range 4 {
-			claim := Claim{Key: ClaimKey{Key: fmt.Sprint(n)}, RequestID: fmt.Sprint(i, n), Claimer: live[i]}
+			claim := claimOf(f.nodes[i], fmt.Sprint(n), fmt.Sprint(i, n))
 			result, err := one.Claims.Claim(ctx, claim)
 			c.Assert(err, qt.IsNil)
 			c.Assert(result.Standing, qt.Equals, []Standing{Granted, Finished}[i])
@@ -79,7 +67,7 @@
 		c.Assert(one.Bills.Flush(ctx), qt.IsNil)
 		one.Claims.Close()
 	}
-	totals, err := Totals(ctx, store)
+	totals, err := Totals(ctx, f.store)
 	c.Assert(err, qt.IsNil)
 	c.Assert(totals[0].Bills, qt.Equals, int64(2))
 	for _, failed := range []string{"home_failed", "home_unreachable"} {
--- a/ledger/settings.go
+++ b/ledger/settings.go
@@ -40,8 +40,8 @@
 	// MarkDays is how long the bill numbers of an incarnation are remembered after its last bill,
 	// in days; older bills are refused. Default 7.
 	MarkDays int `toml:"mark_days"`
-	// AllowanceShare divides what is left of a customer's budget: an instance draws this part of
-	// its fair share at a time. Default 4.
+	// AllowanceShare divides a customer's monthly budget: at most this part of it is drawn at a
+	// time, which bounds what a crash keeps from being spent. Default 1,000.
 	AllowanceShare int `toml:"allowance_share"`
 	// IdleAllowanceSeconds without requests an instance gives its unused allowance back.
 	// Default 30.
@@ -60,7 +60,7 @@
 		FlushIntervalMS:      1000,
 		MaxPendingBills:      20000,
 		MarkDays:             7,
-		AllowanceShare:       4,
+		AllowanceShare:       1000,
 		IdleAllowanceSeconds: 30,
 	}
 }
