ledger: keep long outcomes of sealed claims in the store only

Cause: a shard's home kept the outcomes of a whole window in memory, up to 4 KB each: some 280 MB at the two-year target, against 128 MB for a daemon.

Change: outcomes above 128 bytes leave the index when their record is sealed; a repeat that asks for one reads it from its segment.

Ruled out: keeping the segment's name with each claim; merging replaces it.

--- a/ledger/claims_test.go
+++ b/ledger/claims_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -318,8 +319,12 @@
 			result, err := n.ledger.Claims.Claim(context.Background(), claim)
 			c.Check(err, qt.IsNil)
 			c.Check(result.Standing, qt.Equals, want)
-			if want == Granted {
-				c.Check(n.ledger.Claims.Finish(context.Background(), claim, Outcome{Verdict: verdict.Ran}), qt.IsNil)
+			body := []byte(strings.Repeat(key, 1+i%60)) // short ones and ones that only a segment holds
+			switch want {
+			case Granted:
+				c.Check(n.ledger.Claims.Finish(context.Background(), claim, Outcome{Verdict: verdict.Ran, Body: body}), qt.IsNil)
+			case Finished:
+				c.Check(string(result.Outcome.Body), qt.Equals, string(body))
 			}
 		})
 	}
--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -51,8 +51,7 @@
 	}
 	appended := s.stage(batch)
 	if len(appended) == 0 {
-		s.settle(batch)
-		return nil
+		return s.settle(ctx, batch)
 	}
 	next := s.nextHead(ctx, appended)
 	if err := s.swap(ctx, next.head, batch); err != nil {
@@ -63,7 +62,9 @@
 		return err
 	}
 	s.adopt(next, appended)
-	s.settle(batch)
+	if err := s.settle(ctx, batch); err != nil {
+		return err
+	}
 	s.remove(ctx, next.dropped)
 	return nil
 }
@@ -96,10 +97,25 @@
 	return appended
 }
 
-func (s *shard) settle(batch []*operation) {
-	for _, op := range batch {
-		op.settle(s.index.lookup(recordKey(op.record.Key)))
+// settle answers the operations of a batch that is in force. If a recorded outcome can't be read,
+// it answers none, and the next attempt finds all of them in force.
+func (s *shard) settle(ctx context.Context, batch []*operation) error {
+	holders := make([]*holder, len(batch))
+	for i, op := range batch {
+		holders[i] = s.index.lookup(recordKey(op.record.Key))
+		if holders[i] == nil || !holders[i].outside {
+			continue
+		}
+		whole, err := s.readOutcome(ctx, holders[i])
+		if err != nil {
+			return err
+		}
+		holders[i] = whole
 	}
+	for i, op := range batch {
+		op.settle(holders[i])
+	}
+	return nil
 }
 
 func (s *shard) swap(ctx context.Context, next *ledgerpb.Head, batch []*operation) error {
--- a/ledger/index.go
+++ b/ledger/index.go
@@ -12,9 +12,14 @@
 	digest   []byte
 	value    []byte
 	finished bool
-	at       int64 // Unix seconds of its creation
+	// outside says that the value is in a sealed segment only.
+	outside bool
+	at      int64 // Unix seconds of its creation
 }
 
+// inlineBytes is the longest outcome that the index keeps of a sealed record.
+const inlineBytes = 128
+
 // index answers lookups by key. base holds the sealed records, recent those of the head, which
 // win; a nil holder in recent is a freed key.
 type index struct {
@@ -77,6 +82,7 @@
 	updated := *held
 	updated.value = record.Value
 	updated.finished = true
+	updated.outside = false
 	x.recent[key] = &updated
 }
 
@@ -87,11 +93,22 @@
 			delete(x.base, key)
 			continue
 		}
-		x.base[key] = held
+		x.base[key] = held.sealed()
 	}
 	clear(x.recent)
 }
 
+// sealed returns the holder without an outcome that is too long to be kept in memory.
+func (h *holder) sealed() *holder {
+	if !h.finished || len(h.value) <= inlineBytes {
+		return h
+	}
+	short := *h
+	short.value = nil
+	short.outside = true
+	return &short
+}
+
 // dropExpired forgets sealed records whose window has passed.
 func (x *index) dropExpired() {
 	for key, held := range x.base {
--- a/ledger/segment.go
+++ b/ledger/segment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 
@@ -144,6 +145,29 @@
 	return records, nil
 }
 
+// readOutcome returns the holder with its outcome, which is in a sealed segment.
+func (s *shard) readOutcome(ctx context.Context, held *holder) (*holder, error) {
+	s.journal.count("outcome_read")
+	for i, ref := range s.head.Sealed {
+		if ref.Newest < held.at {
+			continue
+		}
+		records, err := s.readSegments(ctx, s.head.Sealed[i:i+1])
+		if err != nil {
+			s.loaded = false // the segment may have been merged by another instance
+			return nil, err
+		}
+		for _, record := range records {
+			if record.Kind == ledgerpb.RecordKind_RECORD_UPDATE && nonceOf(record.Nonce) == held.nonce {
+				whole := *held
+				whole.value = record.Value
+				return &whole, nil
+			}
+		}
+	}
+	return nil, errors.New("the outcome is in no segment")
+}
+
 // foldSegments reads the segments that the index does not hold yet, in their order.
 func (s *shard) foldSegments(ctx context.Context, refs []*ledgerpb.SealedRef) error {
 	for i, ref := range refs {
