--- a/replica/change.go
+++ b/replica/change.go
@@ -170,22 +170,18 @@
 
 // floor is the revision that the change must exceed.
 func (c *change) floor(head *Head) (contract.Revision, *Result) {
-	floor := head.Revision()
-	if c.proposer.inForce == nil {
-		return floor, nil
-	}
-	current := c.proposer.inForce.Current()
-	if current == nil || current.Revision <= floor {
-		return floor, nil
+	if !c.proposer.lostHead(head) {
+		return head.Revision(), nil
 	}
+	current := c.proposer.inForce.Current().Revision
 	if !c.recover {
-		return 0, refused(ReasonLowerHead, "the store's head is at revision %d, but revision %d is in force", floor, current.Revision)
+		return 0, refused(ReasonLowerHead, "the store's head is at revision %d, but revision %d is in force", head.Revision(), current)
 	}
-	return current.Revision, nil
+	return current, nil
 }
 
 func (c *change) present(ctx context.Context, head *Head) (*contract.Document, error) {
-	data, err := readDocument(ctx, c.proposer.store, head.newest())
+	data, err := c.proposer.document(ctx, head.newest())
 	if err != nil {
 		return nil, err
 	}
@@ -237,7 +233,7 @@
 	if err != nil {
 		return nil, err
 	}
-	value, err := encodeHead(&Head{Records: append(records, *next)})
+	value, err := encodeHead(&Head{Records: append(records, *next), Delta: c.delta(ctx, head, document)})
 	if err != nil {
 		return refused(ReasonInvalid, "%v", err), nil
 	}
@@ -248,10 +244,23 @@
 	if err != nil {
 		return nil, err
 	}
+	c.proposer.remember(next.Digest, document)
 	dropParts(ctx, store, moved, append(records, *next))
 	return &Result{Outcome: Accepted, Revision: next.Revision, Rebased: c.rebased(head)}, nil
 }
 
+// delta returns the document compressed against the present one; nil is right too, only dearer.
+func (c *change) delta(ctx context.Context, head *Head, document []byte) []byte {
+	if head.Revision() == 0 {
+		return nil
+	}
+	present, err := c.proposer.document(ctx, head.newest())
+	if err != nil {
+		return nil
+	}
+	return packDelta(document, present)
+}
+
 // rebased says whether the change went above another revision than its base.
 func (c *change) rebased(head *Head) bool { return c.base != nil && *c.base != head.Revision() }
 
--- a/zone/orders_test.go
+++ b/zone/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -56,8 +57,12 @@
 				f.network.SetSilent(paused.self.Address, true)
 				_, err := f.nodes[len(f.nodes)-1].orders.TakeOut("z0")
 				c.Assert(err, qt.IsNil)
-				time.Sleep(outBound)
 				reachable := append([]*node{f.nodes[0]}, f.nodes[2:]...)
+				given := time.Now()
+				for slices.Contains(inService(reachable, "z0"), true) && time.Since(given) < outBound {
+					time.Sleep(10 * time.Millisecond)
+				}
+				t.Logf("in force at %d instances after %s", len(reachable), time.Since(given))
 				c.Assert(inService(reachable, "z0"), qt.DeepEquals, repeated(false, len(reachable)))
 				c.Assert(inService(reachable, "z1"), qt.DeepEquals, repeated(true, len(reachable)))
 				f.network.SetSilent(paused.self.Address, false)
@@ -89,8 +94,7 @@
 		// z2 is cut off and misses the return.
 		cutOff := f.nodes[4:]
 		f.network.Cut(func(from, to string) bool { return strings.HasPrefix(from, "z2") != strings.HasPrefix(to, "z2") })
-		back := *first
-		back.Zones = append([]contract.Zone(nil), first.Zones...)
+		back := clone(first)
 		zone.BringBack(&back, "z1", f.nodes[0].orders.Active())
 		accept(t, &back, 3, f.nodes[:4]...)
 		later, err := cutOff[0].orders.TakeOut("z0")
@@ -137,14 +141,30 @@
 			one := nodes[rapid.IntRange(0, n-1).Draw(r, "node")]
 			other := nodes[rapid.IntRange(0, n-1).Draw(r, "other")]
 			name := rapid.SampledFrom(names).Draw(r, "zone")
-			switch rapid.IntRange(0, 3).Draw(r, "step") {
+			switch rapid.IntRange(0, 5).Draw(r, "step") {
 			case 0:
 				order, _ := one.orders.TakeOut(name)
 				given[order.ID] = order
+			case 4:
+				order, _ := one.orders.Withdraw(contract.VersionID{Model: "small", Name: "v1"})
+				given[order.ID] = order
+			case 5: // the store is back: the orders are written
+				head = clone(&head)
+				orders := one.orders.Active()
+				zone.Settle(&head, orders)
+				revision++
+				next := head
+				accept(t, &next, revision, one)
+				for _, order := range orders {
+					version := one.source.Current().Versions[order.Version]
+					if one.source.Current().ZoneInService(order.Zone) || version != nil && version.State != contract.VersionWithdrawn {
+						r.Fatalf("the document lists order %s and does not hold it", order.ID)
+					}
+				}
 			case 1:
 				other.orders.Receive(machine.Member{}, one.orders.Message(machine.Member{}))
 			case 2: // accepted at the store, seen by one instance first
-				head.Zones = append([]contract.Zone(nil), head.Zones...)
+				head = clone(&head)
 				zone.BringBack(&head, name, one.orders.Active())
 				revision++
 				next := head
@@ -165,6 +185,10 @@
 					if node.effective.Current().ZoneInService(order.Zone) {
 						r.Fatalf("zone %s is in service against order %s", order.Zone, order.ID)
 					}
+					version := node.effective.Current().Versions[order.Version]
+					if version != nil && version.State != contract.VersionWithdrawn {
+						r.Fatalf("version %s is open against order %s", order.Version, order.ID)
+					}
 				}
 			}
 		}
@@ -193,6 +217,17 @@
 	})
 }
 
+// clone copies the parts of a document that orders edit.
+func clone(document *contract.Document) contract.Document {
+	next := *document
+	next.Zones = slices.Clone(document.Zones)
+	next.Models = slices.Clone(document.Models)
+	for i := range next.Models {
+		next.Models[i].Versions = slices.Clone(next.Models[i].Versions)
+	}
+	return next
+}
+
 // TestNudgePastSilentPeers spreads an order by a nudge alone, between two periodic rounds, while
 // half of the zone's instances have just stopped answering.
 func TestNudgePastSilentPeers(t *testing.T) {
