replica: know where a change is in force in zones too large to hear of every instance

Cause: an instance counted a member of its zone as not confirmed when it had not heard from it for 5 s. The exchange reaches a few members a round in larger zones, so apply would have named instances that have the change. Change: a member's last word holds until it is forgotten, since no instance goes back; after a change, messages within the zone carry a 4-byte hash for each instance known to have it. Ruled out: listing ids (20 bytes each); waiting longer.

--- a/cmd/plumbarrow/status.go
+++ b/cmd/plumbarrow/status.go
@@ -59,7 +59,11 @@
 		fmt.Printf("  out of service: %s\n", strings.Join(status.ZonesOut, ", "))
 	}
 	for _, order := range status.Orders {
-		fmt.Printf("  in force, not accepted yet: zone %s version %s (%s)\n", order.Zone, order.Version, order.Detail)
+		what := "zone " + order.Zone + " out of service"
+		if order.Zone == "" {
+			what = "version " + order.Version + " withdrawn"
+		}
+		fmt.Printf("  in force, not accepted yet: %s %s\n", what, order.Detail)
 	}
 	for _, zone := range status.Spread {
 		fmt.Printf("  zone %-16s %d instances, lowest revision in force %d %v\n", zone.Zone, zone.Instances, zone.Lowest, zone.Lagging)
--- a/replica/fleet_test.go
+++ b/replica/fleet_test.go
@@ -37,6 +37,7 @@
 	loss     float64 // share of topic messages and fetches lost
 	members  []machine.Member
 	nodes    map[machine.InstanceID]*node
+	few      int             // larger zones talk to fanout members a round; other zones to one
 	cutPeers map[string]bool // zones cut off from other zones
 	digests  map[contract.Revision]string
 	broken   []string           // invariants seen broken
@@ -130,7 +131,7 @@
 
 func (n *node) gossip(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, member := range n.Live() {
+		for _, member := range n.targets() {
 			if other := n.reach(member); other != nil && other != n && !n.muted() {
 				if message := n.Message(member); message != nil {
 					other.Receive(n.self, message)
@@ -141,6 +142,35 @@
 	}
 }
 
+// targets are all members, or in a large fleet those that the exchange would reach in a round.
+func (n *node) targets() []machine.Member {
+	const fanout = 3
+	live := n.Live()
+	if n.fleet.few == 0 {
+		return live
+	}
+	near := make(map[string][]machine.Member)
+	for _, member := range live {
+		near[member.Zone] = append(near[member.Zone], member)
+	}
+	var targets []machine.Member
+	n.fleet.set(func() {
+		for zone, members := range near {
+			switch {
+			case zone == n.self.Zone && len(members) > n.fleet.few:
+				for range fanout {
+					targets = append(targets, members[n.fleet.random.IntN(len(members))])
+				}
+			case zone == n.self.Zone:
+				targets = append(targets, members...)
+			case near[n.self.Zone][len(zone)%len(near[n.self.Zone])].ID == n.self.ID: // the zone's relay
+				targets = append(targets, members[n.fleet.random.IntN(len(members))])
+			}
+		}
+	})
+	return targets
+}
+
 func (n *node) muted() bool {
 	n.fleet.mu.Lock()
 	defer n.fleet.mu.Unlock()
--- a/replica/spread.go
+++ b/replica/spread.go
@@ -6,12 +6,14 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/machine"
 )
 
 const (
-	// heardWithin is how old a peer's last message may be for it to count.
+	// heardWithin is how old a peer's last message may be for it to count as live.
 	heardWithin = 5 * time.Second
 	// forgetAfter is when a peer or zone that is silent is forgotten.
 	forgetAfter = time.Minute
@@ -90,6 +92,42 @@
 	}
 }
 
+// holders returns the hashes of the zone's instances that are known to be at a revision.
+func (t *peerTable) holders(zone string, revision contract.Revision) []uint32 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var hashes []uint32
+	for id, state := range t.byID {
+		if state.member.Zone == zone && state.revision >= revision {
+			hashes = append(hashes, hashOf(id))
+		}
+	}
+	return hashes
+}
+
+// hold notes what a peer of the own zone knows of the others, so that every instance of a large
+// zone, which talks to a few at a time, soon knows where a change is in force.
+func (t *peerTable) hold(live []machine.Member, hashes []uint32, revision contract.Revision, now time.Time) {
+	if len(hashes) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, member := range live {
+		state, known := t.byID[member.ID]
+		if (!known || state.revision < revision) && slices.Contains(hashes, hashOf(member.ID)) {
+			if !known {
+				state.member = member
+			}
+			state.revision = revision
+			state.at = now
+			t.byID[member.ID] = state
+		}
+	}
+}
+
+func hashOf(id machine.InstanceID) uint32 { return uint32(xxhash.Sum64String(string(id))) }
+
 func (t *peerTable) heardInZone(self machine.Member, now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -157,7 +195,7 @@
 		}
 		own.Instances++
 		if member.ID != self.ID {
-			own.add(member.ID, r.peers.fresh(member, now), r.current.Load().revision())
+			own.add(member.ID, r.peers.last(member, now), r.current.Load().revision())
 		}
 	}
 	zones := append(r.peers.otherZones(self.Zone, live, now), own)
@@ -196,10 +234,11 @@
 	}
 }
 
-// fresh returns the revision that a member last said it has in force; 0 if that is long ago.
-func (t *peerTable) fresh(member machine.Member, now time.Time) contract.Revision {
+// last returns the revision that a member is known to have had in force; 0 if nothing was heard of
+// it for long. An instance never goes back, so an old word holds.
+func (t *peerTable) last(member machine.Member, now time.Time) contract.Revision {
 	state, known := t.byID[member.ID]
-	if !known || now.Sub(state.at) > heardWithin {
+	if !known || now.Sub(state.at) > forgetAfter {
 		return 0
 	}
 	return state.revision
--- a/replica/spread_test.go
+++ b/replica/spread_test.go
@@ -52,6 +52,39 @@
 	}
 }
 
+// TestLargeFleet is TestTimeToForce at 17 zones of 12 instances, which talk to three others a second
+// within their zone and through one relay to each other zone. After the time that apply waits, every
+// instance knows that every zone has the change.
+func TestLargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(t.Context(), 0)
+		f.few = 8
+		propose(c, f, 0, zonesDocument(1, 1))
+		for i := range 17 * 12 {
+			zone := fmt.Sprint("zone", i/12)
+			f.add(fmt.Sprintf("%s-%d", zone, i%12), zone)
+		}
+		time.Sleep(2 * inForceWithin)
+		before := f.store.Calls()
+		times := f.timesToForce(c, 4)
+		after := f.store.Calls()
+		time.Sleep(inForceWithin)
+		blind := 0
+		for _, n := range f.nodes {
+			for _, zone := range n.Spread() {
+				if zone.Lowest < 5 || zone.Instances != 12 {
+					blind++
+				}
+			}
+		}
+		c.Logf("longest %v; %d watches and %d reads of 17 zones in about 36 s; %d views of zones behind",
+			times[len(times)-1], after[kv.OpWatch]-before[kv.OpWatch], after[kv.OpGet]-before[kv.OpGet], blind)
+		c.Assert(times[len(times)-1] <= inForceWithin, qt.IsTrue)
+		c.Assert(blind, qt.Equals, 0)
+	})
+}
+
 func (f *fleet) timesToForce(c *qt.C, changes int) []time.Duration {
 	var times []time.Duration
 	for i := range changes {
--- a/replica/topic.go
+++ b/replica/topic.go
@@ -26,7 +26,7 @@
 func (r *Replica) Name() string { return "configuration revision" }
 
 // Message implements link.Topic. It is about 20 bytes and, after a change and now and then, 20 to
-// 30 more for each zone.
+// 30 more for each zone and, within a zone, 4 more for each of its instances.
 func (r *Replica) Message(to machine.Member) []byte {
 	now := time.Now()
 	force := r.current.Load()
@@ -40,6 +40,9 @@
 	}
 	if r.peers.zonesDue(to.ID, now) {
 		message.Zones = r.zoneMessages(now)
+		if sameZone(to, r.members.Self()) {
+			message.Holders = r.peers.holders(to.Zone, force.revision())
+		}
 	}
 	data, err := proto.Marshal(message)
 	if err != nil {
@@ -79,6 +82,9 @@
 	now := time.Now()
 	revision := contract.Revision(message.Revision)
 	r.peers.heard(from, revision, now)
+	if sameZone(from, r.members.Self()) {
+		r.peers.hold(r.members.Live(), message.Holders, revision, now)
+	}
 	for _, zone := range message.Zones {
 		if zone.Zone != r.members.Self().Zone {
 			r.peers.mergeZone(zoneOf(zone, now))
