--- a/ledger/home.go
+++ b/ledger/home.go
@@ -5,11 +5,12 @@
 	"time"
 
 	"plumbarrow.example/plumbarrow/ledger/ledgerpb"
+	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
 )
 
 // homeTimeout bounds a call to a shard's home; beyond it the caller goes to the store itself.
-const homeTimeout = time.Second
+const homeTimeout = 1500 * time.Millisecond
 
 // homeCandidates is how many members are asked to write a batch before the store itself is.
 const homeCandidates = 2
@@ -53,7 +54,7 @@
 		s.journal.count("home_failed")
 		s.journal.suspects.add(home)
 		for _, op := range batch {
-			op.sent = true
+			op.sent = op.sent || !link.NotSent(err)
 		}
 		return batch
 	}
