daemon: take the settings of the replica from the settings file

Cause: replica.Settings had no section, so its intervals could not be set. Change: section [replica], checked at start like the others; the comment on the operators' token says what is served without one. go test -race ./daemon passes.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -101,7 +101,8 @@
 	list := platform.NewHTTPList(d.settings.ListAddress, d.counter("plumbarrow_platform_calls_total"))
 	d.membership = zone.NewMembership(d.settings.Exchange, d.self, list, d.log)
 	d.exchange = zone.NewExchange(d.settings.Exchange, d.membership, d.dialer, d.counters, d.log)
-	d.replica = replica.New(d.store, d.log, replica.WithCounters(d.counters), replica.WithPeers(d.membership, d.dialer))
+	d.replica = replica.New(d.store, d.log, replica.WithSettings(d.settings.Replica), replica.WithCounters(d.counters),
+		replica.WithPeers(d.membership, d.dialer))
 	d.orders = zone.NewOrders(d.replica, d.exchange.Nudge, d.counters, d.log)
 	d.effective = zone.NewEffective(d.replica, d.orders)
 	d.exchange.Add(d.replica)
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -13,6 +13,7 @@
 	"plumbarrow.example/plumbarrow/ledger"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/quality"
+	"plumbarrow.example/plumbarrow/replica"
 	"plumbarrow.example/plumbarrow/rollout"
 	"plumbarrow.example/plumbarrow/zone"
 )
@@ -28,7 +29,8 @@
 	CallersAddress string `toml:"callers_address"`
 	// OperatorsAddress is IP:port of the operators' HTTP surface. Default 127.0.0.1:8081.
 	OperatorsAddress string `toml:"operators_address"`
-	// OperatorsTokenFile holds the operators' bearer token. Without it only reads are served.
+	// OperatorsTokenFile holds the operators' bearer token. Without it only status,
+	// metrics and health are served.
 	// Default none.
 	OperatorsTokenFile string `toml:"operators_token_file"`
 	// PeersAddress is IP:port of the drpc surface for other entry instances.
@@ -57,6 +59,7 @@
 	Rollout  rollout.Settings `toml:"rollout"`
 	Machine  machine.Settings `toml:"machine"`
 	Exchange zone.Settings    `toml:"exchange"`
+	Replica  replica.Settings `toml:"replica"`
 }
 
 // DefaultSettings returns the defaults of all optional fields.
@@ -77,6 +80,7 @@
 		Rollout:          rollout.DefaultSettings(),
 		Machine:          machine.DefaultSettings(),
 		Exchange:         zone.DefaultSettings(),
+		Replica:          replica.DefaultSettings(),
 	}
 }
 
@@ -170,6 +174,7 @@
 		{"rollout", s.Rollout.Validate},
 		{"machine", s.Machine.Validate},
 		{"exchange", s.Exchange.Validate},
+		{"replica", s.Replica.Validate},
 	}
 	for _, section := range sections {
 		if err := section.validate(); err != nil {
