--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -29,8 +29,8 @@
 	CallersAddress string `toml:"callers_address"`
 	// OperatorsAddress is IP:port of the operators' HTTP surface. Default 127.0.0.1:8081.
 	OperatorsAddress string `toml:"operators_address"`
-	// OperatorsTokenFile holds the operators' bearer token. Without it only reads are served.
-	// Default none.
+	// OperatorsTokenFile holds the operators' bearer token. Without it only status, metrics
+	// and health are served. Default none.
 	OperatorsTokenFile string `toml:"operators_token_file"`
 	// PeersAddress is IP:port of the drpc surface for other entry instances.
 	// Default 127.0.0.1:8082.
