--- a/machine/signals.go
+++ b/machine/signals.go
@@ -133,8 +133,8 @@
 	switch {
 	case result.ConnectionRefused, opened:
 		return 0, true
-	case result.Restarted && t.warmth.progress > uint64(t.limits.warmAfter):
-		return 0, true // below that it has hardly climbed, and the word may be repeated
+	case result.Restarted && t.warmth.progress > 0:
+		return 0, true // the endpoint says it once a start; repeating it would keep it at the floor
 	case result.Failure == verdict.RetryConnection && t.steps.connectionLost(now):
 		return 0, true
 	case result.Failure == verdict.RetryOverloaded && t.sharing():
@@ -145,9 +145,11 @@
 		return t.warmth.progress - back, true
 	case result.FirstByte > 0:
 		busy := t.endpoint.ReportedQueued > 0 || t.endpoint.InFlight > t.ownSlots()/2
-		usual := t.endpoint.Latency
-		t.smoothLatency(result.FirstByte)
-		return 0, t.sharing() && t.steps.latency(result.FirstByte, usual, busy)
+		step := t.sharing() && t.steps.latency(result.FirstByte, t.endpoint.Latency, busy)
+		if t.steps.late == 0 {
+			t.smoothLatency(result.FirstByte) // late answers do not change what is usual
+		}
+		return 0, step
 	}
 	return 0, false
 }
