--- a/quality/judge_test.go
+++ b/quality/judge_test.go
@@ -182,3 +182,18 @@
 		c.Logf("cheap mean %g: delivered mean %.4f, good step %.1f%%", cheapMean, mean, 100*float64(good)/n)
 	}
 }
+
+// BenchmarkFirstStep plans the start of a cascade from what was learned.
+func BenchmarkFirstStep(b *testing.B) {
+	snapshot := cascade(0.8)
+	learner := quality.NewLearner(quality.DefaultSettings(), fixed{snapshot})
+	random := rand.New(rand.NewPCG(1, 1))
+	request := &decide.Request{Route: snapshot.Routes["assistant"], PromptTokens: 100, Deadline: time.Unix(10, 0)}
+	for range 1000 {
+		learner.Learn("assistant", decide.KindOf(request), 0, random.Float64())
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		decide.FirstStep(snapshot, request, learner, time.Unix(0, 0), random)
+	}
+}
