--- a/standin/instances/list.go
+++ b/standin/instances/list.go
@@ -5,12 +5,14 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/labstack/echo/v4/middleware"
 
 	"plumbarrow.example/plumbarrow/platform"
 )
@@ -21,6 +23,7 @@
 	lag     time.Duration
 	down    bool
 	changes []change
+	version int // counts the changes that readers see
 	now     []platform.Instance
 }
 
@@ -57,19 +60,26 @@
 
 // Instances implements platform.InstanceList.
 func (l *List) Instances(context.Context) ([]platform.Instance, error) {
+	instances, _, err := l.read()
+	return instances, err
+}
+
+// read returns the list as readers see it now, with its entity tag.
+func (l *List) read() (instances []platform.Instance, tag string, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return nil, errors.New("instance list is down")
+		return nil, "", errors.New("instance list is down")
 	}
 	for len(l.changes) > 0 && !time.Now().Before(l.changes[0].at) {
 		l.apply(l.changes[0])
 		l.changes = l.changes[1:]
 	}
-	return slices.Clone(l.now), nil
+	return slices.Clone(l.now), fmt.Sprintf(`"%d"`, l.version), nil
 }
 
 func (l *List) apply(c change) {
+	l.version++
 	i := slices.IndexFunc(l.now, func(one platform.Instance) bool { return one.ID == c.instance.ID })
 	switch {
 	case c.remove && i >= 0:
@@ -86,6 +96,7 @@
 func (l *List) Handler() http.Handler {
 	e := echo.New()
 	e.HideBanner = true
+	e.Use(middleware.Gzip())
 	e.GET("/instances", l.get)
 	e.PUT("/instances/:id", l.put)
 	e.DELETE("/instances/:id", func(c echo.Context) error {
@@ -96,10 +107,14 @@
 }
 
 func (l *List) get(c echo.Context) error {
-	instances, err := l.Instances(c.Request().Context())
+	instances, tag, err := l.read()
 	if err != nil {
 		return c.String(http.StatusServiceUnavailable, err.Error())
 	}
+	c.Response().Header().Set("ETag", tag)
+	if c.Request().Header.Get("If-None-Match") == tag {
+		return c.NoContent(http.StatusNotModified)
+	}
 	return c.JSON(http.StatusOK, instances)
 }
 
