ledger: bound the batches that follow an outage

Cause: outcomes that waited for the end of an outage went into one swap; 400 of 4 KB made a head larger than the store's values, so the swap was never tried and the shard stayed unwritable. An outcome that could not be read from its segment also kept the whole batch from being answered, and after the last attempt a record that was in force was reported as certainly not written.

Ruled out: a smaller seal size; the head is written before it is sealed.

Change: a batch holds at most 256 KB of records; the rest waits for the next. An operation whose outcome can't be read is left unsettled, alone.

Proof: TestOutcomesAfterOutage fails without the bound (outcomes still waiting a minute after the outage) and passes with it.

--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/ledger/ledgerpb"
 	"plumbarrow.example/plumbarrow/standin/kv"
 	"plumbarrow.example/plumbarrow/verdict"
@@ -21,18 +20,12 @@
 	f := newFleet(kv.New(), 1, 0)
 	claims := f.add("alone", "a", settings).ledger.Claims
 	defer claims.Close()
-	var number atomic.Int64
-	b.SetParallelism(64)
-	b.ReportAllocs()
-	b.RunParallel(func(next *testing.PB) {
-		for next.Next() {
-			id := fmt.Sprint(number.Add(1))
-			claim := claimOf(f.nodes[0], id, id)
-			if _, err := claims.Claim(context.Background(), claim); err != nil {
-				b.Error(err)
-			}
-			_ = claims.Finish(context.Background(), claim, Outcome{Verdict: verdict.Ran})
+	parallel(b, 64, func(id string) error {
+		claim := claimOf(f.nodes[0], id, id)
+		if _, err := claims.Claim(context.Background(), claim); err != nil {
+			return err
 		}
+		return claims.Finish(context.Background(), claim, Outcome{Verdict: verdict.Ran})
 	})
 	b.ReportMetric(float64(b.N)/float64(max(f.writes["claims"].writes, 1)), "claims/write")
 }
@@ -43,24 +36,21 @@
 	settings.MaxPendingBills = 1 << 20
 	f := newFleet(kv.New(), 1, 0)
 	bills := f.add("alone", "a", settings).ledger.Bills
-	customer := &contract.Customer{Name: "acme", MonthlyBudget: 1 << 50}
+	parallel(b, 4096, func(id string) error { return serveBill(bills, id) })
+	b.ReportMetric(float64(b.N)/float64(max(f.writes["bills"].writes, 1)), "bills/write")
+}
+
+func parallel(b *testing.B, width int, work func(id string) error) {
 	var number atomic.Int64
-	b.SetParallelism(4096)
+	b.SetParallelism(width)
 	b.ReportAllocs()
 	b.RunParallel(func(next *testing.PB) {
 		for next.Next() {
-			settle, err := bills.Admit(context.Background(), customer, 100)
-			if err != nil {
+			if err := work(fmt.Sprint(number.Add(1))); err != nil {
 				b.Error(err)
-				continue
 			}
-			if err := bills.Record(context.Background(), billOf(fmt.Sprint(number.Add(1)), "acme", 70)); err != nil {
-				b.Error(err)
-			}
-			settle()
 		}
 	})
-	b.ReportMetric(float64(b.N)/float64(max(f.writes["bills"].writes, 1)), "bills/write")
 }
 
 // BenchmarkHomeMemory measures what a shard's home keeps in memory per claim of the window.
--- a/ledger/bills_test.go
+++ b/ledger/bills_test.go
@@ -59,11 +59,7 @@
 			safe[customer] = err == nil && !node.is(isDead)
 		})
 	}
-	for range faults {
-		node, other := f.nodes[random.IntN(5)], f.nodes[random.IntN(5)]
-		fault, at, lasts := 1+random.IntN(4), pause(random, 6000), pause(random, 4000)
-		work.Go(func() { disturb(f, node, other, fault, at, lasts) })
-	}
+	f.disturb(&work, random, faults, allFaults[1:], 6000, 4000)
 	if crash {
 		node, at := f.nodes[random.IntN(5)], pause(random, 6000)
 		work.Go(func() { f.crash(node, at) })
@@ -212,11 +208,7 @@
 			_ = node.ledger.Bills.Record(ctx, billOf(fmt.Sprint(i), "acme", cost))
 		})
 	}
-	for range faults {
-		node, other := f.nodes[random.IntN(3)], f.nodes[random.IntN(3)]
-		fault, at, lasts := random.IntN(5), pause(random, 60_000), pause(random, 30_000)
-		work.Go(func() { disturb(f, node, other, fault, at, lasts) })
-	}
+	f.disturb(&work, random, faults, allFaults, 60_000, 30_000)
 	work.Wait()
 	f.calm()
 	stop()
--- a/ledger/claims_test.go
+++ b/ledger/claims_test.go
@@ -127,11 +127,7 @@
 			}
 		})
 	}
-	for range faults {
-		node, other := f.nodes[random.IntN(4)], f.nodes[random.IntN(4)]
-		fault, at, lasts := random.IntN(5), pause(random, 8000), pause(random, 4000)
-		callers.Go(func() { disturb(f, node, other, fault, at, lasts) })
-	}
+	f.disturb(&callers, random, faults, allFaults, 8000, 4000)
 	callers.Wait()
 	f.calm()
 	time.Sleep(10 * time.Second)
@@ -162,40 +158,6 @@
 	return keys
 }
 
-func pause(random *rand.Rand, ms int) time.Duration {
-	return time.Duration(random.IntN(ms)) * time.Millisecond
-}
-
-// disturb applies one fault for a while; only a kill is for good.
-func disturb(f *fleet, n, other *node, fault int, at, lasts time.Duration) {
-	time.Sleep(at)
-	set := func(on bool) {
-		switch fault {
-		case 0:
-			n.set(func(n *node) { n.dead = true })
-		case 1:
-			n.set(func(n *node) { n.noStore = on })
-		case 2:
-			n.set(func(n *node) { n.noPeers = on })
-		case 3:
-			n.set(func(n *node) { n.unlisted[string(other.self.ID)] = on && other != n })
-		case 4:
-			f.store.Fail(kv.Faults{Down: on})
-		}
-	}
-	set(true)
-	time.Sleep(lasts)
-	set(false)
-}
-
-// closeFleet ends background work and waits for what is in flight.
-func closeFleet(f *fleet) {
-	for _, n := range f.nodes {
-		n.ledger.Claims.Close()
-	}
-	time.Sleep(time.Minute)
-}
-
 // TestClaimStandings walks through what a repeat at another instance finds.
 func TestClaimStandings(t *testing.T) {
 	done := Outcome{Verdict: verdict.Ran, Status: 201, ContentType: "text/plain", Body: []byte("booked")}
@@ -310,6 +272,29 @@
 	})
 }
 
+// TestOutcomesAfterOutage finishes more claims of one shard during an outage than a document holds.
+func TestOutcomesAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(kv.New(), 1, 0, "a")
+		defer closeFleet(f)
+		claims := f.nodes[0].ledger.Claims
+		keys := keysOfOneShard(f.nodes[0], 400)
+		for _, key := range keys {
+			_, err := claims.Claim(t.Context(), claimOf(f.nodes[0], key, key))
+			c.Assert(err, qt.IsNil)
+		}
+		f.store.Fail(kv.Faults{Down: true})
+		for _, key := range keys {
+			c.Assert(claims.Finish(t.Context(), claimOf(f.nodes[0], key, key), Outcome{Verdict: verdict.Ran, Body: make([]byte, MaxOutcomeBytes)}), qt.IsNil)
+		}
+		time.Sleep(time.Minute)
+		f.store.Fail(kv.Faults{})
+		time.Sleep(time.Minute)
+		c.Assert(claims.own.delivering(), qt.Equals, 0)
+	})
+}
+
 func claimAll(c *qt.C, n *node, wave int, want Standing) {
 	var callers sync.WaitGroup
 	for i := range 100 {
--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -51,7 +51,8 @@
 	}
 	appended := s.stage(batch)
 	if len(appended) == 0 {
-		return s.settle(ctx, batch)
+		s.settle(ctx, batch)
+		return nil
 	}
 	next := s.nextHead(ctx, appended)
 	if err := s.swap(ctx, next.head, batch); err != nil {
@@ -62,9 +63,7 @@
 		return err
 	}
 	s.adopt(next, appended)
-	if err := s.settle(ctx, batch); err != nil {
-		return err
-	}
+	s.settle(ctx, batch)
 	s.remove(ctx, next.dropped)
 	return nil
 }
@@ -97,25 +96,23 @@
 	return appended
 }
 
-// settle answers the operations of a batch that is in force. If a recorded outcome can't be read,
-// it answers none, and the next attempt finds all of them in force.
-func (s *shard) settle(ctx context.Context, batch []*operation) error {
-	holders := make([]*holder, len(batch))
-	for i, op := range batch {
-		holders[i] = s.index.lookup(recordKey(op.record.Key))
-		if holders[i] == nil || !holders[i].outside {
+// settle answers the operations of a batch that is in force. One that asks for an outcome which
+// can't be read is left unsettled.
+func (s *shard) settle(ctx context.Context, batch []*operation) {
+	for _, op := range batch {
+		held := s.index.lookup(recordKey(op.record.Key))
+		if held == nil || !held.outside {
+			op.settle(held)
 			continue
 		}
-		whole, err := s.readOutcome(ctx, holders[i])
+		whole, err := s.readOutcome(ctx, held)
 		if err != nil {
-			return err
+			op.sent = true
+			op.fail(err)
+			continue
 		}
-		holders[i] = whole
+		op.settle(whole)
 	}
-	for i, op := range batch {
-		op.settle(holders[i])
-	}
-	return nil
 }
 
 func (s *shard) swap(ctx context.Context, next *ledgerpb.Head, batch []*operation) error {
--- a/ledger/fakes_test.go
+++ b/ledger/fakes_test.go
@@ -266,3 +266,57 @@
 	defer f.mu.Unlock()
 	return time.Duration(f.random.IntN(3000)) * time.Millisecond
 }
+
+// fault is one kind of disturbance.
+type fault int
+
+const (
+	killed    fault = iota // for good
+	noStore                // the instance is cut off from the store
+	noPeers                // the instance is cut off from all peers
+	unlisted               // another instance is missing in its list
+	storeDown              // for all instances
+)
+
+var allFaults = []fault{killed, noStore, noPeers, unlisted, storeDown}
+
+// disturb applies faults of the kinds, each from a random moment on and for a random while.
+func (f *fleet) disturb(work *sync.WaitGroup, random *rand.Rand, faults int, kinds []fault, withinMS, lastingMS int) {
+	for range faults {
+		n, other := f.nodes[random.IntN(len(f.nodes))], f.nodes[random.IntN(len(f.nodes))]
+		kind, at, lasts := kinds[random.IntN(len(kinds))], pause(random, withinMS), pause(random, lastingMS)
+		work.Go(func() {
+			time.Sleep(at)
+			n.suffer(kind, other, true)
+			time.Sleep(lasts)
+			n.suffer(kind, other, false)
+		})
+	}
+}
+
+func (n *node) suffer(kind fault, other *node, on bool) {
+	switch kind {
+	case killed:
+		n.set(func(n *node) { n.dead = true })
+	case noStore:
+		n.set(func(n *node) { n.noStore = on })
+	case noPeers:
+		n.set(func(n *node) { n.noPeers = on })
+	case unlisted:
+		n.set(func(n *node) { n.unlisted[string(other.self.ID)] = on && other != n })
+	case storeDown:
+		n.fleet.store.Fail(kv.Faults{Down: on})
+	}
+}
+
+func pause(random *rand.Rand, ms int) time.Duration {
+	return time.Duration(random.IntN(ms)) * time.Millisecond
+}
+
+// closeFleet ends background work and waits for what is in flight.
+func closeFleet(f *fleet) {
+	for _, n := range f.nodes {
+		n.ledger.Claims.Close()
+	}
+	time.Sleep(time.Minute)
+}
--- a/ledger/journal.go
+++ b/ledger/journal.go
@@ -180,17 +180,25 @@
 	}
 }
 
-// take returns the waiting operations whose callers still wait, or ends the worker.
+// maxBatchBytes bounds the records of one batch, so that a head never outgrows the store's values
+// however many outcomes have waited for the end of an outage.
+const maxBatchBytes = platform.MaxValueBytes / 4
+
+// take returns the next operations whose callers still wait, or ends the worker.
 func (s *shard) take() []*operation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var batch []*operation
-	for _, op := range s.queue {
-		if op.ctx.Err() == nil {
-			batch = append(batch, op)
+	size := 0
+	for len(s.queue) > 0 && size < maxBatchBytes {
+		op := s.queue[0]
+		s.queue = s.queue[1:]
+		if op.ctx.Err() != nil {
+			continue
 		}
+		batch = append(batch, op)
+		size += sizeOf(op.record)
 	}
-	s.queue = nil
 	s.running = len(batch) > 0
 	return batch
 }
--- a/ledger/pins_test.go
+++ b/ledger/pins_test.go
@@ -50,11 +50,7 @@
 			}
 		})
 	}
-	for range 4 {
-		node, other := f.nodes[random.IntN(4)], f.nodes[random.IntN(4)]
-		fault, at, lasts := random.IntN(5), pause(random, 300), pause(random, 2000)
-		callers.Go(func() { disturb(f, node, other, fault, at, lasts) })
-	}
+	f.disturb(&callers, random, 4, allFaults, 300, 2000)
 	callers.Wait()
 	closeFleet(f)
 	return pinned
--- a/ledger/segment.go
+++ b/ledger/segment.go
@@ -64,7 +64,7 @@
 
 // seal writes the head's records to a segment of their own once there are many.
 func (s *shard) seal(ctx context.Context) *ledgerpb.SealedRef {
-	if sizeOf(s.head.Records) < s.journal.parts.Settings.SealBytes {
+	if sizeOf(s.head.Records...) < s.journal.parts.Settings.SealBytes {
 		return nil
 	}
 	return s.writeSegment(ctx, s.head.Records, 0)
@@ -85,7 +85,7 @@
 			return
 		}
 		records, err := s.readSegments(ctx, refs[first:])
-		if err != nil || sizeOf(records) > maxMergedBytes {
+		if err != nil || sizeOf(records...) > maxMergedBytes {
 			return
 		}
 		merged := s.writeSegment(ctx, records, level+1)
@@ -119,7 +119,8 @@
 	return ref
 }
 
-func sizeOf(records []*ledgerpb.Record) int {
+// sizeOf returns about how many bytes the records take within a document.
+func sizeOf(records ...*ledgerpb.Record) int {
 	size := 0
 	for _, record := range records {
 		size += recordOverhead + len(record.Key) + len(record.Nonce) + len(record.Digest) + len(record.Value) + len(record.Replaces)
