ledger: bound the calls that hand bills over, and survive an empty member list

Cause: 20,000 bills that waited for an outage went into one call, and passing copies on indexed the first of the zone's members without looking.

Change: at most 5,000 bills a call; without a member the holder writes itself.

--- a/ledger/bill_hold.go
+++ b/ledger/bill_hold.go
@@ -12,6 +12,7 @@
 const (
 	holdTimeout    = 500 * time.Millisecond // of a call to a holder
 	holdCandidates = 2                      // in the own zone, and again in the others
+	holdBatch      = 5000                   // bills in one call
 	directPause    = 50 * time.Millisecond  // between two writes of an instance without a holder
 	senderPause    = 100 * time.Millisecond // after neither a holder nor the store took the bills
 	senderPatience = 30 * time.Second       // then Run alone goes on trying
@@ -99,6 +100,7 @@
 	}
 	b.mu.Unlock()
 	bills, applied := b.queue.after(from)
+	bills = bills[:min(len(bills), holdBatch)]
 	response, err := b.call(ctx, member, b.request(bills, applied))
 	if err != nil {
 		return err
@@ -150,12 +152,13 @@
 	}
 }
 
-// passOn sends the zone's biller the bills of origins that have fallen silent.
+// passOn sends the zone's biller the bills of origins that have fallen silent. If it does not take
+// them, this instance writes them.
 func (b *StoreBills) passOn(ctx context.Context, zone string) {
-	biller := ranked(b.membersFor(zone), billsPrefix+zone, 1)[0]
 	for _, request := range b.copies.of(zone, orphanSilence) {
 		b.count("passed_on")
-		response, err := b.call(ctx, biller, request)
+		request.Bills = request.Bills[:min(len(request.Bills), holdBatch)]
+		response, err := b.callBiller(ctx, zone, request)
 		if err != nil {
 			b.flushQuietly(ctx, zone)
 			return
@@ -163,3 +166,11 @@
 		b.copies.settle(machine.Incarnation(request.Incarnation), response.Applied)
 	}
 }
+
+func (b *StoreBills) callBiller(ctx context.Context, zone string, request *ledgerpb.HoldBillsRequest) (*ledgerpb.HoldBillsResponse, error) {
+	billers := ranked(b.membersFor(zone), billsPrefix+zone, 1)
+	if len(billers) == 0 {
+		return nil, errNotHeld
+	}
+	return b.call(ctx, billers[0], request)
+}
