--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -29,9 +29,8 @@
 	CallersAddress string `toml:"callers_address"`
 	// OperatorsAddress is IP:port of the operators' HTTP surface. Default 127.0.0.1:8081.
 	OperatorsAddress string `toml:"operators_address"`
-	// OperatorsTokenFile holds the operators' bearer token. Without it only status,
-	// metrics and health are served.
-	// Default none.
+	// OperatorsTokenFile holds the operators' bearer token. Without it only status, metrics
+	// and health are served. Default none.
 	OperatorsTokenFile string `toml:"operators_token_file"`
 	// PeersAddress is IP:port of the drpc surface for other entry instances.
 	// Default 127.0.0.1:8082.
@@ -56,10 +55,10 @@
 	Decide   decide.Settings  `toml:"decide"`
 	Ledger   ledger.Settings  `toml:"ledger"`
 	Quality  quality.Settings `toml:"quality"`
+	Replica  replica.Settings `toml:"replica"`
 	Rollout  rollout.Settings `toml:"rollout"`
 	Machine  machine.Settings `toml:"machine"`
 	Exchange zone.Settings    `toml:"exchange"`
-	Replica  replica.Settings `toml:"replica"`
 }
 
 // DefaultSettings returns the defaults of all optional fields.
@@ -77,10 +76,10 @@
 		Decide:           decide.DefaultSettings(),
 		Ledger:           ledger.DefaultSettings(),
 		Quality:          quality.DefaultSettings(),
+		Replica:          replica.DefaultSettings(),
 		Rollout:          rollout.DefaultSettings(),
 		Machine:          machine.DefaultSettings(),
 		Exchange:         zone.DefaultSettings(),
-		Replica:          replica.DefaultSettings(),
 	}
 }
 
@@ -171,10 +170,10 @@
 		{"decide", s.Decide.Validate},
 		{"ledger", s.Ledger.Validate},
 		{"quality", s.Quality.Validate},
+		{"replica", s.Replica.Validate},
 		{"rollout", s.Rollout.Validate},
 		{"machine", s.Machine.Validate},
 		{"exchange", s.Exchange.Validate},
-		{"replica", s.Replica.Validate},
 	}
 	for _, section := range sections {
 		if err := section.validate(); err != nil {
