--- a/replica/change.go
+++ b/replica/change.go
@@ -20,32 +20,42 @@
 	// derive returns the document to write above head, a refusal, or an error of the store.
 	derive func(ctx context.Context, head *Head) ([]byte, *Result, error)
 
-	// pending is the last swap whose outcome is unknown. While the head still has the version
-	// that the swap expected, it may yet take effect.
-	pending *pendingSwap
-}
-
-type pendingSwap struct {
-	expect   platform.Version
-	revision contract.Revision
+	// pending is the version that the last swap with an unknown outcome expected. While the head
+	// still has it, that swap may yet take effect.
+	pending *platform.Version
 }
 
 func (c *change) run(ctx context.Context) Result {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	var last error
+	result, last := c.attempts(ctx)
+	if result == nil {
+		result = c.givenUp(last)
+	}
+	c.proposer.counters.Add("plumbarrow_configuration_proposals_total", "outcome", result.Outcome.String())
+	return *result
+}
+
+// attempts tries until there is a result; without one it returns the last error.
+func (c *change) attempts(ctx context.Context) (*Result, error) {
+	last := ctx.Err()
 	for attempt := 0; attempt < proposeAttempts && ctx.Err() == nil; attempt++ {
 		if attempt > 0 {
 			backoff(ctx, attempt)
 		}
 		result, err := c.try(ctx)
 		if result != nil {
-			c.proposer.counters.Add("plumbarrow_configuration_proposals_total", "outcome", result.Outcome.String())
-			return *result
+			return result, nil
 		}
 		last = err
 	}
-	result := Result{Outcome: Refused, Reason: ReasonUnavailable}
+	return nil, last
+}
+
+// givenUp is the result without an answer of the store. It is a refusal only if no swap is pending
+// and the history could be read.
+func (c *change) givenUp(last error) *Result {
+	result := &Result{Outcome: Refused, Reason: ReasonUnavailable}
 	if c.pending != nil || errors.Is(last, errHistoryUnread) {
 		result.Outcome = Unknown
 	} else if errors.Is(last, platform.ErrConflict) {
@@ -54,7 +64,6 @@
 	if last != nil {
 		result.Detail = last.Error()
 	}
-	c.proposer.counters.Add("plumbarrow_configuration_proposals_total", "outcome", result.Outcome.String())
 	return result
 }
 
@@ -67,7 +76,7 @@
 	if found := head.byChange(c.id); found != nil {
 		return &Result{Outcome: Accepted, Revision: found.Revision}, nil
 	}
-	if c.pending != nil && c.pending.expect != version {
+	if c.pending != nil && *c.pending != version {
 		if result, err := c.settle(ctx, head); result != nil || err != nil {
 			return result, err
 		}
@@ -115,7 +124,7 @@
 
 // refuse makes sure that the change was not accepted earlier before it says so.
 func (c *change) refuse(ctx context.Context, head *Head, version platform.Version, result *Result) (*Result, error) {
-	if c.pending != nil && c.pending.expect == version {
+	if c.pending != nil && *c.pending == version {
 		return nil, platform.ErrOutcomeUnknown
 	}
 	earlier, err := c.accepted(ctx, head)
@@ -209,7 +218,7 @@
 	}
 	_, err = store.Swap(ctx, HeadKey, version, value)
 	if errors.Is(err, platform.ErrOutcomeUnknown) {
-		c.pending = &pendingSwap{expect: version, revision: next.Revision}
+		c.pending = &version
 	}
 	if err != nil {
 		return nil, err
--- a/replica/outcome.go
+++ b/replica/outcome.go
@@ -74,15 +74,3 @@
 func refused(reason Reason, format string, args ...any) *Result {
 	return &Result{Outcome: Refused, Reason: reason, Detail: fmt.Sprintf(format, args...)}
 }
-
-// NotAccepted is the error form of a result that is not accepted.
-type NotAccepted struct {
-	Result Result
-}
-
-var _ error = (*NotAccepted)(nil)
-
-// Error returns outcome, reason and detail on one line.
-func (n *NotAccepted) Error() string {
-	return fmt.Sprintf("configuration change %s (%s): %s", n.Result.Outcome, n.Result.Reason, n.Result.Detail)
-}
--- a/replica/proposer.go
+++ b/replica/proposer.go
@@ -120,24 +120,6 @@
 	return change.run(ctx)
 }
 
-// Editor proposes edits on behalf of one author, such as the roll-out driver.
-type Editor struct {
-	Proposer *Proposer
-	Author   string
-	// Restrictive edits only take away.
-	Restrictive bool
-}
-
-// Propose applies edit to the newest accepted document and swaps it in. A repeat with the same
-// change id is safe; an error is *NotAccepted.
-func (e Editor) Propose(ctx context.Context, changeID string, edit func(*contract.Document) error) error {
-	result := e.Proposer.Edit(ctx, Edit{ChangeID: changeID, Author: e.Author, Restrictive: e.Restrictive, Apply: edit})
-	if result.Outcome != Accepted {
-		return &NotAccepted{Result: result}
-	}
-	return nil
-}
-
 // rebase returns the document to write above head.
 func (p *Proposer) rebase(ctx context.Context, head *Head, proposal Proposal) ([]byte, *Result, error) {
 	if head.Revision() == 0 && proposal.Base == 0 || proposal.Recover && p.lostHead(head) {
