--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -107,6 +107,7 @@
 		replica.WithPeers(d.membership, d.dialer))
 	d.orders = zone.NewOrders(d.replica, d.exchange.Nudge, d.counters, d.log)
 	d.effective = zone.NewEffective(d.replica, d.orders)
+	d.replica.OnChange(func(*contract.Snapshot) { d.exchange.Nudge() })
 	d.exchange.Add(d.replica)
 	d.exchange.Add(d.orders)
 	d.membership.OnList(func(instances []platform.Instance) {
