entry: forwards obey the retry budget; event streams of services pass at once

Cause: forwarding decided about its retries by rules of its own, beside decide.Retry and outside the retry budget; an event stream of a plain service was held until 256 KiB had come.

With the mechanism off: TestForwardingLinkLost without the retry, 'upstream_truncated', want 'done'; TestNonIdempotent/cut_stream without cutting the connection, the caller read to the end without an error.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -21,9 +22,6 @@
 // maxHops is how many entry instances may pass a request on.
 const maxHops = 1
 
-// maxForwards bounds the tries to forward a request.
-const maxForwards = 3
-
 // forward sends the request to an entry instance of the zone, or of any zone in service if zone is
 // empty. That instance makes the claim, the bill and the answer.
 func (s *Server) forward(w *work, c echo.Context, zone string, body []byte) error {
@@ -31,9 +29,10 @@
 		return w.fail(verdict.Refuse(verdict.HopLimit, "the request has passed %d entry instances", w.request.Hops))
 	}
 	var last error = verdict.Refuse(verdict.ZoneOutOfService, "zone %s is out of service and no other can be reached", s.Self.Zone)
+	w.started()
 	targets := s.forwardTargets(w, zone)
-	for try := 0; try < maxForwards && len(targets) > 0; try++ {
-		member := targets[try%len(targets)]
+	for tries := 1; len(targets) > 0; tries++ {
+		member := targets[tries%len(targets)]
 		head := &link.ForwardHead{
 			RequestID: w.request.ID,
 			Customer:  w.request.Customer.Name,
@@ -55,8 +54,14 @@
 		}
 		w.outcome = verdict.Worst(w.outcome, failure.Verdict)
 		last = err
-		if c.Response().Committed || c.Request().Context().Err() != nil ||
-			failure.Verdict != verdict.NotRun && !w.request.Idempotent {
+		decision := decide.Retry(w.request, decide.Failed{
+			Verdict:   failure.Verdict,
+			Reason:    failure.Reason,
+			Attempts:  tries,
+			Delivered: c.Response().Committed,
+		}, s.Retries, time.Now())
+		w.note(decision.Notes...)
+		if decision.Action == decide.Stop || c.Request().Context().Err() != nil {
 			break
 		}
 		s.Counters.Retried(failure.Reason)
--- a/entry/service.go
+++ b/entry/service.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -17,7 +18,7 @@
 )
 
 // heldBytes is how much of a service's answer is held until it is whole; longer answers are
-// streamed.
+// streamed, as are event streams.
 const heldBytes = 256 << 10
 
 // serviceFlow is one request to a plain service.
@@ -158,6 +159,9 @@
 		f.settle(t, failure, false)
 		return failure, nil
 	}
+	if strings.HasPrefix(answer.Header.Get(echo.HeaderContentType), eventStream) {
+		return nil, f.streamRest(t, answer, nil)
+	}
 	held, err := io.ReadAll(io.LimitReader(answer.Body, heldBytes))
 	if err == nil && len(held) == heldBytes {
 		return nil, f.streamRest(t, answer, held)
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -37,6 +37,12 @@
 		_, _ = io.WriteString(w, "part")
 	}
 	long := func(w http.ResponseWriter) { _, _ = io.WriteString(w, strings.Repeat("x", 1<<20)) }
+	events := func(w http.ResponseWriter) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "data: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		_, _ = io.WriteString(w, "data: 2\n\n")
+	}
 	cutLong := func(w http.ResponseWriter) { long(w); panic(http.ErrAbortHandler) }
 	unavailable := verdict.Refuse(verdict.LedgerUnavailable, "down")
 	for _, test := range []struct {
@@ -54,6 +60,8 @@
 	}{
 		{name: "served", answer: book, key: "k", runs: 1, status: 201, bills: 1},
 		{name: "served long", answer: long, key: "k", runs: 1, status: 200, bills: 1},
+		{name: "served as a stream", answer: events, key: "k", runs: 1, status: 200, bills: 1},
+		{name: "cut stream", answer: func(w http.ResponseWriter) { events(w); panic(http.ErrAbortHandler) }, key: "k", runs: 1, reason: "cut", repeated: verdict.ClaimOutcomeUnknown},
 		{name: "reset after the run", answer: abort, key: "k", runs: 1, reason: verdict.UpstreamTruncated, verdict: verdict.MayHaveRun, repeated: verdict.ClaimOutcomeUnknown},
 		{name: "reset without key", answer: abort, runs: 1, reason: verdict.UpstreamTruncated, verdict: verdict.MayHaveRun},
 		{name: "short answer", answer: short, key: "k", runs: 1, reason: verdict.UpstreamTruncated, verdict: verdict.MayHaveRun, repeated: verdict.ClaimOutcomeUnknown},
--- a/entry/servicestream.go
+++ b/entry/servicestream.go
@@ -10,7 +10,7 @@
 	"plumbarrow.example/plumbarrow/verdict"
 )
 
-// streamRest sends a long answer as it comes. Its last part is held back until outcome and bill are
+// streamRest sends a long answer, or a stream, as it comes. Its last part is held back until outcome and bill are
 // recorded. An answer that breaks off cuts the caller's connection, so that it can't be taken for
 // whole; a caller that leaves does not keep non-idempotent work from being recorded.
 func (f *serviceFlow) streamRest(t *trial, answer *link.Answer, held []byte) error {
@@ -24,7 +24,11 @@
 			return
 		}
 		_ = control.SetWriteDeadline(time.Now().Add(f.server.Settings.writeTimeout()))
-		if _, err := response.Write(part); err != nil {
+		_, err := response.Write(part)
+		if err == nil {
+			err = control.Flush()
+		}
+		if err != nil {
 			callerErr = writeRefusal(err)
 		}
 	}
--- a/entry/work.go
+++ b/entry/work.go
@@ -25,6 +25,7 @@
 	lines    []ledger.Line
 	outcome  verdict.Verdict // the worst over the attempts so far
 	excluded []machine.EndpointID
+	paid     bool // counted as a first attempt
 	fresh    bool // the next attempt needs a new connection
 	bound    bool // claimed, billed or begun here, so that no other zone can go on with it
 	resume   *resumption
@@ -115,7 +116,8 @@
 
 // started counts a first attempt, which pays for later retries.
 func (w *work) started() {
-	if w.server.Retries != nil {
+	if w.server.Retries != nil && !w.paid {
+		w.paid = true
 		w.server.Retries.Paid(w.request.Customer.Name, w.request.Route.Name)
 	}
 }
