--- a/entry/chat.go
+++ b/entry/chat.go
@@ -55,7 +55,7 @@
 	request := s.newRequest(c, customer, route, len(body))
 	request.MaxOutputTokens = max(chat.Read.MaxTokens, chat.Read.MaxCompletionTokens)
 	session, err := readSession(c.Request().Header.Get(link.HeaderSession), customer,
-		signingKeys(&snapshot.Document.Sessions), s.Pins, time.Now())
+		s.signingKeys(&snapshot.Document.Sessions), s.Pins, time.Now())
 	if err != nil {
 		return err
 	}
@@ -117,7 +117,7 @@
 	sessions := &f.snapshot.Document.Sessions
 	header := f.context.Response().Header()
 	header.Set(link.HeaderVersion, version.String())
-	issued := f.session.issue(f.request.Customer.Name, signingKeys(sessions), sessionLifetime(sessions), time.Now())
+	issued := f.session.issue(f.request.Customer.Name, f.server.signingKeys(sessions), sessionLifetime(sessions), time.Now())
 	if issued != "" {
 		header.Set(link.HeaderSession, issued)
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/labstack/echo/v4"
 
@@ -78,6 +79,8 @@
 	handler http.Handler
 	explain *explainRing
 	flights flights
+
+	sessionKeys atomic.Pointer[sessionKeys]
 }
 
 var (
--- a/entry/session.go
+++ b/entry/session.go
@@ -139,14 +139,24 @@
 	return nil
 }
 
-// signingKeys decodes the configured keys; validation of the configuration has checked them.
-func signingKeys(sessions *contract.Sessions) [][]byte {
+// sessionKeys are the decoded signing keys of one configuration.
+type sessionKeys struct {
+	of   *contract.Sessions
+	keys [][]byte
+}
+
+// signingKeys decodes the configured keys once per configuration; validation has checked them.
+func (s *Server) signingKeys(sessions *contract.Sessions) [][]byte {
+	if cached := s.sessionKeys.Load(); cached != nil && cached.of == sessions {
+		return cached.keys
+	}
 	keys := make([][]byte, 0, len(sessions.SigningKeys))
 	for _, text := range sessions.SigningKeys {
 		if key, err := base64.StdEncoding.DecodeString(text); err == nil {
 			keys = append(keys, key)
 		}
 	}
+	s.sessionKeys.Store(&sessionKeys{of: sessions, keys: keys})
 	return keys
 }
 
