machine: quiet restarts, fair grants, return at the floor

Cause: an endpoint that restarted while nothing was in flight there (idle, or its zone out) was taken as warm: 30 requests beyond its limit when the load came back. One of six instances got no cold permit in 8 s, because a home sees freed permits first (TestColdLimitHolds failed once with 'least > 0'; it now wants half of a fair part from each instance). Ruled out: cooling idle endpoints by the clock of one instance (at the target size a random instance often has no request at an endpoint for a minute, while others have). Change: one request at a time until 500 ms after the first answer in a minute; a returned zone starts at the floor instead of a quarter (return_share, default 0); a home lets an instance that holds fewer permits and asked in vain within 60 ms go first. TestZoneReturnRamps became TestQuietRestarts, which wants no overshoot at all on return instead of less than half the limits, with the endpoints restarted meanwhile.

--- a/machine/endpoint_test.go
+++ b/machine/endpoint_test.go
@@ -22,6 +22,7 @@
 
 	mu        sync.Mutex
 	down      bool
+	restarted bool // not yet told
 	leaving   bool
 	died      chan struct{}
 	inFlight  int
@@ -72,7 +73,9 @@
 		return machine.Result{Failure: verdict.CallerGone}
 	}
 	e.completed++
-	return machine.Result{Completed: true, FirstByte: service / 2, Leaving: leaving}
+	restarted := e.restarted
+	e.restarted = false
+	return machine.Result{Completed: true, FirstByte: service / 2, Leaving: leaving, Restarted: restarted}
 }
 
 // restart ends the endpoint's process: its requests are lost and it is cold again. With down set
--- a/machine/home.go
+++ b/machine/home.go
@@ -17,6 +17,7 @@
 	slots     int  // of the full limit that this instance owns
 	stale     bool // limits changed since the last assignment
 	readyAt   time.Time
+	denied    time.Time               // when the home's own instance last got no permit
 	holders   map[InstanceID]*holding // of the home only
 }
 
@@ -27,7 +28,8 @@
 	held        int
 	epoch       uint32
 	completed   uint64
-	rebase      bool // the completed work up to the next report was counted elsewhere
+	denied      time.Time // when it last got no permit
+	rebase      bool      // the completed work up to the next report was counted elsewhere
 	seenAt      time.Time
 }
 
@@ -134,6 +136,15 @@
 	return max(1, limit*t.home.instances/t.home.listed)
 }
 
+// asked notes the answer to a request for a permit.
+func (h *holding) asked(granted bool, now time.Time) {
+	if granted {
+		h.held++
+		return
+	}
+	h.denied = now
+}
+
 // rebase keeps work from being counted twice: another instance was home meanwhile, and what the
 // holders completed is in the progress heard from it.
 func (t *tracked) rebase() {
@@ -155,10 +166,32 @@
 	if total >= t.reachable(t.limits.at(t.warmth.progress)) {
 		return false
 	}
+	if !t.fair(held, now) {
+		return false
+	}
 	// Once warm, a holder gets no more than the slots that will be its own.
 	return !t.nearlyShared() || held < slotsOf(ring, t.endpoint.ID, t.limits.full, holder)
 }
 
+// fairFor is how long an instance that got no permit is waited for. It asks more often than that
+// while it has requests waiting.
+const fairFor = 60 * time.Millisecond
+
+// fair says whether an instance with held permits may get one more before those that asked in vain
+// lately: not before one that holds fewer. Without this the home, which sees freed permits first,
+// would keep them to itself.
+func (t *tracked) fair(held int, now time.Time) bool {
+	if t.endpoint.InFlight < held && now.Sub(t.home.denied) < fairFor {
+		return false
+	}
+	for _, one := range t.home.holders {
+		if one.held < held && now.Sub(one.denied) < fairFor {
+			return false
+		}
+	}
+	return true
+}
+
 // nearlyShared says that the endpoint is warm and waits for all holders to be within their slots.
 func (t *tracked) nearlyShared() bool {
 	return !t.warmth.shared && t.home.instances <= t.limits.full && t.warmth.progress >= t.limits.complete()
--- a/machine/permits.go
+++ b/machine/permits.go
@@ -102,9 +102,12 @@
 	local := one.sharing() || one.home.self
 	ok := false
 	if one.sharing() {
-		ok = one.endpoint.InFlight < one.ownSlots()
+		ok = one.endpoint.InFlight < one.ownSlots(now)
 	} else if one.home.self {
 		ok = !p.stalled(now) && one.grant(p.ring.Load(), p.self.ID, one.endpoint.InFlight, now)
+		if !ok {
+			one.home.denied = now
+		}
 	}
 	if local {
 		return p.finishAcquire(one, endpoint, ok)
--- a/machine/permits_test.go
+++ b/machine/permits_test.go
@@ -21,9 +21,9 @@
 		f := newFleet(t, 6, 3, 800*time.Millisecond)
 		f.load(f.ctx, 40*time.Millisecond, even)
 		time.Sleep(8 * time.Second)
-		_, least := f.served()
+		all, least := f.served()
 		c.Assert(f.mark(), qt.Equals, 0)
-		c.Assert(least > 0, qt.IsTrue)
+		c.Assert(least >= all/6/2, qt.IsTrue, qt.Commentf("%d of %d served at the least lucky of six instances", least, all))
 		time.Sleep(20 * time.Second)
 		c.Assert(f.mark(), qt.Equals, 0)
 		time.Sleep(3 * time.Second)
@@ -217,29 +217,56 @@
 	return e.attempts
 }
 
-// TestZoneReturnRamps takes the zone out and back: its endpoints start with a share of their limit
-// at all instances together and climb with completed work.
-func TestZoneReturnRamps(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		f := newFleet(t, 6, 3, 800*time.Millisecond)
-		warm(c, f)
-		in := f.snapshot
-		f.snapshot = in.Restrict(contractOut("z"))
-		f.list()
-		time.Sleep(5 * time.Second)
-		f.snapshot = in
-		f.list()
-		time.Sleep(time.Second) // in flight from before
-		f.mark()
-		time.Sleep(200 * time.Millisecond)
-		early := f.total(peak)
-		c.Assert(early < 3*full/2, qt.IsTrue, qt.Commentf("%d at once after the return", early))
-		time.Sleep(20 * time.Second)
-		f.mark()
-		time.Sleep(5 * time.Second)
-		c.Assert(f.total(peak), qt.Equals, 3*full)
-	})
+// TestQuietRestarts restarts all endpoints while no request is in flight: once while their zone is
+// out of service, once in a long idle time, after which their first answers say so. The load then
+// comes back at once.
+func TestQuietRestarts(t *testing.T) {
+	tests := []struct {
+		name  string
+		out   bool
+		bound int
+	}{
+		{"while the zone is out", true, 0},
+		{"while idle", false, 6 - cold}, // one request from each instance
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newFleet(t, 6, 3, 800*time.Millisecond)
+				warm(c, f)
+				f.idle(true)
+				in := f.snapshot
+				if test.out {
+					f.snapshot = in.Restrict(contractOut("z"))
+				}
+				f.list()
+				time.Sleep(75 * time.Second)
+				for _, e := range f.endpoints {
+					e.restart(false)
+					e.restarted = !test.out
+				}
+				f.snapshot = in
+				f.list()
+				f.idle(false)
+				time.Sleep(10 * time.Second)
+				over := f.mark()
+				t.Logf("overshoot %d, bound %d", over, test.bound)
+				c.Assert(over <= test.bound, qt.IsTrue, qt.Commentf("overshoot %d", over))
+				time.Sleep(20 * time.Second)
+				f.mark()
+				time.Sleep(3 * time.Second)
+				c.Assert(f.total(peak), qt.Equals, 3*full)
+			})
+		})
+	}
+}
+
+// idle stops or resumes the requests to all nodes.
+func (f *fleet) idle(idle bool) {
+	for _, n := range f.nodes {
+		n.idle.Store(idle)
+	}
 }
 
 // TestHomeReturns gives an endpoint a second home while the first one is cut off or paused, and
--- a/machine/serve.go
+++ b/machine/serve.go
@@ -46,9 +46,10 @@
 	// While instances use their own slots they do not report, so that a late report would stay.
 	if one.home.self && !one.sharing() {
 		known, current := one.report(holder, incarnation, message, now)
-		if current && message.GetWant() && !cold && !p.stalled(now) && message.GetEpoch() == one.warmth.epoch && one.grant(ring, holder, known.held, now) {
-			known.held++
-			standing.Granted = true
+		if current && message.GetWant() {
+			may := !cold && !p.stalled(now) && message.GetEpoch() == one.warmth.epoch
+			standing.Granted = may && one.grant(ring, holder, known.held, now)
+			known.asked(standing.GetGranted(), now)
 		}
 		one.share(ring, now)
 		if !message.GetWant() {
--- a/machine/settings.go
+++ b/machine/settings.go
@@ -33,7 +33,8 @@
 	// off. Default 1,000.
 	PollMS int `toml:"poll_ms"`
 	// ReturnShare is the share of an endpoint's full limit with which it starts after its zone
-	// returned to service, above 0 to 1. Default 0.25.
+	// returned to service, 0 to 1; never less than the limit of a cold endpoint, which it may
+	// have become meanwhile. Default 0.
 	ReturnShare float64 `toml:"return_share"`
 	// QueueLength bounds the waiting requests of one pool. Default 256.
 	QueueLength int `toml:"queue_length"`
@@ -52,7 +53,6 @@
 		LeavingHoldMS:   600_000,
 		ProbeMS:         1_000,
 		PollMS:          1_000,
-		ReturnShare:     0.25,
 		QueueLength:     256,
 		QueueWaitMS:     5_000,
 	}
@@ -82,8 +82,8 @@
 	if s.PollMS < 0 {
 		return fmt.Errorf("poll_ms: %d, must not be negative", s.PollMS)
 	}
-	if s.ReturnShare <= 0 || s.ReturnShare > 1 {
-		return fmt.Errorf("return_share: %g, must be above 0 and at most 1", s.ReturnShare)
+	if s.ReturnShare < 0 || s.ReturnShare > 1 {
+		return fmt.Errorf("return_share: %g, must be 0 to 1", s.ReturnShare)
 	}
 	if s.HolderLostMS < s.HandoverMS {
 		return errors.New("holder_lost_ms: must not be shorter than handover_ms")
--- a/machine/signals.go
+++ b/machine/signals.go
@@ -99,6 +99,7 @@
 		return true
 	}
 	if result.Completed {
+		t.proof.completed(now)
 		t.holds.completed++
 		t.adaptive.completed()
 		if t.home.self && t.warmth.progress < t.limits.complete() {
@@ -144,7 +145,7 @@
 		back := min(t.warmth.progress, uint64(coldHalvings*t.limits.warmAfter))
 		return t.warmth.progress - back, true
 	case result.FirstByte > 0:
-		busy := t.endpoint.ReportedQueued > 0 || t.endpoint.InFlight > t.ownSlots()/2
+		busy := t.endpoint.ReportedQueued > 0 || t.endpoint.InFlight > t.home.slots/2
 		step := t.sharing() && t.steps.latency(result.FirstByte, t.endpoint.Latency, busy)
 		if t.steps.late == 0 {
 			t.smoothLatency(result.FirstByte) // late answers do not change what is usual
--- a/machine/tracked.go
+++ b/machine/tracked.go
@@ -24,6 +24,7 @@
 
 	warmth    warmth
 	changedAt time.Time // of warmth, for the topic
+	proof     proof
 	saidAt    time.Time // when the endpoint's own word that it leaves came
 
 	breaker  breaker
@@ -109,7 +110,7 @@
 		return t.endpoint.InFlight
 	}
 	if t.sharing() {
-		return t.ownSlots()
+		return t.ownSlots(now)
 	}
 	if now.Before(t.holds.fullUntil) || t.home.self && now.Before(t.home.readyAt) {
 		return t.endpoint.InFlight
@@ -121,11 +122,41 @@
 // hands out permits also when the endpoint is warm.
 func (t *tracked) sharing() bool { return t.warmth.shared && t.home.instances <= t.limits.full }
 
+const (
+	// provenFor is how long a whole answer shows that an endpoint is warm. It may have restarted
+	// since without anyone noticing, so after that one request at a time goes there.
+	provenFor = time.Minute
+	// proofDelay is the time from the next answer until this instance uses all its slots again:
+	// another instance may have got the answer that tells of a restart.
+	proofDelay = 500 * time.Millisecond
+)
+
+// proof is what this instance's own answers show of an endpoint.
+type proof struct {
+	at   time.Time // of the last whole answer
+	from time.Time // when it counts
+}
+
+func (p *proof) completed(now time.Time) {
+	if now.Sub(p.at) > provenFor {
+		p.from = now.Add(proofDelay)
+	}
+	p.at = now
+}
+
+// holds says whether the endpoint is known to be warm.
+func (p *proof) holds(now time.Time) bool {
+	return now.Sub(p.at) <= provenFor && !now.Before(p.from)
+}
+
 // ownSlots is this instance's part of a shared endpoint's limit.
-func (t *tracked) ownSlots() int {
+func (t *tracked) ownSlots(now time.Time) int {
 	if t.home.slots == 0 {
 		return 0
 	}
+	if !t.proof.holds(now) {
+		return 1
+	}
 	return max(1, int(t.adaptive.share*float64(t.reachable(t.home.slots))))
 }
 
