--- a/machine/bench_test.go
+++ b/machine/bench_test.go
@@ -31,7 +31,7 @@
 	settings := machine.DefaultSettings()
 	settings.HandoverMS = 1
 	document := &contract.Document{
-		Zones: []contract.Zone{{Name: "z"}},
+		Zones: []contract.Zone{{Name: "z", Region: "r"}},
 		Pools: []contract.Pool{{Name: "p", Kind: contract.PoolService, MaxConcurrent: full, ColdConcurrent: cold, WarmAfter: warmAfter}},
 	}
 	snapshot, err := contract.Build(document, 1)
--- a/machine/permits.go
+++ b/machine/permits.go
@@ -94,49 +94,39 @@
 	}
 	now := time.Now()
 	one.mu.Lock()
-	if !one.listed || one.leaving || one.warmth.leaving || one.warmth.refusing ||
-		one.endpoint.Incarnation != endpoint.Incarnation || !one.breaker.allows(now) || now.Before(one.steps.pausedUntil) {
+	switch {
+	case !one.takesWork(endpoint.Incarnation, now):
 		one.mu.Unlock()
 		return nil, unavailable(endpoint)
+	case one.sharing():
+		return p.finishAcquire(one, one.endpoint.InFlight < one.ownSlots(now))
+	case one.home.self:
+		return p.finishAcquire(one, p.grantSelf(one, now))
+	case now.Before(one.holds.fullUntil):
+		return p.finishAcquire(one, false)
 	}
-	local := one.sharing() || one.home.self
-	ok := false
-	if one.sharing() {
-		ok = one.endpoint.InFlight < one.ownSlots(now)
-	} else if one.home.self {
-		ok = !p.stalled(now) && one.grant(p.ring.Load(), p.self.ID, one.endpoint.InFlight, now)
-		if !ok {
-			one.home.denied = now
-		}
-	}
-	if local {
-		return p.finishAcquire(one, endpoint, ok)
-	}
-	if now.Before(one.holds.fullUntil) {
-		return p.finishAcquire(one, endpoint, false)
-	}
-	message := one.ask()
-	home := one.home.owner
+	message, home := one.ask(), one.home.owner
 	one.mu.Unlock()
 	standing := p.askHome(ctx, home, message)
 	one.mu.Lock()
-	ok = one.answered(standing, time.Now(), p.settledAt())
-	return p.finishAcquire(one, endpoint, ok)
+	return p.finishAcquire(one, one.answered(standing, time.Now(), p.settledAt()))
 }
 
-// stalled says that this process did not run for a while: another instance may have become home
-// of its endpoints meanwhile.
-func (p *SharedPermits) stalled(now time.Time) bool {
-	ticked := p.ticked.Load()
-	return ticked != 0 && now.UnixNano()-ticked > int64(stallAfter)
+// grantSelf gives the home's own instance a permit.
+func (p *SharedPermits) grantSelf(one *tracked, now time.Time) bool {
+	if !p.stalled(now) && one.grant(p.ring.Load(), p.self.ID, one.endpoint.InFlight, now) {
+		return true
+	}
+	one.home.denied = now
+	return false
 }
 
 // finishAcquire ends an acquisition and unlocks the endpoint.
-func (p *SharedPermits) finishAcquire(one *tracked, endpoint *Endpoint, ok bool) (Permit, *verdict.Refusal) {
+func (p *SharedPermits) finishAcquire(one *tracked, ok bool) (Permit, *verdict.Refusal) {
 	defer one.mu.Unlock()
 	if !ok {
 		p.Counters.Inc("plumbarrow_permits_denied_total")
-		return nil, verdict.Refuse(verdict.RetryPermit, "endpoint %s has no permit left", endpoint.ID)
+		return nil, verdict.Refuse(verdict.RetryPermit, "endpoint %s has no permit left", one.endpoint.ID)
 	}
 	one.endpoint.InFlight++
 	one.breaker.start()
@@ -147,6 +137,13 @@
 	return verdict.Refuse(verdict.RetryUnavailable, "endpoint %s takes no work", endpoint.ID)
 }
 
+// stalled says that this process did not run for a while: another instance may have become home
+// of its endpoints meanwhile.
+func (p *SharedPermits) stalled(now time.Time) bool {
+	ticked := p.ticked.Load()
+	return ticked != 0 && now.UnixNano()-ticked > int64(stallAfter)
+}
+
 // settledAt is the earliest grant at an endpoint that turned cold now.
 func (p *SharedPermits) settledAt() time.Time {
 	return time.Now().Add(millis(p.Settings.SettleMS))
--- a/machine/tracked.go
+++ b/machine/tracked.go
@@ -103,6 +103,13 @@
 	endpoint.Limit = t.visibleLimit(now)
 }
 
+// takesWork says whether this incarnation of the endpoint may get a request now.
+func (t *tracked) takesWork(incarnation string, now time.Time) bool {
+	return t.endpoint.Incarnation == incarnation &&
+		t.listed && !t.leaving && !t.warmth.leaving && !t.warmth.refusing &&
+		t.breaker.allows(now) && !now.Before(t.steps.pausedUntil)
+}
+
 // visibleLimit is the limit that decisions see: this instance's slots of a shared endpoint, else
 // the limit over all instances, or no more than in use while the home has no permit to give.
 func (t *tracked) visibleLimit(now time.Time) int {
--- a/zone/bench_test.go
+++ b/zone/bench_test.go
@@ -43,7 +43,7 @@
 // BenchmarkEffective measures reading the configuration with an order laid over it.
 func BenchmarkEffective(b *testing.B) {
 	n := bareNode()
-	snapshot, err := contract.Build(&contract.Document{Zones: []contract.Zone{{Name: "z"}}}, 1)
+	snapshot, err := contract.Build(&contract.Document{Zones: []contract.Zone{{Name: "z", Region: "r"}}}, 1)
 	if err != nil {
 		b.Fatal(err)
 	}
