--- a/entry/session.go
+++ b/entry/session.go
@@ -16,6 +16,9 @@
 // tokenPrefix tells session tokens from bare session ids.
 const tokenPrefix = "pbs1."
 
+// tokenEncoding accepts one text for each content only.
+var tokenEncoding = base64.RawURLEncoding.Strict()
+
 const maxSessionID = 256 // bytes
 
 // session is what a request brings of its session. Its zero value is a new session.
@@ -62,11 +65,11 @@
 	if !ok {
 		return nil, invalid
 	}
-	mac, err := base64.RawURLEncoding.DecodeString(sum)
+	mac, err := tokenEncoding.DecodeString(sum)
 	if err != nil || !signedByAny(payload, mac, keys) {
 		return nil, invalid
 	}
-	data, err := base64.RawURLEncoding.DecodeString(payload)
+	data, err := tokenEncoding.DecodeString(payload)
 	if err != nil {
 		return nil, invalid
 	}
@@ -101,8 +104,8 @@
 	if err != nil {
 		return ""
 	}
-	payload := base64.RawURLEncoding.EncodeToString(content)
-	return tokenPrefix + payload + "." + base64.RawURLEncoding.EncodeToString(sign(payload, keys[0]))
+	payload := tokenEncoding.EncodeToString(content)
+	return tokenPrefix + payload + "." + tokenEncoding.EncodeToString(sign(payload, keys[0]))
 }
 
 // pin returns the session's version of a model; the zero value means none yet.
