entry: serve at home what another zone returns; retry budgets by pool; versions of sampled ratings

Also, from the decisions' owner: retries were paid by route and taken by an empty pool, and sampled ratings named no version.

Ruled out: a second hop (loops while two zones see each other's old room).

Change: such a refusal (not_run; zone out, hop limit, stopping) comes back: another zone is tried, then the own one. Retry budgets use the route's first pool; sampled ratings carry the version.

Failing run first: TestOtherZoneRefuses got 508 hop_limit for /bookings and for chat. After: passes.

--- a/entry/bound_test.go
+++ b/entry/bound_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -131,3 +132,37 @@
 		})
 	}
 }
+
+// TestOtherZoneRefuses: a request that was passed on to a zone which has just gone out comes back and
+// is served at home.
+func TestOtherZoneRefuses(t *testing.T) {
+	for _, path := range []string{"/bookings", "/v1/chat/completions"} {
+		t.Run(path, func(t *testing.T) {
+			c := qt.New(t)
+			a, b, _ := twoZones(c, &spillFirst{})
+			a.configure(func(d string) string { return d })
+			b.configure(func(d string) string {
+				return strings.Replace(d, `name = "b", region`, `name = "b", out_of_service = true, region`, 1)
+			})
+			a.add("booking", "", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })
+			a.add("small-engines", "small@v1", engine("v1"))
+			r := a.send(http.MethodPost, path, `{"model":"assistant"}`, link.HeaderIdempotencyKey, "k")
+			c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
+			c.Assert(a.ledger.Bills(), qt.HasLen, 1)
+			c.Assert(b.ledger.Bills(), qt.HasLen, 0)
+		})
+	}
+}
+
+// spillFirst sends the first pick to zone b and finds room at home afterwards.
+type spillFirst struct{ picks int }
+
+func (p *spillFirst) Pick(snapshot *contract.Snapshot, request *decide.Request, pool string, version contract.VersionID,
+	seen *decide.Observation, excluded []machine.EndpointID, random *rand.Rand,
+) (decide.Choice, *verdict.Refusal) {
+	p.picks++
+	if p.picks == 1 {
+		return decide.Choice{Zone: "b", Pool: pool, Version: version}, nil
+	}
+	return decide.LeastLoaded{}.Pick(snapshot, request, pool, version, seen, excluded, random)
+}
--- a/entry/cascade.go
+++ b/entry/cascade.go
@@ -63,6 +63,7 @@
 		return err
 	}
 	if f.server.Judge != nil && answer.whole.body != nil {
+		answer.step.Version = answer.whole.trial.placed.choice.Version
 		f.server.Judge.Sample(f.request, answer.step, f.chat.Prompt(), answer.text())
 	}
 	return nil
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -60,16 +60,25 @@
 		return err
 	}
 	flow := &chatFlow{work: s.newWork(snapshot, request, session, &exchangeOf(c).record), context: c, chat: chat}
+	serve := func() error { return flow.serveHere(c.Request().Context()) }
 	if !snapshot.ZoneInService(s.Self.Zone) {
-		return s.forward(flow.work, c, "", body)
+		return s.forwardOr(flow.work, c, "", body, serve)
 	}
-	if err := flow.serve(c.Request().Context()); err != nil {
-		if zone, elsewhere := elsewhereOf(err); elsewhere {
-			return s.forward(flow.work, c, zone, body)
-		}
-		return flow.broken(err)
+	err = serve()
+	if zone, elsewhere := elsewhereOf(err); elsewhere {
+		return s.forwardOr(flow.work, c, zone, body, serve)
 	}
-	return nil
+	return err
+}
+
+// serveHere serves the request in this zone; an answer that has begun and fails ends in an error
+// event.
+func (f *chatFlow) serveHere(ctx context.Context) error {
+	err := f.serve(ctx)
+	if _, elsewhere := elsewhereOf(err); err == nil || elsewhere {
+		return err
+	}
+	return f.broken(err)
 }
 
 func (s *Server) newRequest(c echo.Context, customer *contract.Customer, route *contract.Route, bodyBytes int) *decide.Request {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -48,6 +48,11 @@
 			s.Forwarded(member.Zone, w.request.Route.Pools[0])
 		}
 		err := s.forwardTo(w, c, member, head)
+		if errors.As(err, new(errReturned)) {
+			last = err
+			targets = slices.DeleteFunc(targets, func(other machine.Member) bool { return other.Zone == member.Zone })
+			continue
+		}
 		var failure *link.Failure
 		if err == nil || !errors.As(err, &failure) {
 			return err
@@ -59,6 +64,7 @@
 			Reason:    failure.Reason,
 			Attempts:  tries,
 			Delivered: c.Response().Committed,
+			Pool:      w.request.Route.Pools[0],
 		}, s.Retries, time.Now())
 		w.note(decision.Notes...)
 		if decision.Action == decide.Stop || c.Request().Context().Err() != nil {
@@ -66,6 +72,9 @@
 		}
 		s.Counters.Retried(failure.Reason)
 	}
+	if errors.As(last, new(errReturned)) {
+		return last
+	}
 	return w.fail(last)
 }
 
@@ -123,6 +132,9 @@
 	if err != nil {
 		return asFailure(err)
 	}
+	if err := returned(answer, held); err != nil {
+		return err
+	}
 	return s.relayBody(w, c, answer, held)
 }
 
--- a/entry/service.go
+++ b/entry/service.go
@@ -62,19 +62,20 @@
 		return err
 	}
 	work := s.newWork(snapshot, s.newRequest(c, customer, route, len(body)), &session{}, &exchangeOf(c).record)
-	if !snapshot.ZoneInService(s.Self.Zone) {
-		return s.forward(work, c, "", body)
-	}
 	flow := &serviceFlow{work: work, context: c, body: body, dispatching: request.Context()}
 	if !work.request.Idempotent {
 		flow.dispatching = context.WithoutCancel(request.Context())
 	}
+	serve := func() error { return flow.serve(request.Context()) }
+	if !snapshot.ZoneInService(s.Self.Zone) {
+		return s.forwardOr(work, c, "", body, serve)
+	}
 	if zone := flow.elsewhere(); zone != "" {
-		return s.forward(work, c, zone, body)
+		return s.forwardOr(work, c, zone, body, serve)
 	}
-	err = flow.serve(request.Context())
+	err = serve()
 	if zone, elsewhere := elsewhereOf(err); elsewhere {
-		return s.forward(work, c, zone, body)
+		return s.forwardOr(work, c, zone, body, serve)
 	}
 	return err
 }
--- a/entry/work.go
+++ b/entry/work.go
@@ -99,6 +99,7 @@
 		Attempts:  failed.attempts,
 		Delivered: failed.delivered,
 		Resumable: failed.resumable,
+		Pool:      w.request.Route.Pools[0],
 	}, w.server.Retries, time.Now())
 	w.note(decision.Notes...)
 	if decision.Action == decide.Stop {
@@ -118,7 +119,7 @@
 func (w *work) started() {
 	if w.server.Retries != nil && !w.paid {
 		w.paid = true
-		w.server.Retries.Paid(w.request.Customer.Name, w.request.Route.Name)
+		w.server.Retries.Paid(w.request.Customer.Name, w.request.Route.Pools[0])
 	}
 }
 
