ledger: keep granting while the store takes a second a call

Cause: a store that answers after 1 s needs 2 s for a head that was never read. That was all the time an attempt had, and more than a home got to answer, so instances went past their homes and lost swaps to each other.

Ruled out: waiting for the home as long as a grant may take; a connection gone silent would then leave nothing for the deputy.

Change: 5 s for an attempt, 2.5 s for a home's answer; an admission still waits 2 s at most for a draw.

--- a/ledger/budget.go
+++ b/ledger/budget.go
@@ -78,7 +78,7 @@
 
 // draw moves budget from the store into the allowance until the reservation fits.
 func (b *budgets) draw(ctx context.Context, one *allowance, budget, micros int64) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
 	select {
 	case one.drawing <- struct{}{}:
--- a/ledger/budget_home.go
+++ b/ledger/budget_home.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"plumbarrow.example/plumbarrow/ledger/ledgerpb"
 	"plumbarrow.example/plumbarrow/machine"
@@ -15,6 +16,8 @@
 	passedShare = 2
 	// lowStock is how many reservations a home has in stock at least, or else it draws.
 	lowStock = 8
+	// drawTimeout bounds how long an admission waits for the store.
+	drawTimeout = 2 * time.Second
 	// zoneShare divides what is left of a budget: a zone draws this part of its fair share at most,
 	// so that the last of it doesn't lie in one zone.
 	zoneShare = 4
@@ -147,7 +150,7 @@
 	if one.covers(lowStock * request.Micros) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
 	select {
 	case one.drawing <- struct{}{}:
--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	storeTimeout   = 2 * time.Second // of one call to the store
+	storeTimeout   = 5 * time.Second // of one attempt, a read and a write at a slow store
 	commitAttempts = 8
 	retryPause     = 20 * time.Millisecond // grows with each attempt; a random part of it is waited
 )
--- a/ledger/home.go
+++ b/ledger/home.go
@@ -10,7 +10,7 @@
 )
 
 // homeTimeout bounds a call to a shard's home; beyond it the caller goes to the store itself.
-const homeTimeout = 1500 * time.Millisecond
+const homeTimeout = 2500 * time.Millisecond
 
 // homeCandidates is how many members are asked to write a batch before the store itself is.
 const homeCandidates = 2
