--- a/machine/tracked.go
+++ b/machine/tracked.go
@@ -24,6 +24,7 @@
 
 	warmth    warmth
 	changedAt time.Time // of warmth, for the topic
+	proof     proof
 	saidAt    time.Time // when the endpoint's own word that it leaves came
 
 	breaker  breaker
@@ -102,6 +103,13 @@
 	endpoint.Limit = t.visibleLimit(now)
 }
 
+// takesWork says whether this incarnation of the endpoint may get a request now.
+func (t *tracked) takesWork(incarnation string, now time.Time) bool {
+	return t.endpoint.Incarnation == incarnation &&
+		t.listed && !t.leaving && !t.warmth.leaving && !t.warmth.refusing &&
+		t.breaker.allows(now) && !now.Before(t.steps.pausedUntil)
+}
+
 // visibleLimit is the limit that decisions see: this instance's slots of a shared endpoint, else
 // the limit over all instances, or no more than in use while the home has no permit to give.
 func (t *tracked) visibleLimit(now time.Time) int {
@@ -109,7 +117,7 @@
 		return t.endpoint.InFlight
 	}
 	if t.sharing() {
-		return t.ownSlots()
+		return t.ownSlots(now)
 	}
 	if now.Before(t.holds.fullUntil) || t.home.self && now.Before(t.home.readyAt) {
 		return t.endpoint.InFlight
@@ -121,11 +129,41 @@
 // hands out permits also when the endpoint is warm.
 func (t *tracked) sharing() bool { return t.warmth.shared && t.home.instances <= t.limits.full }
 
+const (
+	// provenFor is how long a whole answer shows that an endpoint is warm. It may have restarted
+	// since without anyone noticing, so after that one request at a time goes there.
+	provenFor = time.Minute
+	// proofDelay is the time from the next answer until this instance uses all its slots again:
+	// another instance may have got the answer that tells of a restart.
+	proofDelay = 500 * time.Millisecond
+)
+
+// proof is what this instance's own answers show of an endpoint.
+type proof struct {
+	at   time.Time // of the last whole answer
+	from time.Time // when it counts
+}
+
+func (p *proof) completed(now time.Time) {
+	if now.Sub(p.at) > provenFor {
+		p.from = now.Add(proofDelay)
+	}
+	p.at = now
+}
+
+// holds says whether the endpoint is known to be warm.
+func (p *proof) holds(now time.Time) bool {
+	return now.Sub(p.at) <= provenFor && !now.Before(p.from)
+}
+
 // ownSlots is this instance's part of a shared endpoint's limit.
-func (t *tracked) ownSlots() int {
+func (t *tracked) ownSlots(now time.Time) int {
 	if t.home.slots == 0 {
 		return 0
 	}
+	if !t.proof.holds(now) {
+		return 1
+	}
 	return max(1, int(t.adaptive.share*float64(t.reachable(t.home.slots))))
 }
 
