machine: permits of a home go to who has waited longest among equals

Cause: TestColdLimitHolds failed once in three runs under the race detector: 3 of 57 requests served at the least lucky instance, half of an equal part is 4. Among instances that hold equally few the home still came first, since it sees freed permits first. Ruled out: a lower bound in the test; a longer wait for the others (they ask every 20 to 44 ms). Change: among those that asked in vain lately, fewer permits held go first, then the longer wait. Failing run with the mechanism off: TestColdLimitHolds.

--- a/machine/home.go
+++ b/machine/home.go
@@ -17,7 +17,7 @@
 	slots     int  // of the full limit that this instance owns
 	stale     bool // limits changed since the last assignment
 	readyAt   time.Time
-	denied    time.Time               // when the home's own instance last got no permit
+	turn      turn                    // of the home's own instance
 	holders   map[InstanceID]*holding // of the home only
 }
 
@@ -28,8 +28,8 @@
 	held        int
 	epoch       uint32
 	completed   uint64
-	denied      time.Time // when it last got no permit
-	rebase      bool      // the completed work up to the next report was counted elsewhere
+	turn        turn
+	rebase      bool // the completed work up to the next report was counted elsewhere
 	seenAt      time.Time
 }
 
@@ -140,9 +140,8 @@
 func (h *holding) asked(granted bool, now time.Time) {
 	if granted {
 		h.held++
-		return
 	}
-	h.denied = now
+	h.turn.asked(granted, now)
 }
 
 // rebase keeps work from being counted twice: another instance was home meanwhile, and what the
@@ -155,7 +154,7 @@
 
 // grant says whether the home may give a holder of held permits one more under the limit over all
 // instances.
-func (t *tracked) grant(ring *Ring, holder InstanceID, held int, now time.Time) bool {
+func (t *tracked) grant(ring *Ring, holder InstanceID, held int, asker *turn, now time.Time) bool {
 	if now.Before(t.home.readyAt) || t.leaving || t.warmth.leaving || t.warmth.refusing || t.sharing() {
 		return false
 	}
@@ -166,32 +165,13 @@
 	if total >= t.reachable(t.limits.at(t.warmth.progress)) {
 		return false
 	}
-	if !t.fair(held, now) {
+	if !t.fair(held, asker, now) {
 		return false
 	}
 	// Once warm, a holder gets no more than the slots that will be its own.
 	return !t.nearlyShared() || held < slotsOf(ring, t.endpoint.ID, t.limits.full, holder)
 }
 
-// fairFor is how long an instance that got no permit is waited for. It asks more often than that
-// while it has requests waiting.
-const fairFor = 60 * time.Millisecond
-
-// fair says whether an instance with held permits may get one more before those that asked in vain
-// lately: not before one that holds fewer. Without this the home, which sees freed permits first,
-// would keep them to itself.
-func (t *tracked) fair(held int, now time.Time) bool {
-	if t.endpoint.InFlight < held && now.Sub(t.home.denied) < fairFor {
-		return false
-	}
-	for _, one := range t.home.holders {
-		if one.held < held && now.Sub(one.denied) < fairFor {
-			return false
-		}
-	}
-	return true
-}
-
 // nearlyShared says that the endpoint is warm and waits for all holders to be within their slots.
 func (t *tracked) nearlyShared() bool {
 	return !t.warmth.shared && t.home.instances <= t.limits.full && t.warmth.progress >= t.limits.complete()
--- a/machine/permits.go
+++ b/machine/permits.go
@@ -114,11 +114,10 @@
 
 // grantSelf gives the home's own instance a permit.
 func (p *SharedPermits) grantSelf(one *tracked, now time.Time) bool {
-	if !p.stalled(now) && one.grant(p.ring.Load(), p.self.ID, one.endpoint.InFlight, now) {
-		return true
-	}
-	one.home.denied = now
-	return false
+	turn := &one.home.turn
+	granted := !p.stalled(now) && one.grant(p.ring.Load(), p.self.ID, one.endpoint.InFlight, turn, now)
+	turn.asked(granted, now)
+	return granted
 }
 
 // finishAcquire ends an acquisition and unlocks the endpoint.
--- a/machine/permits_test.go
+++ b/machine/permits_test.go
@@ -23,6 +23,7 @@
 		time.Sleep(8 * time.Second)
 		all, least := f.served()
 		c.Assert(f.mark(), qt.Equals, 0)
+		t.Logf("%d of %d served at the least lucky of six instances", least, all)
 		c.Assert(least >= all/6/2, qt.IsTrue, qt.Commentf("%d of %d served at the least lucky of six instances", least, all))
 		time.Sleep(20 * time.Second)
 		c.Assert(f.mark(), qt.Equals, 0)
--- a/machine/serve.go
+++ b/machine/serve.go
@@ -48,7 +48,7 @@
 		known, current := one.report(holder, incarnation, message, now)
 		if current && message.GetWant() {
 			may := !cold && !p.stalled(now) && message.GetEpoch() == one.warmth.epoch
-			standing.Granted = may && one.grant(ring, holder, known.held, now)
+			standing.Granted = may && one.grant(ring, holder, known.held, &known.turn, now)
 			known.asked(standing.GetGranted(), now)
 		}
 		one.share(ring, now)
