--- a/entry/service.go
+++ b/entry/service.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -17,7 +18,7 @@
 )
 
 // heldBytes is how much of a service's answer is held until it is whole; longer answers are
-// streamed.
+// streamed, as are event streams.
 const heldBytes = 256 << 10
 
 // serviceFlow is one request to a plain service.
@@ -71,7 +72,11 @@
 	if zone := flow.elsewhere(); zone != "" {
 		return s.forward(work, c, zone, body)
 	}
-	return flow.serve(request.Context())
+	err = flow.serve(request.Context())
+	if zone, elsewhere := elsewhereOf(err); elsewhere {
+		return s.forward(work, c, zone, body)
+	}
+	return err
 }
 
 // elsewhere looks where the request would go, before anything is claimed for it here. "" means
@@ -107,6 +112,10 @@
 	f.bound = true
 	for attempts := 1; ; attempts++ {
 		placed, err := f.placeClaimed(ctx)
+		if _, elsewhere := elsewhereOf(err); elsewhere {
+			f.finish(ledger.Outcome{Verdict: verdict.NotRun})
+			return err
+		}
 		if err != nil {
 			err = f.fail(err)
 			f.finish(outcomeOf(err))
@@ -127,7 +136,7 @@
 func (f *serviceFlow) placeClaimed(ctx context.Context) (*placement, error) {
 	placed, err := f.place(ctx, f.pool())
 	if err != nil {
-		return nil, err
+		return nil, f.moved(err)
 	}
 	if err := f.claimEnded(time.Now()); err != nil {
 		placed.permit.Done(machine.Result{})
@@ -150,6 +159,9 @@
 		f.settle(t, failure, false)
 		return failure, nil
 	}
+	if strings.HasPrefix(answer.Header.Get(echo.HeaderContentType), eventStream) {
+		return nil, f.streamRest(t, answer, nil)
+	}
 	held, err := io.ReadAll(io.LimitReader(answer.Body, heldBytes))
 	if err == nil && len(held) == heldBytes {
 		return nil, f.streamRest(t, answer, held)
--- a/ledger/bills_test.go
+++ b/ledger/bills_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/standin/kv"
 	"plumbarrow.example/plumbarrow/verdict"
 )
@@ -58,11 +59,7 @@
 			safe[customer] = err == nil && !node.is(isDead)
 		})
 	}
-	for range faults {
-		node, other := f.nodes[random.IntN(5)], f.nodes[random.IntN(5)]
-		fault, at, lasts := 1+random.IntN(4), pause(random, 6000), pause(random, 4000)
-		work.Go(func() { disturb(f, node, other, fault, at, lasts) })
-	}
+	f.disturb(&work, random, faults, allFaults[1:], 6000, 4000)
 	if crash {
 		node, at := f.nodes[random.IntN(5)], pause(random, 6000)
 		work.Go(func() { f.crash(node, at) })
@@ -94,6 +91,36 @@
 	return ""
 }
 
+// TestBillsOfTheDeadWithStaleLists crashes the zone's biller. One holder of its copies still takes
+// it for the biller; the other one passes its copies to that holder again and again.
+func TestBillsOfTheDeadWithStaleLists(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(kv.New(), 1, 0, "a", "a", "a")
+		stop := f.run()
+		defer stop()
+		byID := make(map[machine.InstanceID]*node)
+		for _, n := range f.nodes {
+			byID[n.self.ID] = n
+		}
+		order := ranked(f.nodes[0].Live(), billsPrefix+"a", 3)
+		dead, stale, fresh := byID[order[0].ID], byID[order[1].ID], byID[order[2].ID]
+		dead.set(func(n *node) { n.noStore = true })
+		c.Assert(dead.ledger.Bills.Record(t.Context(), billOf("request", "acme", 7)), qt.IsNil)
+		dead.set(func(n *node) { n.dead = true })
+		fresh.set(func(n *node) { n.unlisted[string(dead.self.ID)] = true })
+		bills, _ := dead.ledger.Bills.queue.after(0)
+		fresh.ledger.Bills.copies.add(dead.ledger.Bills.request(bills, 0))
+		time.Sleep(5 * time.Second)
+		stale.ledger.Bills.copies.add(dead.ledger.Bills.request(bills, 0))
+		time.Sleep(30 * time.Second)
+		totals, err := Totals(t.Context(), f.store)
+		c.Assert(err, qt.IsNil)
+		c.Assert(totals, qt.HasLen, 1)
+		c.Assert(totals[0].Bills, qt.Equals, int64(1))
+	})
+}
+
 // TestBillsBacklog keeps the store and all peers away until an instance refuses billable work, then
 // lets the store come back.
 func TestBillsBacklog(t *testing.T) {
@@ -181,11 +208,7 @@
 			_ = node.ledger.Bills.Record(ctx, billOf(fmt.Sprint(i), "acme", cost))
 		})
 	}
-	for range faults {
-		node, other := f.nodes[random.IntN(3)], f.nodes[random.IntN(3)]
-		fault, at, lasts := random.IntN(5), pause(random, 60_000), pause(random, 30_000)
-		work.Go(func() { disturb(f, node, other, fault, at, lasts) })
-	}
+	f.disturb(&work, random, faults, allFaults, 60_000, 30_000)
 	work.Wait()
 	f.calm()
 	stop()
--- a/ledger/claims_test.go
+++ b/ledger/claims_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -104,7 +105,7 @@
 	f := newFleet(kv.New(), seed, chance, "a", "a", "b", "b")
 	ran := newService()
 	answers := make(map[string]string)
-	keys := keysOfOneShard(f.nodes[0], 4)
+	keys := keysOfOneShard(f.nodes[0], 5)
 	var mu sync.Mutex
 	var callers sync.WaitGroup
 	for i := range 24 {
@@ -126,12 +127,15 @@
 			}
 		})
 	}
-	for range faults {
-		node, other := f.nodes[random.IntN(4)], f.nodes[random.IntN(4)]
-		fault, at, lasts := random.IntN(5), pause(random, 8000), pause(random, 4000)
-		callers.Go(func() { disturb(f, node, other, fault, at, lasts) })
-	}
+	f.disturb(&callers, random, faults, allFaults, 8000, 4000)
 	callers.Wait()
+	f.calm()
+	time.Sleep(10 * time.Second)
+	for _, node := range f.nodes {
+		if said, _ := serve(ran, node, keys[4], string(node.self.ID), 0, 0); said != verdict.Ran && !node.is(isDead) {
+			failure = string(node.self.ID) + " can't claim after the faults"
+		}
+	}
 	closeFleet(f)
 	for key, runs := range ran.keys {
 		if runs > 1 {
@@ -154,40 +158,6 @@
 	return keys
 }
 
-func pause(random *rand.Rand, ms int) time.Duration {
-	return time.Duration(random.IntN(ms)) * time.Millisecond
-}
-
-// disturb applies one fault for a while; only a kill is for good.
-func disturb(f *fleet, n, other *node, fault int, at, lasts time.Duration) {
-	time.Sleep(at)
-	set := func(on bool) {
-		switch fault {
-		case 0:
-			n.set(func(n *node) { n.dead = true })
-		case 1:
-			n.set(func(n *node) { n.noStore = on })
-		case 2:
-			n.set(func(n *node) { n.noPeers = on })
-		case 3:
-			n.set(func(n *node) { n.unlisted[string(other.self.ID)] = on && other != n })
-		case 4:
-			f.store.Fail(kv.Faults{Down: on})
-		}
-	}
-	set(true)
-	time.Sleep(lasts)
-	set(false)
-}
-
-// closeFleet ends background work and waits for what is in flight.
-func closeFleet(f *fleet) {
-	for _, n := range f.nodes {
-		n.ledger.Claims.Close()
-	}
-	time.Sleep(time.Minute)
-}
-
 // TestClaimStandings walks through what a repeat at another instance finds.
 func TestClaimStandings(t *testing.T) {
 	done := Outcome{Verdict: verdict.Ran, Status: 201, ContentType: "text/plain", Body: []byte("booked")}
@@ -268,20 +238,21 @@
 	})
 }
 
-// TestClaimsSurviveSealing claims more keys than a head holds and finds each of them again at an
-// instance that reads the segments afresh, and none of them after the window.
+// TestClaimsSurviveSealing finishes more claims than a head holds, so that segments are sealed and
+// merged. An instance that reads them afresh finds each outcome, and none of them after the window.
 func TestClaimsSurviveSealing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		store := kv.New()
 		settings := DefaultSettings()
-		settings.SealBytes = 2000
+		settings.SealBytes = 200
 		f := newFleet(store, 1, 0)
 		defer closeFleet(f)
 		first := f.add("first", "a", settings)
 		for wave := range 20 {
 			claimAll(c, first, wave, Granted)
 		}
+		time.Sleep(time.Minute)
 		documents, err := store.List(t.Context(), "ledger/claims/")
 		c.Assert(err, qt.IsNil)
 		c.Assert(len(documents) > 2*claimShards, qt.IsTrue, qt.Commentf("%d documents", len(documents)))
@@ -289,7 +260,7 @@
 		defer closeFleet(again)
 		second := again.add("second", "a", settings)
 		for wave := range 20 {
-			claimAll(c, second, wave, Lost)
+			claimAll(c, second, wave, Finished)
 		}
 		time.Sleep(2 * time.Hour)
 		for wave := range 20 {
@@ -301,14 +272,45 @@
 	})
 }
 
+// TestOutcomesAfterOutage finishes more claims of one shard during an outage than a document holds.
+func TestOutcomesAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(kv.New(), 1, 0, "a")
+		defer closeFleet(f)
+		claims := f.nodes[0].ledger.Claims
+		keys := keysOfOneShard(f.nodes[0], 400)
+		for _, key := range keys {
+			_, err := claims.Claim(t.Context(), claimOf(f.nodes[0], key, key))
+			c.Assert(err, qt.IsNil)
+		}
+		f.store.Fail(kv.Faults{Down: true})
+		for _, key := range keys {
+			c.Assert(claims.Finish(t.Context(), claimOf(f.nodes[0], key, key), Outcome{Verdict: verdict.Ran, Body: make([]byte, MaxOutcomeBytes)}), qt.IsNil)
+		}
+		time.Sleep(time.Minute)
+		f.store.Fail(kv.Faults{})
+		time.Sleep(time.Minute)
+		c.Assert(claims.own.delivering(), qt.Equals, 0)
+	})
+}
+
 func claimAll(c *qt.C, n *node, wave int, want Standing) {
 	var callers sync.WaitGroup
 	for i := range 100 {
 		callers.Go(func() {
 			key := fmt.Sprintf("key-%d-%d", wave, i)
-			result, err := n.ledger.Claims.Claim(context.Background(), claimOf(n, key, key+string(n.self.ID)))
+			claim := claimOf(n, key, key+string(n.self.ID))
+			result, err := n.ledger.Claims.Claim(context.Background(), claim)
 			c.Check(err, qt.IsNil)
 			c.Check(result.Standing, qt.Equals, want)
+			body := []byte(strings.Repeat(key, 1+i%60)) // short ones and ones that only a segment holds
+			switch want {
+			case Granted:
+				c.Check(n.ledger.Claims.Finish(context.Background(), claim, Outcome{Verdict: verdict.Ran, Body: body}), qt.IsNil)
+			case Finished:
+				c.Check(string(result.Outcome.Body), qt.Equals, string(body))
+			}
 		})
 	}
 	callers.Wait()
