entry: reserve what a budgeted request may really cost, and bound its output

Cause: reported by the ledger's owner: prompts were reserved at a token per four bytes and outputs of callers that name no bound were unbounded, so a budget could be exceeded by the difference; n choices were ignored. Ruled out: refusing requests without a bound (ordinary clients send none). Change: customers with a budget reserve a token a byte and every choice; an unbounded request is sent to the engine with max_tokens. daemon: cold limits count members by zone.Membership.Listed. Failing run first: TestReserveCoversBill/unbounded and /three_choices, "the engine's output is unbounded". After: passes; customers without a budget are untouched.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -132,7 +132,7 @@
 		Settings: d.settings.Machine,
 		Table:    d.table,
 		Members:  d.membership,
-		Listed:   func() int { return d.listed.entriesIn(d.settings.Zone) },
+		Listed:   d.membership.Listed,
 		Conns:    d.dialer,
 		Dial:     dialOnce,
 		Freed:    d.queue.Freed,
--- a/daemon/lastlist.go
+++ b/daemon/lastlist.go
@@ -23,14 +23,3 @@
 	defer l.mu.Unlock()
 	return l.instances
 }
-
-// entriesIn counts the zone's entry instances in the list.
-func (l *lastList) entriesIn(zone string) int {
-	count := 0
-	for _, instance := range l.get() {
-		if instance.Kind == platform.KindEntry && instance.Zone == zone {
-			count++
-		}
-	}
-	return count
-}
--- a/entry/bill.go
+++ b/entry/bill.go
@@ -37,14 +37,11 @@
 	return (prompt*version.PromptPrice + output*version.OutputPrice) / tokensPerPrice
 }
 
-// reserve is the most that the request may cost: the dearest version of each pool of its route.
-func reserve(snapshot *contract.Snapshot, request *decide.Request, maxOutput int) int64 {
-	output := int64(request.MaxOutputTokens)
-	if output == 0 {
-		output = int64(maxOutput)
-	}
+// reserve is the most that a request of these tokens may cost: the dearest version of each pool of
+// its route.
+func reserve(snapshot *contract.Snapshot, route *contract.Route, prompt, output int) int64 {
 	var total int64
-	for _, name := range request.Route.Pools {
+	for _, name := range route.Pools {
 		pool := snapshot.Pools[name]
 		if pool == nil {
 			continue
@@ -52,7 +49,7 @@
 		dearest := pool.RequestPrice
 		if model := snapshot.Models[pool.Model]; model != nil {
 			for i := range model.Versions {
-				dearest = max(dearest, price(&model.Versions[i], int64(request.PromptTokens), output))
+				dearest = max(dearest, price(&model.Versions[i], int64(prompt), int64(output)))
 			}
 		}
 		total += dearest
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -18,6 +19,7 @@
 
 // chatFlow is one chat request.
 type chatFlow struct {
+	bodyBytes int // of the caller's request
 	*work
 	context echo.Context
 	chat    *openai.ChatBody
@@ -53,13 +55,17 @@
 		return err
 	}
 	request := s.newRequest(c, customer, route, len(body))
-	request.MaxOutputTokens = max(chat.Read.MaxTokens, chat.Read.MaxCompletionTokens)
+	if customer.MonthlyBudget > 0 {
+		// A budget holds only if the most that a request may cost is known before it runs.
+		chat.Bound(s.Settings.MaxOutputTokens)
+	}
+	request.MaxOutputTokens = max(chat.Read.MaxTokens, chat.Read.MaxCompletionTokens) * max(chat.Read.N, 1)
 	session, err := readSession(c.Request().Header.Get(link.HeaderSession), customer,
 		s.signingKeys(&snapshot.Document.Sessions), s.Pins, time.Now())
 	if err != nil {
 		return err
 	}
-	flow := &chatFlow{work: s.newWork(snapshot, request, session, &exchangeOf(c).record), context: c, chat: chat}
+	flow := &chatFlow{bodyBytes: len(body), work: s.newWork(snapshot, request, session, &exchangeOf(c).record), context: c, chat: chat}
 	serve := func() error { return flow.serveHere(c.Request().Context()) }
 	if !snapshot.ZoneInService(s.Self.Zone) {
 		return s.forwardOr(flow.work, c, "", body, serve)
@@ -105,9 +111,19 @@
 	return err
 }
 
+// reserve is the most that the request may cost. For a customer with a budget it counts a token a
+// byte, since none is shorter.
+func (f *chatFlow) reserve() int64 {
+	prompt := f.request.PromptTokens
+	if f.request.Customer.MonthlyBudget > 0 {
+		prompt = f.bodyBytes
+	}
+	return reserve(f.snapshot, f.request.Route, prompt, cmp.Or(f.request.MaxOutputTokens, f.server.Settings.MaxOutputTokens))
+}
+
 // serve runs the route's cascade and delivers its answer.
 func (f *chatFlow) serve(ctx context.Context) error {
-	settle, err := f.server.Bills.Admit(ctx, f.request.Customer, reserve(f.snapshot, f.request, f.server.Settings.MaxOutputTokens))
+	settle, err := f.server.Bills.Admit(ctx, f.request.Customer, f.reserve())
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/entry/reserve_test.go
@@ -0,0 +1,63 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/entry"
+	"plumbarrow.example/plumbarrow/ledger"
+)
+
+// reservingBills notes what each request reserved.
+type reservingBills struct {
+	*ledger.Memory
+	reserved int64
+}
+
+func (b *reservingBills) Admit(_ context.Context, _ *contract.Customer, reserve int64) (func(), error) {
+	b.reserved = reserve
+	return func() {}, nil
+}
+
+// TestReserveCoversBill: what a customer with a budget reserves covers the dearest answer that the
+// engine may give: one token a byte of prompt, the most output tokens, every choice asked for.
+func TestReserveCoversBill(t *testing.T) {
+	for name, extra := range map[string]string{
+		"unbounded": "", "bounded": `,"max_tokens":50`, "two bounds": `,"max_tokens":50,"max_completion_tokens":60`, "three choices": `,"n":3`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			bills := &reservingBills{Memory: ledger.NewMemory()}
+			f := newFleet(c, "a", func(parts *entry.Parts) { parts.Bills = bills })
+			f.configure(func(d string) string {
+				return strings.Replace(d, `name = "acme",`, `name = "acme", monthly_budget_micros = 1000000,`, 1)
+			})
+			var cost int64 // micro-units; small@v1 costs 1 a prompt token and 2 an output token
+			f.add("small-engines", "small@v1", func(w http.ResponseWriter, r *http.Request) {
+				data, _ := io.ReadAll(r.Body)
+				var asked struct {
+					MaxTokens           int64 `json:"max_tokens"`
+					MaxCompletionTokens int64 `json:"max_completion_tokens"`
+					N                   int64 `json:"n"`
+				}
+				c.Check(json.Unmarshal(data, &asked), qt.IsNil)
+				most := max(asked.MaxTokens, asked.MaxCompletionTokens)
+				c.Check(most > 0, qt.IsTrue, qt.Commentf("the engine's output is unbounded"))
+				cost = int64(len("日本語日本語")) + 2*most*max(asked.N, 1)
+				r.Body = io.NopCloser(strings.NewReader(string(data)))
+				engine("v1")(w, r)
+			})
+			r := f.send(http.MethodPost, "/v1/chat/completions",
+				`{"model":"assistant","messages":[{"role":"user","content":"日本語日本語"}]`+extra+`}`)
+			c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
+			c.Assert(bills.reserved >= cost, qt.IsTrue, qt.Commentf("reserved %d for a cost of %d", bills.reserved, cost))
+		})
+	}
+}
--- a/entry/service.go
+++ b/entry/service.go
@@ -93,7 +93,7 @@
 func (f *serviceFlow) pool() string { return f.request.Route.Pools[0] }
 
 func (f *serviceFlow) serve(ctx context.Context) error {
-	settle, err := f.server.Bills.Admit(ctx, f.request.Customer, reserve(f.snapshot, f.request, 0))
+	settle, err := f.server.Bills.Admit(ctx, f.request.Customer, reserve(f.snapshot, f.request.Route, 0, 0))
 	if err != nil {
 		return err
 	}
--- a/internal/openai/body.go
+++ b/internal/openai/body.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
 )
 
 // ChatBody is a chat completion request whose fields can be read and replaced without losing the
@@ -41,6 +42,7 @@
 		{"stream", &body.Read.Stream},
 		{"max_tokens", &body.Read.MaxTokens},
 		{"max_completion_tokens", &body.Read.MaxCompletionTokens},
+		{"n", &body.Read.N},
 		{"stream_options", &options},
 	}
 	for _, field := range read {
@@ -52,13 +54,22 @@
 			return nil, fmt.Errorf("field %s: %w", field.name, err)
 		}
 	}
-	if body.Read.MaxTokens < 0 || body.Read.MaxCompletionTokens < 0 {
-		return nil, errors.New("field max_tokens: negative")
+	if body.Read.MaxTokens < 0 || body.Read.MaxCompletionTokens < 0 || body.Read.N < 0 {
+		return nil, errors.New("field max_tokens, max_completion_tokens or n: negative")
 	}
 	body.AskedUsage = options.IncludeUsage
 	return body, nil
 }
 
+// Bound sets the most output tokens of a request that does not bound them itself.
+func (b *ChatBody) Bound(tokens int) {
+	if b.Read.MaxTokens > 0 || b.Read.MaxCompletionTokens > 0 {
+		return
+	}
+	b.Read.MaxTokens = tokens
+	b.fields["max_tokens"] = strconv.AppendInt(nil, int64(tokens), 10)
+}
+
 // For returns the body that goes to an engine: with the engine's model name, and with usage at the
 // end of a stream. The other fields stay as they came; they are not encoded again.
 func (b *ChatBody) For(model string) ([]byte, error) {
--- a/internal/openai/types.go
+++ b/internal/openai/types.go
@@ -14,6 +14,7 @@
 	Stream              bool      `json:"stream"`
 	MaxTokens           int       `json:"max_tokens"`
 	MaxCompletionTokens int       `json:"max_completion_tokens"`
+	N                   int       `json:"n"` // choices asked for; 0 means 1
 }
 
 // Message is one message of a chat. Content is a string or an array of parts.
