entry: move a bare session off a withdrawn version once

Cause: reported by the ledger's and the entry's owners: a session named by the caller's own id whose route says on_withdrawn = "restart" drew a version anew at each request, since nothing called Pins.Repin. Ruled out: dropping the pin (two instances would draw two versions). Change: the first request after the withdrawal moves the pin in the ledger; all instances follow it. entry's own Pins interface is gone; ledger.Pins is the one. Failing run first: TestBareSessionRestartsOnce, "session s2 was served by map[v2:true v3:true]". After: passes, 5 times.

--- a/entry/place.go
+++ b/entry/place.go
@@ -145,12 +145,26 @@
 	if w.resume != nil && version != w.resume.version {
 		return version, verdict.Refuse(verdict.VersionWithdrawn, "the stream's version %s is withdrawn", w.resume.version)
 	}
-	if w.session.bareID == "" || w.request.Pin != (contract.VersionID{}) {
+	if w.session.bareID == "" || w.request.Pin == version {
 		return version, nil
 	}
 	if err := w.server.pinBare(ctx, w.request.Customer.Name, w.session, version); err != nil {
 		return version, verdict.Of(err)
 	}
+	return w.bareVersion(ctx, pool)
+}
+
+// bareVersion is the version of a session that the caller names by its own id. One whose version
+// was withdrawn moves to another, the same one at every instance.
+func (w *work) bareVersion(ctx context.Context, pool *contract.Pool) (contract.VersionID, *verdict.Refusal) {
+	w.request.Pin = w.session.pin(pool.Model)
+	version, refusal := decide.Version(w.snapshot, w.request, pool, w.random)
+	if refusal != nil || version == w.request.Pin {
+		return version, refusal
+	}
+	if err := w.server.repinBare(ctx, w.request.Customer.Name, w.session, w.request.Pin, version); err != nil {
+		return version, verdict.Of(err)
+	}
 	w.request.Pin = w.session.pin(pool.Model)
 	return decide.Version(w.snapshot, w.request, pool, w.random)
 }
--- /dev/null
+++ b/entry/repin_test.go
@@ -0,0 +1,73 @@
+package entry_test
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumbarrow.example/plumbarrow/entry"
+	"plumbarrow.example/plumbarrow/ledger"
+	"plumbarrow.example/plumbarrow/link"
+)
+
+// TestBareSessionRestartsOnce: a session named by the caller's own id whose version is withdrawn
+// moves to one other version and stays there, at every instance.
+func TestBareSessionRestartsOnce(t *testing.T) {
+	c := qt.New(t)
+	edit := func(state string) func(string) string {
+		return strings.NewReplacer(
+			`{ name = "v1", prompt_price_micros = 1000`, `{ name = "v3", weight = 1.0 }, { name = "v1", state = "`+state+`", prompt_price_micros = 1000`,
+			`name = "v2", weight = 0.0`, `name = "v2", weight = 1.0`,
+			`model = "assistant"`, `model = "assistant"`+"\non_withdrawn = \"restart\"",
+		).Replace
+	}
+	var fleets []*fleet
+	for range 2 {
+		f := newFleet(c, "a", func(parts *entry.Parts) {
+			if len(fleets) > 0 {
+				parts.Bills, parts.Pins = fleets[0].ledger, fleets[0].ledger
+				return
+			}
+			parts.Pins = parts.Bills.(ledger.Pins)
+		})
+		f.configure(edit("active"))
+		for _, version := range []string{"v1", "v2", "v3"} {
+			f.add("small-engines", "small@"+version, engine(version))
+		}
+		fleets = append(fleets, f)
+	}
+	served := func() map[string]int {
+		count := make(map[string]int)
+		for _, bill := range fleets[0].ledger.Bills() {
+			count[bill.Lines[0].Version.Name]++
+		}
+		return count
+	}
+	sessions := []string{"s1", "s2", "s3", "s4", "s5", "s6"}
+	for _, session := range sessions {
+		for i := range 6 {
+			fleets[i%2].ask("assistant", false, link.HeaderSession, session)
+		}
+	}
+	before := served()
+	for _, f := range fleets {
+		f.configure(edit("withdrawn"))
+	}
+	for _, session := range sessions {
+		seen := make(map[string]bool)
+		for i := range 8 {
+			earlier := served()
+			r := fleets[i%2].ask("assistant", false, link.HeaderSession, session)
+			c.Assert(r.status, qt.Equals, 200, qt.Commentf("%s", r.body))
+			for version, n := range served() {
+				if n > earlier[version] {
+					seen[version] = true
+				}
+			}
+		}
+		c.Assert(seen, qt.HasLen, 1, qt.Commentf("session %s was served by %v", session, seen))
+	}
+	c.Assert(before["v1"] > 0, qt.IsTrue, qt.Commentf("no session was on v1: the test proves nothing"))
+	c.Assert(served()["v1"], qt.Equals, before["v1"])
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -28,12 +28,6 @@
 	Do(ctx context.Context, attempt *link.Attempt) (*link.Answer, error)
 }
 
-// Pins keeps the version of sessions that callers name by a bare id.
-type Pins interface {
-	// Pin returns the session's version. A session without one gets version.
-	Pin(ctx context.Context, customer, session string, version contract.VersionID) (contract.VersionID, error)
-}
-
 // Forwarder sends a request to an entry instance of another zone. Errors are *link.Failure.
 type Forwarder interface {
 	Forward(ctx context.Context, member machine.Member, head *link.ForwardHead) (*link.Answer, error)
@@ -62,7 +56,7 @@
 	Settings  Settings                 // zero means DefaultSettings
 	Queue     machine.Queue            // optional; a full pool refuses without it
 	Retries   *decide.RetryBudget      // optional; retries are bounded per request only without it
-	Pins      Pins                     // optional; bare session ids are refused without it
+	Pins      ledger.Pins              // optional; bare session ids are refused without it
 	Judge     quality.Judge            // optional; cascades use their first step without it
 	Recorder  rollout.Recorder         // optional
 	Forwarder Forwarder                // optional; nothing is forwarded without it
--- a/entry/session.go
+++ b/entry/session.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/ledger"
 	"plumbarrow.example/plumbarrow/verdict"
 )
 
@@ -35,7 +36,7 @@
 }
 
 // readSession reads the session header: a token of ours, or the caller's own session id.
-func readSession(header string, customer *contract.Customer, keys [][]byte, pins Pins, now time.Time) (*session, error) {
+func readSession(header string, customer *contract.Customer, keys [][]byte, pins ledger.Pins, now time.Time) (*session, error) {
 	if header == "" {
 		return &session{}, nil
 	}
@@ -142,6 +143,16 @@
 	return nil
 }
 
+// repinBare moves such a session from a withdrawn version to another one.
+func (s *Server) repinBare(ctx context.Context, customer string, session *session, from, to contract.VersionID) error {
+	pinned, err := s.Pins.Repin(ctx, customer, to.Model+"/"+session.bareID, from, to)
+	if err != nil {
+		return err
+	}
+	session.keep(pinned)
+	return nil
+}
+
 // sessionKeys are the decoded signing keys of one configuration.
 type sessionKeys struct {
 	of   *contract.Sessions
