entry: use ledger.Memory as the pins of the session test

Cause: the commit before did not build its tests: memoryPins lacked Repin, and the chain of commands committed all the same. Change: the fake that the ledger keeps for other packages serves instead; checks unchanged. After: go test -race ./entry ./daemon passes; the two session tests pass 5 times.

--- a/entry/session_test.go
+++ b/entry/session_test.go
@@ -14,6 +14,7 @@
 	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/decide"
 	"plumbarrow.example/plumbarrow/entry"
+	"plumbarrow.example/plumbarrow/ledger"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/verdict"
@@ -28,28 +29,12 @@
 	return strings.Replace(moveWeights(document), `name = "v1", weight`, `name = "v1", state = "withdrawn", weight`, 1)
 }
 
-// memoryPins keeps pins in a map.
-type memoryPins struct {
-	mu   sync.Mutex
-	pins map[string]contract.VersionID
-}
-
-func (m *memoryPins) Pin(_ context.Context, customer, session string, version contract.VersionID) (contract.VersionID, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if pinned, ok := m.pins[customer+"/"+session]; ok {
-		return pinned, nil
-	}
-	m.pins[customer+"/"+session] = version
-	return version, nil
-}
-
 // TestSessionKeepsVersion moves all new sessions to v2: sessions that began on v1 stay there, by
 // token at any instance and by bare id, until v1 is withdrawn.
 func TestSessionKeepsVersion(t *testing.T) {
 	c := qt.New(t)
 	var fleets []*fleet
-	pins := &memoryPins{pins: make(map[string]contract.VersionID)}
+	pins := ledger.NewMemory()
 	for range 2 {
 		f := newFleet(c, "a", func(parts *entry.Parts) { parts.Pins = pins })
 		f.add("small-engines", "small@v1", engine("v1"))
