--- a/zone/loads.go
+++ b/zone/loads.go
@@ -39,7 +39,7 @@
 	own    *zonepb.ZoneLoad
 	ownAt  time.Time
 	smooth map[string]float64 // smoothed room of the own zone, per pool
-	zones map[string]*zoneReport
+	zones  map[string]*zoneReport
 }
 
 // zoneReport is the newest report on another zone.
