entry: prove that the end of an answer waits for its bill

Cause: the order of bill and end had no proof that failed first. Ruled out: only the ledger's own tests; they do not see the caller. Change: TestEndWaitsForBill. With the error of Bills.Record ignored it fails (the stream ends in [DONE]); with the mechanism it passes.

--- a/entry/reserve_test.go
+++ b/entry/reserve_test.go
@@ -13,6 +13,7 @@
 	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/entry"
 	"plumbarrow.example/plumbarrow/ledger"
+	"plumbarrow.example/plumbarrow/verdict"
 )
 
 // reservingBills notes what each request reserved.
@@ -61,3 +62,24 @@
 		})
 	}
 }
+
+// unsafeBills can keep no bill safe.
+type unsafeBills struct{ *ledger.Memory }
+
+func (unsafeBills) Record(context.Context, ledger.Bill) error {
+	return &verdict.Refusal{Verdict: verdict.Ran, Reason: verdict.LedgerUnavailable, Detail: "no second process"}
+}
+
+// TestEndWaitsForBill: no answer is whole whose bill is not safe, streamed or not, of engines or of
+// services.
+func TestEndWaitsForBill(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, "a", func(parts *entry.Parts) { parts.Bills = unsafeBills{ledger.NewMemory()} })
+	f.add("small-engines", "small@v1", engine("v1"))
+	f.add("booking", "", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "booked") })
+	stream := f.ask("assistant", true)
+	c.Assert(stream.body, qt.Contains, `"reason":"ledger_unavailable"`)
+	c.Assert(stream.body, qt.Not(qt.Contains), "[DONE]")
+	assertRefused(c, f.ask("assistant", false), verdict.LedgerUnavailable, verdict.Ran)
+	assertRefused(c, f.send(http.MethodPost, "/bookings", "{}"), verdict.LedgerUnavailable, verdict.Ran)
+}
