--- a/standin/fleet/bench_test.go
+++ b/standin/fleet/bench_test.go
@@ -22,7 +22,7 @@
 // second of the whole fleet; run it with -benchtime 10x.
 func BenchmarkIdleFleet(b *testing.B) {
 	for _, size := range []struct{ zones, perZone, engines int }{
-		{3, 2, 12}, {3, 8, 12}, {3, 32, 12}, {17, 6, 12}, {3, 2, 300}, {3, 2, 3000},
+		{3, 2, 12}, {3, 8, 12}, {3, 32, 12}, {17, 6, 12}, {3, 2, 300}, {3, 2, 3000}, {3, 24, 528},
 	} {
 		b.Run(fmt.Sprintf("zones=%d/daemons=%d/engines=%d", size.zones, size.zones*size.perZone, size.engines), func(b *testing.B) {
 			f := idleFleet(b, size.zones, size.perZone, size.engines)
