--- a/cmd/plumbarrow/standin.go
+++ b/cmd/plumbarrow/standin.go
@@ -11,6 +11,7 @@
 	"plumbarrow.example/plumbarrow/standin/instances"
 	"plumbarrow.example/plumbarrow/standin/kv"
 	"plumbarrow.example/plumbarrow/standin/rater"
+	"plumbarrow.example/plumbarrow/standin/relay"
 	"plumbarrow.example/plumbarrow/standin/service"
 	"plumbarrow.example/plumbarrow/standin/weights"
 )
@@ -22,6 +23,7 @@
 	Service   *addressed      `arg:"subcommand:service" help:"plain service that counts its runs"`
 	Rater     *addressed      `arg:"subcommand:rater" help:"service that rates answers"`
 	Weights   *weightsStandin `arg:"subcommand:weights" help:"rate-limited weight store"`
+	Relay     *relayStandin   `arg:"subcommand:relay" help:"TCP relay that can cut connections or let them go silent"`
 }
 
 type addressed struct {
@@ -52,6 +54,12 @@
 	Size int     `arg:"--size" default:"65536" help:"bytes per file"`
 }
 
+type relayStandin struct {
+	addressed
+	Target  string `arg:"--target,required" help:"IP:port to forward to"`
+	Control string `arg:"--control,required" help:"IP:port that takes orders: PUT /mode/forward, /mode/cut, /mode/silent, /silence-open"`
+}
+
 const (
 	engineRecovery = 2 * time.Second
 	engineLoadLag  = 500 * time.Millisecond
@@ -72,8 +80,21 @@
 		return listenAndServe(c.Rater.Address, rater.New().Handler())
 	case c.Weights != nil:
 		return listenAndServe(c.Weights.Address, weights.New(c.Weights.Rate, weightsBurst, c.Weights.Size).Handler())
+	case c.Relay != nil:
+		return c.Relay.run()
+	}
+	return errors.New("standin needs a subcommand: store, instances, engine, service, rater, weights or relay")
+}
+
+// run relays, and serves the control address until that fails.
+func (r *relayStandin) run() error {
+	stand, err := relay.New(r.Address, r.Target)
+	if err != nil {
+		return err
 	}
-	return errors.New("standin needs a subcommand: store, instances, engine, service, rater or weights")
+	defer stand.Close()
+	fmt.Println("relaying on", stand.Address(), "to", r.Target)
+	return listenAndServe(r.Control, stand.Handler())
 }
 
 // listenAndServe prints the address, which differs from the given one if its port is 0.
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -60,15 +60,25 @@
 func (d *deployment) ready() (a, b *entry) {
 	a = d.enter("entry-a")
 	b = d.enter("entry-b")
+	d.apply(a, d.file(configuration))
+	d.serving(a, b)
+	return a, b
+}
+
+// file writes a configuration and returns its path.
+func (d *deployment) file(text string) string {
 	file := filepath.Join(d.c.TempDir(), "configuration.toml")
-	text := strings.Replace(configuration, "KEYHASH", contract.HashKey("sk-acme"), 1)
+	text = strings.Replace(text, "KEYHASH", contract.HashKey("sk-acme"), 1)
 	d.c.Assert(os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
-	d.apply(a, file)
-	for _, e := range []*entry{a, b} {
-		until(func() bool { return strings.HasSuffix(e.chat().body, "data: [DONE]\n\n") })
+	return file
+}
+
+// serving waits until the instances serve chats and bookings.
+func (d *deployment) serving(entries ...*entry) {
+	for _, e := range entries {
+		until(func() bool { return e.chat().whole() })
 		until(func() bool { return e.book("warm-"+e.Callers).status == http.StatusCreated })
 	}
-	return a, b
 }
 
 // until repeats a step until it holds; the test's own deadline bounds it.
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -15,9 +16,13 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"plumbarrow.example/plumbarrow/operate/api"
 	"plumbarrow.example/plumbarrow/platform"
 )
 
+// homeZone is the zone of whatever is not said to be elsewhere.
+const homeZone = "nbo-a"
+
 // bin is the folder of the built programs.
 var bin string
 
@@ -113,21 +118,46 @@
 	token       string // file
 }
 
-// newDeployment starts the platform, one engine and one service, and applies the configuration.
-func newDeployment(c *qt.C) *deployment {
+// deployments bounds how many deployments, of up to ten processes each, run at once.
+var deployments = make(chan struct{}, 6)
+
+// newPlatform starts the platform without endpoints.
+func newPlatform(c *qt.C) *deployment {
+	deployments <- struct{}{}
+	c.Cleanup(func() { <-deployments })
 	d := &deployment{c: c, token: filepath.Join(c.TempDir(), "token")}
 	c.Assert(os.WriteFile(d.token, []byte("operator-token\n"), 0o600), qt.IsNil)
 	d.store, d.storeAddr = standin(c, "store")
 	d.list, d.listAddr = standin(c, "instances", "--lag", "0s")
-	_, engine := standin(c, "engine", "--model", "small", "--version", "v1", "--tokens", "60", "--per-token", "10ms", "--cold-limit", "0")
+	return d
+}
+
+// newDeployment starts the platform, one engine and one service.
+func newDeployment(c *qt.C) *deployment {
+	d := newPlatform(c)
+	d.listEngine("engine-1", homeZone, "v1", startEngine(c, "v1", "0.9"))
 	_, d.service = standin(c, "service")
-	d.register(platform.Instance{ID: "engine-1", Incarnation: "1", Kind: platform.KindEngine, Zone: "nbo-a", Pool: "engines",
-		Address: engine, Model: "small", Version: "v1", State: platform.StateLive})
-	d.register(platform.Instance{ID: "booking-1", Incarnation: "1", Kind: platform.KindService, Zone: "nbo-a", Pool: "booking",
-		Address: d.service, State: platform.StateLive})
+	d.listService("booking-1", homeZone, d.service)
 	return d
 }
 
+// startEngine starts an engine of the model small and returns its address.
+func startEngine(c *qt.C, version, quality string) string {
+	_, address := standin(c, "engine", "--model", "small", "--version", version, "--quality", quality,
+		"--tokens", "60", "--per-token", "10ms", "--cold-limit", "0")
+	return address
+}
+
+func (d *deployment) listEngine(id, zone, version, address string) {
+	d.register(platform.Instance{ID: id, Incarnation: "1", Kind: platform.KindEngine, Zone: zone, Pool: "engines",
+		Address: address, Model: "small", Version: version, State: platform.StateLive})
+}
+
+func (d *deployment) listService(id, zone, address string) {
+	d.register(platform.Instance{ID: id, Incarnation: "1", Kind: platform.KindService, Zone: zone, Pool: "booking",
+		Address: address, State: platform.StateLive})
+}
+
 func (d *deployment) register(instance platform.Instance) {
 	body, err := json.Marshal(instance)
 	d.c.Assert(err, qt.IsNil)
@@ -143,11 +173,22 @@
 	d.c.Assert(response.StatusCode < 300, qt.IsTrue, qt.Commentf("%s: %s", url, response.Status))
 }
 
+// seat says where and how an entry instance runs; empty fields have the deployment's values.
+type seat struct {
+	zone        string
+	store, list string                    // addresses
+	settings    string                    // further sections of the settings, TOML
+	listed      func(peers string) string // the peer address to list, given the real one
+}
+
 // enter starts an entry instance and lists it.
-func (d *deployment) enter(id string) *entry {
+func (d *deployment) enter(id string) *entry { return d.enterAt(id, seat{}) }
+
+func (d *deployment) enterAt(id string, at seat) *entry {
 	file := filepath.Join(d.c.TempDir(), id+".toml")
+	at.zone = cmp.Or(at.zone, homeZone)
 	settings := fmt.Sprintf(`instance = %q
-zone = "nbo-a"
+zone = %q
 callers_address = "127.0.0.1:0"
 operators_address = "127.0.0.1:0"
 operators_token_file = %q
@@ -155,28 +196,62 @@
 store_address = %q
 list_address = %q
 stop_grace_ms = 0
-`, id, d.token, d.storeAddr, d.listAddr)
+%s`, id, at.zone, d.token, cmp.Or(at.store, d.storeAddr), cmp.Or(at.list, d.listAddr), at.settings)
 	d.c.Assert(os.WriteFile(file, []byte(settings), 0o600), qt.IsNil)
 	p, line := start(d.c, func(line string) bool { return strings.Contains(line, `"listening"`) }, "plumbarrowd", file)
 	e := &entry{process: p}
 	d.c.Assert(json.Unmarshal([]byte(line), e), qt.IsNil)
-	d.register(platform.Instance{ID: id, Kind: platform.KindEntry, Zone: "nbo-a", Address: e.Peers, State: platform.StateLive})
+	address := e.Peers
+	if at.listed != nil {
+		address = at.listed(address)
+	}
+	d.register(platform.Instance{ID: id, Kind: platform.KindEntry, Zone: at.zone, Address: address, State: platform.StateLive})
 	return e
 }
 
 // cli runs the operators' command line and returns its output.
 func (d *deployment) cli(args ...string) string {
-	out, err := exec.Command(filepath.Join(bin, "plumbarrow"), args...).CombinedOutput()
-	d.c.Assert(err, qt.IsNil, qt.Commentf("%v: %s", args, out))
-	return string(out)
+	code, out := d.try(args...)
+	d.c.Assert(code, qt.Equals, 0, qt.Commentf("%v: %s", args, out))
+	return out
+}
+
+// try runs the operators' command line and returns its exit code and output.
+func (d *deployment) try(args ...string) (int, string) {
+	command := exec.Command(filepath.Join(bin, "plumbarrow"), args...)
+	out, err := command.CombinedOutput()
+	if err != nil && command.ProcessState == nil {
+		d.c.Fatal(err)
+	}
+	return command.ProcessState.ExitCode(), string(out)
+}
+
+// operate gives an operator's command at an instance.
+func (d *deployment) operate(at *entry, args ...string) (int, string) {
+	return d.try(append(args, "--operators", at.Operators, "--token-file", d.token)...)
+}
+
+// status returns what an instance says of itself.
+func (d *deployment) status(at *entry) api.Status {
+	_, out := d.operate(at, "status", "--json")
+	var statuses []api.Status
+	d.c.Assert(json.Unmarshal([]byte(out), &statuses), qt.IsNil, qt.Commentf("%s", out))
+	return statuses[0]
 }
 
 // reply is what a caller got.
 type reply struct {
-	status int
-	body   string
+	status  int
+	version string // that answered a chat
+	body    string
 }
 
+// whole says whether the reply is the whole stream of a chat.
+func (r reply) whole() bool { return strings.HasSuffix(r.body, "data: [DONE]\n\n") }
+
+// refused says whether the reply is a refusal with the verdict.
+func (r reply) refused(with string) bool { return strings.Contains(r.body, `"verdict":"`+with+`"`) }
+
 func (e *entry) call(method, path, key, body string) reply {
 	request, err := http.NewRequest(method, "http://"+e.Callers+path, strings.NewReader(body))
 	e.c.Assert(err, qt.IsNil)
@@ -194,7 +269,7 @@
 	if err != nil {
 		return reply{body: err.Error()}
 	}
-	return reply{response.StatusCode, string(data)}
+	return reply{status: response.StatusCode, version: response.Header.Get("Plumbarrow-Version"), body: string(data)}
 }
 
 func (e *entry) chat() reply {
@@ -205,9 +280,11 @@
 	return e.call(http.MethodPost, "/bookings", key, `{"flat":"Kilimani"}`)
 }
 
-// runs returns how often the service ran each key.
-func (d *deployment) runs() map[string]int {
-	response, err := http.Get("http://" + d.service + "/runs")
+// runs returns how often the deployment's service ran each key.
+func (d *deployment) runs() map[string]int { return d.runsAt(d.service) }
+
+func (d *deployment) runsAt(service string) map[string]int {
+	response, err := http.Get("http://" + service + "/runs")
 	d.c.Assert(err, qt.IsNil)
 	defer response.Body.Close()
 	runs := make(map[string]int)
