entry: serve a cascade from the pools that have endpoints

Cause: a run of `plumbarrow load` against three daemons before one cheap engine and no good one refused 509 of 585 (336 queue_timeout, 173 deadline_exceeded): a step whose pool has no endpoint at all waited in that pool's queue. Part of those were bookings, for which no service ran; the chats among them could have been served. Ruled out: shorter queue times (a full pool is worth waiting for, an empty one is not). Change: such a step is replaced by the nearest better pool with endpoints, else the nearest cheaper one; an answer that is not good enough is delivered if the next pool is empty. Failing run first: TestPoolRunsOut, all waits, "test timed out after 8s". After: passes.

--- a/entry/cascade.go
+++ b/entry/cascade.go
@@ -26,7 +26,7 @@
 // cascade runs steps until an answer is good enough. If a later step fails, the answer of an earlier
 // one is delivered.
 func (f *chatFlow) cascade(ctx context.Context) error {
-	step := decide.FirstStep(f.snapshot, f.request, f.server.quality(), time.Now(), f.random)
+	step := f.reachableStep(decide.FirstStep(f.snapshot, f.request, f.server.quality(), time.Now(), f.random))
 	var earlier *stepAnswer
 	for {
 		step.Judge = step.Judge && f.server.Judge != nil
@@ -49,7 +49,7 @@
 			f.server.Recorder.Rating(answer.whole.trial.placed.choice.Version, score)
 		}
 		next, deliver := decide.NextStep(f.snapshot, f.request, step, score, rated, time.Now())
-		if deliver {
+		if deliver || !f.reachable(next.Pool) {
 			return f.deliver(ctx, answer)
 		}
 		f.server.Counters.Retried(verdict.RetryLowQuality)
--- /dev/null
+++ b/entry/step_test.go
@@ -0,0 +1,57 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumbarrow.example/plumbarrow/decide"
+	"plumbarrow.example/plumbarrow/entry"
+)
+
+// strictJudge passes no answer; with never set it has learned that the cheap step never passes.
+type strictJudge struct{ never bool }
+
+func (j strictJudge) PassChance(string, decide.Kind, int) (float64, int) {
+	if j.never {
+		return 0, 1000
+	}
+	return 1, 1000
+}
+
+func (strictJudge) Rate(context.Context, *decide.Request, decide.Step, string, string) (float64, bool) {
+	return 0.1, true
+}
+
+func (strictJudge) Sample(*decide.Request, decide.Step, string, string) {}
+
+// TestPoolRunsOut: while a cascade's good pool has no endpoint at all, its requests are served by the
+// cheap one, and the other way round, without waiting for a place in an empty pool.
+func TestPoolRunsOut(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		pool, served string
+		never        bool
+	}{
+		{"good pool empty, cheap answer not good enough", "small-engines", "small@v1", false},
+		{"good pool empty, cheap step to be skipped", "small-engines", "small@v1", true},
+		{"cheap pool empty", "large-engines", "large@v1", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			queue := &scriptedPermits{}
+			f := newFleet(c, "a", func(parts *entry.Parts) {
+				parts.Judge = strictJudge{test.never}
+				parts.Queue = queue
+			})
+			f.add(test.pool, test.served, engine("v1"))
+			r := f.ask("careful", true)
+			c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
+			c.Assert(queue.waits, qt.Equals, 0)
+			record := f.explain(r)
+			c.Assert(record.Bill.Lines[0].Version.String(), qt.Equals, test.served)
+		})
+	}
+}
