--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -252,7 +252,14 @@
 // refused says whether the reply is a refusal with the verdict.
 func (r reply) refused(with string) bool { return strings.Contains(r.body, `"verdict":"`+with+`"`) }
 
-func (e *entry) call(method, path, key, body string) reply {
+// chatPath and chatBody make a chat of a streamed answer.
+const (
+	chatPath = "/v1/chat/completions"
+	chatBody = `{"model":"assistant","stream":true,"messages":[]}`
+)
+
+// send sends a request of the customer and returns the answer's header, with its body unread.
+func (e *entry) send(method, path, key, body string) (*http.Response, error) {
 	request, err := http.NewRequest(method, "http://"+e.Callers+path, strings.NewReader(body))
 	e.c.Assert(err, qt.IsNil)
 	request.GetBody = nil
@@ -260,7 +267,11 @@
 	if key != "" {
 		request.Header.Set("Idempotency-Key", key)
 	}
-	response, err := http.DefaultClient.Do(request)
+	return http.DefaultClient.Do(request)
+}
+
+func (e *entry) call(method, path, key, body string) reply {
+	response, err := e.send(method, path, key, body)
 	if err != nil {
 		return reply{body: err.Error()}
 	}
@@ -272,9 +283,7 @@
 	return reply{status: response.StatusCode, version: response.Header.Get("Plumbarrow-Version"), body: string(data)}
 }
 
-func (e *entry) chat() reply {
-	return e.call(http.MethodPost, "/v1/chat/completions", "", `{"model":"assistant","stream":true,"messages":[]}`)
-}
+func (e *entry) chat() reply { return e.call(http.MethodPost, chatPath, "", chatBody) }
 
 func (e *entry) book(key string) reply {
 	return e.call(http.MethodPost, "/bookings", key, `{"flat":"Kilimani"}`)
