entry: bound the time that a request queues in all

Cause: found on processes: a booking waited 60.0 s, then deadline_exceeded; place queued again with a fresh five seconds each time it found the pool full. Ruled out: counting waits (a wait may be a millisecond). Change: entry.queue_wait_ms (5,000) ends all waits of a request together, with queue_timeout. Failing run first: TestQueueingIsBounded got deadline_exceeded, want queue_timeout; the ends of its waits moved. After: passes; entry and daemon pass under -race.

--- a/entry/place.go
+++ b/entry/place.go
@@ -90,10 +90,22 @@
 	return &placement{choice: choice, permit: permit}, nil
 }
 
+// wait queues for a place in the pool. All waits of a request together end at one time.
 func (w *work) wait(ctx context.Context, pool string) *verdict.Refusal {
 	w.note(decide.Note{Stage: "queue", Reason: "pool_full"})
+	if w.queueEnds.IsZero() {
+		w.queueEnds = time.Now().Add(w.server.Settings.queueWait())
+	}
+	ends := w.request.Deadline
+	if w.queueEnds.Before(ends) {
+		ends = w.queueEnds
+	}
 	priority := w.request.Customer.Priority + w.request.Route.Priority
-	return w.server.Queue.Wait(ctx, pool, priority, w.request.Deadline)
+	refusal := w.server.Queue.Wait(ctx, pool, priority, ends)
+	if refusal != nil && refusal.Reason == verdict.DeadlineExceeded && ends.Before(w.request.Deadline) {
+		return verdict.Refuse(verdict.QueueTimeout, "no endpoint became free within %s", w.server.Settings.queueWait())
+	}
+	return refusal
 }
 
 // choose picks a version of the pool's model and an endpoint that serves it.
--- a/entry/place_test.go
+++ b/entry/place_test.go
@@ -123,3 +123,36 @@
 	served := permits.results[2]
 	c.Assert([]any{served.Completed, served.Leaving, served.Reported, served.Running}, qt.DeepEquals, []any{true, true, true, 3})
 }
+
+// endsQueue notes until when each wait may last.
+type endsQueue struct {
+	scriptedPermits
+	ends []time.Time
+}
+
+func (q *endsQueue) Wait(_ context.Context, _ string, _ int, deadline time.Time) *verdict.Refusal {
+	q.ends = append(q.ends, deadline)
+	if len(q.ends) == 5 {
+		return verdict.Refuse(verdict.DeadlineExceeded, "too late")
+	}
+	return nil
+}
+
+// TestQueueingIsBounded: however often a request that left the queue finds the pool full again, all
+// its waits together end at one time, before the route's deadline.
+func TestQueueingIsBounded(t *testing.T) {
+	c := qt.New(t)
+	queue := &endsQueue{scriptedPermits: scriptedPermits{refusals: 1000}}
+	f := newFleet(c, "a", func(parts *entry.Parts) {
+		parts.Permits = queue
+		parts.Queue = queue
+	})
+	f.add("small-engines", "small@v1", engine("v1"))
+	start := time.Now()
+	r := f.ask("assistant", true)
+	assertRefused(c, r, verdict.QueueTimeout, verdict.NotRun)
+	for _, end := range queue.ends {
+		c.Assert(end, qt.Equals, queue.ends[0])
+	}
+	c.Assert(queue.ends[0].Before(start.Add(10*time.Second)), qt.IsTrue) // the route's deadline
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -22,6 +22,9 @@
 	// QuietMS is the time in milliseconds without a request in progress after which a planned stop
 	// is complete. Default 500.
 	QuietMS int `toml:"quiet_ms"`
+	// QueueWaitMS bounds the time in milliseconds that a request waits in queues in all, however
+	// often it finds its pool full again. Default 5,000.
+	QueueWaitMS int `toml:"queue_wait_ms"`
 	// MaxOutputTokens is the number of output tokens reserved for a chat request that does not
 	// bound them. Default 1,024.
 	MaxOutputTokens int `toml:"max_output_tokens"`
@@ -35,6 +38,7 @@
 		MaxAnswerBytes:  16 << 20,
 		ExplainRecords:  4_096,
 		QuietMS:         500,
+		QueueWaitMS:     5_000,
 		MaxOutputTokens: 1_024,
 	}
 }
@@ -48,6 +52,8 @@
 		return errors.New("max_answer_bytes must be positive")
 	case s.ExplainRecords < 0 || s.QuietMS < 0:
 		return errors.New("explain_records and quiet_ms must not be negative")
+	case s.QueueWaitMS < 1:
+		return errors.New("queue_wait_ms must be positive")
 	case s.MaxOutputTokens < 1:
 		return errors.New("max_output_tokens must be positive")
 	}
@@ -56,6 +62,7 @@
 
 func (s Settings) bodyTimeout() time.Duration  { return millis(s.BodyTimeoutMS) }
 func (s Settings) writeTimeout() time.Duration { return millis(s.WriteTimeoutMS) }
+func (s Settings) queueWait() time.Duration    { return millis(s.QueueWaitMS) }
 func (s Settings) quiet() time.Duration        { return millis(s.QuietMS) }
 
 func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/entry/work.go
+++ b/entry/work.go
@@ -26,9 +26,11 @@
 	outcome  verdict.Verdict // the worst over the attempts so far
 	excluded []machine.EndpointID
 	paid     bool // counted as a first attempt
-	fresh    bool // the next attempt needs a new connection
-	bound    bool // claimed, billed or begun here, so that no other zone can go on with it
-	resume   *resumption
+	// queueEnds is when all waits in queues together must be over; zero before the first.
+	queueEnds time.Time
+	fresh     bool // the next attempt needs a new connection
+	bound     bool // claimed, billed or begun here, so that no other zone can go on with it
+	resume    *resumption
 }
 
 // resumption says where the next attempt goes on with a broken stream.
