--- a/cmd/plumbarrowd/main.go
+++ b/cmd/plumbarrowd/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/alexflint/go-arg"
 	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
 
 	"plumbarrow.example/plumbarrow/daemon"
 )
@@ -28,7 +29,7 @@
 	arg.MustParse(&args)
 	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
 	if err := serve(args, log); err != nil {
-		log.Error("stopped", "error", err)
+		log.Error("stopped", "error", eris.ToString(err, false), "trace", eris.ToJSON(err, true))
 		os.Exit(1)
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -2,12 +2,12 @@
 
 import (
 	"errors"
-	"fmt"
 	"log/slog"
 	"net/http"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
 	"storj.io/drpc/drpcmux"
 
 	"plumbarrow.example/plumbarrow/contract"
@@ -87,10 +87,10 @@
 	d.assembleJudge()
 	d.assembleEntry()
 	if err := d.assembleOperate(); err != nil {
-		return nil, fmt.Errorf("operators' surface: %w", err)
+		return nil, eris.Wrap(err, "operators' surface")
 	}
 	if err := d.register(); err != nil {
-		return nil, fmt.Errorf("register peer services: %w", err)
+		return nil, eris.Wrap(err, "register peer services")
 	}
 	return d, nil
 }
--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -1,8 +1,9 @@
 package daemon
 
 import (
-	"fmt"
 	"net"
+
+	"github.com/rotisserie/eris"
 )
 
 // Listeners are the open sockets of a daemon.
@@ -29,7 +30,7 @@
 		listener, err := net.Listen("tcp", *socket.address)
 		if err != nil {
 			listeners.Close()
-			return Listeners{}, fmt.Errorf("%s: %w", socket.name, err)
+			return Listeners{}, eris.Wrap(err, socket.name)
 		}
 		*socket.listener = listener
 		*socket.address = listener.Addr().String()
