entry: let a request queue for longer than the loss of a home takes

Ruled out: a shorter handover (it keeps two homes from granting at once); the test, which is right. Change: entry.queue_wait_ms defaults to 10,000 and says what it has to exceed; TestQueueingIsBounded sets its own 5,000, the value it was written for.

--- a/entry/place_test.go
+++ b/entry/place_test.go
@@ -144,6 +144,7 @@
 	c := qt.New(t)
 	queue := &endsQueue{scriptedPermits: scriptedPermits{refusals: 1000}}
 	f := newFleet(c, "a", func(parts *entry.Parts) {
+		parts.Settings.QueueWaitMS = 5_000
 		parts.Permits = queue
 		parts.Queue = queue
 	})
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -23,7 +23,8 @@
 	// is complete. Default 500.
 	QuietMS int `toml:"quiet_ms"`
 	// QueueWaitMS bounds the time in milliseconds that a request waits in queues in all, however
-	// often it finds its pool full again. Default 5,000.
+	// often it finds its pool full again. It should exceed the time until a lost home of a cold
+	// endpoint is replaced: suspicion, handover and some exchange intervals. Default 10,000.
 	QueueWaitMS int `toml:"queue_wait_ms"`
 	// MaxOutputTokens is the number of output tokens reserved for a chat request that does not
 	// bound them. Default 1,024.
@@ -38,7 +39,7 @@
 		MaxAnswerBytes:  16 << 20,
 		ExplainRecords:  4_096,
 		QuietMS:         500,
-		QueueWaitMS:     5_000,
+		QueueWaitMS:     10_000,
 		MaxOutputTokens: 1_024,
 	}
 }
