Drop decide.LeastLoaded; tell the two queue bounds apart

Cause: read as a newcomer: LeastLoaded was an alias kept for tests only, and two settings are called queue_wait_ms without saying how they differ. Ruled out: renaming a setting at the landing.

--- a/decide/pick.go
+++ b/decide/pick.go
@@ -39,21 +39,6 @@
 	}
 }
 
-// LeastLoaded is the default pipeline with default settings.
-type LeastLoaded struct{}
-
-var (
-	_             Picker = LeastLoaded{}
-	defaultPicker        = NewPicker(DefaultSettings())
-)
-
-// Pick implements Picker.
-func (LeastLoaded) Pick(snapshot *contract.Snapshot, request *Request, pool string, version contract.VersionID,
-	seen *Observation, excluded []machine.EndpointID, random *rand.Rand,
-) (Choice, *verdict.Refusal) {
-	return defaultPicker.Pick(snapshot, request, pool, version, seen, excluded, random)
-}
-
 // Pick implements Picker. Endpoints of the own zone come first; if none can take the attempt, the
 // choice names another zone.
 func (p *Pipeline) Pick(snapshot *contract.Snapshot, request *Request, pool string, version contract.VersionID,
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -29,7 +29,7 @@
 	defer client.CloseIdleConnections()
 	hop := httptest.NewServer(bareHop(client, direct.URL))
 	defer hop.Close()
-	out, other, _ := twoZones(c, decide.LeastLoaded{})
+	out, other, _ := twoZones(c, decide.NewPicker(decide.DefaultSettings()))
 	other.add("small-engines", "small@v1", handler)
 	targets := []struct{ name, url string }{{"direct", direct.URL}, {"hop", hop.URL}, {"proxied", f.url}, {"forwarded", out.url}}
 	for _, target := range targets {
--- a/entry/bound_test.go
+++ b/entry/bound_test.go
@@ -55,7 +55,7 @@
 	if len(seen.Zones) > 0 {
 		return decide.Choice{Zone: "b", Pool: pool}, nil
 	}
-	return decide.LeastLoaded{}.Pick(snapshot, request, pool, version, seen, excluded, random)
+	return decide.NewPicker(decide.DefaultSettings()).Pick(snapshot, request, pool, version, seen, excluded, random)
 }
 
 // TestClaimedRequestStays: once a booking is claimed here, a full pool makes it wait here, since the
@@ -164,5 +164,5 @@
 	if p.picks == 1 {
 		return decide.Choice{Zone: "b", Pool: pool, Version: version}, nil
 	}
-	return decide.LeastLoaded{}.Pick(snapshot, request, pool, version, seen, excluded, random)
+	return decide.NewPicker(decide.DefaultSettings()).Pick(snapshot, request, pool, version, seen, excluded, random)
 }
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -121,7 +121,7 @@
 	c.Cleanup(dispatcher.Close)
 	f.parts = entry.Parts{
 		Self: machine.Member{ID: machine.InstanceID("entry-" + zone), Zone: zone}, Source: f, Table: f.table,
-		Permits: freePermits{}, Picker: decide.LeastLoaded{}, Dispatcher: dispatcher, Claims: f.ledger, Bills: f.ledger,
+		Permits: freePermits{}, Picker: decide.NewPicker(decide.DefaultSettings()), Dispatcher: dispatcher, Claims: f.ledger, Bills: f.ledger,
 		Counters: f.counters, Log: slog.New(slog.DiscardHandler), MaxBodyBytes: 1 << 20,
 		Settings: entry.DefaultSettings(),
 	}
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -67,7 +67,7 @@
 // and answers, and one hop is the limit.
 func TestForwardedRequests(t *testing.T) {
 	c := qt.New(t)
-	a, b, _ := twoZones(c, decide.LeastLoaded{})
+	a, b, _ := twoZones(c, decide.NewPicker(decide.DefaultSettings()))
 	b.add("small-engines", "small@v1", engine("v1"))
 	b.add("booking", "", func(w http.ResponseWriter, r *http.Request) {
 		c.Check(r.Header.Get("Authorization"), qt.Equals, "")
@@ -134,7 +134,7 @@
 // not repeated: its key finds the outcome.
 func TestForwardingLinkLost(t *testing.T) {
 	c := qt.New(t)
-	a, b, cut := twoZones(c, decide.LeastLoaded{})
+	a, b, cut := twoZones(c, decide.NewPicker(decide.DefaultSettings()))
 	running, finish := make(chan string), make(chan struct{})
 	gets := 0
 	b.add("booking", "", func(w http.ResponseWriter, r *http.Request) {
--- a/machine/settings.go
+++ b/machine/settings.go
@@ -38,7 +38,8 @@
 	ReturnShare float64 `toml:"return_share"`
 	// QueueLength bounds the waiting requests of one pool. Default 256.
 	QueueLength int `toml:"queue_length"`
-	// QueueWaitMS bounds the time that a request waits, in milliseconds. Default 5,000.
+	// QueueWaitMS bounds one wait for a place in a pool, in milliseconds; [entry] queue_wait_ms bounds
+	// all waits of a request together. Default 5,000.
 	QueueWaitMS int `toml:"queue_wait_ms"`
 }
 
