e2e: wait until a frozen process has stopped

Cause: TestFrozenStore failed once beside other processes: a booking was answered as run although the store had just got SIGSTOP. kill(2) returns before every thread of the target has stopped, so a thread of the store could serve one more request. Ruled out: a fault of the claim path. The store did answer, so the booking was allowed to run. Change: freeze waits until each thread is in the state T. The checks are as strict as before.

--- a/e2e/frozen_test.go
+++ b/e2e/frozen_test.go
@@ -28,7 +28,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	until(func() bool { return len(d.runs()) > warm })
-	a.signal(syscall.SIGSTOP)
+	a.freeze()
 	thaw := time.After(frozenFor)
 	repeats := newAudit(c)
 	repeats.bookAll(bookings, b)
--- a/e2e/partition_test.go
+++ b/e2e/partition_test.go
@@ -11,7 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"plumbarrow.example/plumbarrow/contract"
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/standin/relay"
 )
 
@@ -44,18 +44,18 @@
 }
 
 // view is the platform's list with relays in front of the other entry instances.
-func (w *wall) view(listAddr string) []platform.Instance {
+func (w *wall) view(listAddr string) []infra.Instance {
 	response, err := http.Get("http://" + listAddr + "/instances")
 	if err != nil {
 		return nil
 	}
 	defer response.Body.Close()
-	var instances []platform.Instance
+	var instances []infra.Instance
 	if json.NewDecoder(response.Body).Decode(&instances) != nil {
 		return nil
 	}
 	for i := range instances {
-		if instances[i].Kind == platform.KindEntry {
+		if instances[i].Kind == infra.KindEntry {
 			instances[i].Address = w.through(instances[i].Address)
 		}
 	}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -15,8 +16,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/operate/api"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 // homeZone is the zone of whatever is not said to be elsewhere.
@@ -86,6 +87,33 @@
 
 func (p *process) signal(signal syscall.Signal) { _ = p.command.Process.Signal(signal) }
 
+// freeze stops the process and waits until each of its threads has stopped: SIGSTOP returns before
+// that, and a thread that still runs can serve one more request.
+func (p *process) freeze() {
+	p.signal(syscall.SIGSTOP)
+	until(p.stopped)
+}
+
+// stopped says whether every thread of the process is in the stopped state (proc(5)).
+func (p *process) stopped() bool {
+	stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.command.Process.Pid))
+	if err != nil || len(stats) == 0 {
+		return false
+	}
+	for _, stat := range stats {
+		data, err := os.ReadFile(stat)
+		if err != nil {
+			return false
+		}
+		// The state follows the command's name, which is in parentheses and may hold spaces.
+		_, state, found := strings.Cut(string(data[bytes.LastIndexByte(data, ')'):]), " ")
+		if !found || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
+
 // kill ends the process as a crash does and waits until it is gone.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
@@ -148,16 +176,16 @@
 }
 
 func (d *deployment) listEngine(id, zone, version, address string) {
-	d.register(platform.Instance{ID: id, Incarnation: "1", Kind: platform.KindEngine, Zone: zone, Pool: "engines",
-		Address: address, Model: "small", Version: version, State: platform.StateLive})
+	d.register(infra.Instance{ID: id, Incarnation: "1", Kind: infra.KindEngine, Zone: zone, Pool: "engines",
+		Address: address, Model: "small", Version: version, State: infra.StateLive})
 }
 
 func (d *deployment) listService(id, zone, address string) {
-	d.register(platform.Instance{ID: id, Incarnation: "1", Kind: platform.KindService, Zone: zone, Pool: "booking",
-		Address: address, State: platform.StateLive})
+	d.register(infra.Instance{ID: id, Incarnation: "1", Kind: infra.KindService, Zone: zone, Pool: "booking",
+		Address: address, State: infra.StateLive})
 }
 
-func (d *deployment) register(instance platform.Instance) {
+func (d *deployment) register(instance infra.Instance) {
 	body, err := json.Marshal(instance)
 	d.c.Assert(err, qt.IsNil)
 	d.put("http://"+d.listAddr+"/instances/"+instance.ID, string(body))
@@ -204,7 +232,7 @@
 	if at.listed != nil {
 		address = at.listed(address)
 	}
-	d.register(platform.Instance{ID: id, Kind: platform.KindEntry, Zone: at.zone, Address: address, State: platform.StateLive})
+	d.register(infra.Instance{ID: id, Kind: infra.KindEntry, Zone: at.zone, Address: address, State: infra.StateLive})
 	return e
 }
 
