--- a/cmd/plumbarrow/rollout.go
+++ b/cmd/plumbarrow/rollout.go
@@ -13,7 +13,7 @@
 	"github.com/google/uuid"
 
 	"plumbarrow.example/plumbarrow/contract"
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/rollout"
 )
 
@@ -47,7 +47,7 @@
 func (c *rolloutCommand) run() error {
 	ctx, cancel := context.WithTimeout(context.Background(), rolloutTimeout)
 	defer cancel()
-	records := rollout.NewRecords(platform.NewConsul(c.Store, nil))
+	records := rollout.NewRecords(infra.NewConsul(c.Store, nil))
 	switch {
 	case c.Start != nil:
 		return c.Start.run(ctx, records)
@@ -104,7 +104,7 @@
 
 // outcome words a write that may have taken effect.
 func outcome(err error) error {
-	if errors.Is(err, platform.ErrOutcomeUnknown) {
+	if errors.Is(err, infra.ErrOutcomeUnknown) {
 		return errors.New("unknown whether the store took the change; see rollout status before repeating it")
 	}
 	return err
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,13 +13,13 @@
 	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/decide"
 	"plumbarrow.example/plumbarrow/entry"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/ledger"
 	"plumbarrow.example/plumbarrow/limit"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/operate"
-	"plumbarrow.example/plumbarrow/platform"
 	"plumbarrow.example/plumbarrow/quality"
 	"plumbarrow.example/plumbarrow/replica"
 	"plumbarrow.example/plumbarrow/rollout"
@@ -36,7 +36,7 @@
 	counters  *telemetry.Counters
 
 	self       machine.Member
-	store      platform.Store
+	store      infra.Store
 	replica    *replica.Replica
 	membership *zone.Membership
 	exchange   *zone.Exchange
@@ -97,8 +97,8 @@
 
 // assembleFleet joins what the instance knows of the platform and of its peers.
 func (d *Daemon) assembleFleet() {
-	d.store = platform.NewConsul(d.settings.StoreAddress, d.counter("plumbarrow_store_calls_total"))
-	list := platform.NewHTTPList(d.settings.ListAddress, d.counter("plumbarrow_platform_calls_total"))
+	d.store = infra.NewConsul(d.settings.StoreAddress, d.counter("plumbarrow_store_calls_total"))
+	list := infra.NewHTTPList(d.settings.ListAddress, d.counter("plumbarrow_platform_calls_total"))
 	d.membership = zone.NewMembership(d.settings.Exchange, d.self, list, d.log)
 	d.exchange = zone.NewExchange(d.settings.Exchange, d.membership, d.dialer, d.counters, d.log)
 	d.replica = replica.New(d.store, d.log,
@@ -110,7 +110,7 @@
 	d.replica.OnChange(func(*contract.Snapshot) { d.exchange.Nudge() })
 	d.exchange.Add(d.replica)
 	d.exchange.Add(d.orders)
-	d.membership.OnList(func(instances []platform.Instance) {
+	d.membership.OnList(func(instances []infra.Instance) {
 		d.listed.set(instances)
 		d.applyList()
 	})
@@ -146,7 +146,7 @@
 	d.exchange.Add(d.loads)
 }
 
-func (d *Daemon) counter(name string) platform.CallCounter {
+func (d *Daemon) counter(name string) infra.CallCounter {
 	return func(operation string) { d.counters.Add(name, "op", operation) }
 }
 
@@ -185,9 +185,9 @@
 
 // assembleJudge asks the platform's rater; without one the judge decides by configured quality.
 func (d *Daemon) assembleJudge() {
-	var rater platform.Rater = noRater{}
+	var rater infra.Rater = noRater{}
 	if d.settings.RaterAddress != "" {
-		rater = platform.NewHTTPRater(d.settings.RaterAddress, d.counter("plumbarrow_platform_calls_total"))
+		rater = infra.NewHTTPRater(d.settings.RaterAddress, d.counter("plumbarrow_platform_calls_total"))
 	}
 	d.judge = quality.NewJudge(d.settings.Quality, d.inForce, rater, d.evidence, d.counters, d.log)
 }
--- a/daemon/norater.go
+++ b/daemon/norater.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 )
 
 var errNoRater = errors.New("no rater is configured")
@@ -12,9 +12,9 @@
 // noRater stands where the platform has no rating service.
 type noRater struct{}
 
-var _ platform.Rater = noRater{}
+var _ infra.Rater = noRater{}
 
-// Rate implements platform.Rater.
-func (noRater) Rate(context.Context, string, string, string) (platform.Rating, error) {
-	return platform.Rating{}, errNoRater
+// Rate implements infra.Rater.
+func (noRater) Rate(context.Context, string, string, string) (infra.Rating, error) {
+	return infra.Rating{}, errNoRater
 }
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -20,12 +20,12 @@
 	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/decide"
 	"plumbarrow.example/plumbarrow/entry"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/internal/openai"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/ledger"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 	"plumbarrow.example/plumbarrow/verdict"
 )
 
@@ -93,7 +93,7 @@
 	c         *qt.C
 	snapshot  atomic.Pointer[contract.Snapshot]
 	table     *machine.Table
-	instances []platform.Instance
+	instances []infra.Instance
 	ledger    *ledger.Memory
 	counters  *telemetry.Counters
 	zone      string
@@ -148,14 +148,14 @@
 func (f *fleet) add(pool, version string, handler http.HandlerFunc) {
 	server := httptest.NewServer(handler)
 	f.c.Cleanup(server.Close)
-	kind := platform.KindService
+	kind := infra.KindService
 	model, name, found := strings.Cut(version, "@")
 	if found {
-		kind = platform.KindEngine
+		kind = infra.KindEngine
 	}
-	f.instances = append(f.instances, platform.Instance{
+	f.instances = append(f.instances, infra.Instance{
 		ID: fmt.Sprintf("%s-%d", pool, len(f.instances)), Kind: kind, Zone: f.zone, Pool: pool,
-		Address: server.Listener.Addr().String(), Model: model, Version: name, State: platform.StateLive,
+		Address: server.Listener.Addr().String(), Model: model, Version: name, State: infra.StateLive,
 	})
 	f.table.Apply(f.zone, f.instances, f.Current())
 }
--- a/infra/consul_test.go
+++ b/infra/consul_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package infra_test
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/standin/kv"
 	"plumbarrow.example/plumbarrow/standin/rater"
 	"plumbarrow.example/plumbarrow/standin/weights"
@@ -32,21 +32,21 @@
 	for _, one := range []struct {
 		name    string
 		faults  kv.Faults
-		expect  platform.Version
+		expect  infra.Version
 		err     error
 		written bool
 	}{
 		{"none", kv.Faults{}, 1, nil, true},
-		{"another version", kv.Faults{}, 7, platform.ErrConflict, false},
-		{"down", kv.Faults{Down: true}, 1, platform.ErrUnavailable, false},
-		{"refused", kv.Faults{FailedWrites: 1}, 1, platform.ErrUnavailable, false},
-		{"dropped", kv.Faults{DroppedWrites: 1}, 1, platform.ErrOutcomeUnknown, false},
-		{"answer lost", kv.Faults{LostAnswers: 1}, 1, platform.ErrOutcomeUnknown, true},
+		{"another version", kv.Faults{}, 7, infra.ErrConflict, false},
+		{"down", kv.Faults{Down: true}, 1, infra.ErrUnavailable, false},
+		{"refused", kv.Faults{FailedWrites: 1}, 1, infra.ErrUnavailable, false},
+		{"dropped", kv.Faults{DroppedWrites: 1}, 1, infra.ErrOutcomeUnknown, false},
+		{"answer lost", kv.Faults{LostAnswers: 1}, 1, infra.ErrOutcomeUnknown, true},
 	} {
 		t.Run(one.name, func(t *testing.T) {
 			c := qt.New(t)
 			service := kv.New()
-			client := platform.NewConsul(overHTTP(t, service.Handler()), nil)
+			client := infra.NewConsul(overHTTP(t, service.Handler()), nil)
 			first, err := client.Swap(t.Context(), "a/key", 0, []byte("old"))
 			c.Assert(err, qt.IsNil)
 			service.Fail(one.faults)
@@ -73,16 +73,16 @@
 		write  error
 		read   error
 	}{
-		{"truncated", 200, `{"Results":[{"KV":{"Modi`, platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		{"empty", 200, ``, platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		{"no result", 200, `{"Results":[]}`, platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		{"too long", 200, `[` + strings.Repeat(" ", 3<<20) + `]`, platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		{"gateway error", 502, ``, platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		{"gateway timeout", 504, ``, platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		{"no leader", 500, `No cluster leader`, platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		{"rate limit", 429, ``, platform.ErrUnavailable, platform.ErrUnavailable},
-		{"too large", 413, ``, platform.ErrUnavailable, platform.ErrUnavailable},
-		{"redirect", 307, ``, platform.ErrOutcomeUnknown, platform.ErrUnavailable},
+		{"truncated", 200, `{"Results":[{"KV":{"Modi`, infra.ErrOutcomeUnknown, infra.ErrUnavailable},
+		{"empty", 200, ``, infra.ErrOutcomeUnknown, infra.ErrUnavailable},
+		{"no result", 200, `{"Results":[]}`, infra.ErrOutcomeUnknown, infra.ErrUnavailable},
+		{"too long", 200, `[` + strings.Repeat(" ", 3<<20) + `]`, infra.ErrOutcomeUnknown, infra.ErrUnavailable},
+		{"gateway error", 502, ``, infra.ErrOutcomeUnknown, infra.ErrUnavailable},
+		{"gateway timeout", 504, ``, infra.ErrOutcomeUnknown, infra.ErrUnavailable},
+		{"no leader", 500, `No cluster leader`, infra.ErrOutcomeUnknown, infra.ErrUnavailable},
+		{"rate limit", 429, ``, infra.ErrUnavailable, infra.ErrUnavailable},
+		{"too large", 413, ``, infra.ErrUnavailable, infra.ErrUnavailable},
+		{"redirect", 307, ``, infra.ErrOutcomeUnknown, infra.ErrUnavailable},
 	} {
 		t.Run(one.name, func(t *testing.T) {
 			var calls atomic.Int32
@@ -91,7 +91,7 @@
 				w.WriteHeader(one.status)
 				_, _ = w.Write([]byte(one.body))
 			})
-			client := platform.NewConsul(overHTTP(t, handler), nil)
+			client := infra.NewConsul(overHTTP(t, handler), nil)
 			_, err := client.Swap(t.Context(), "key", 0, []byte("v"))
 			qt.Assert(t, errors.Is(err, one.write), qt.IsTrue, qt.Commentf("%v", err))
 			_, err = client.Get(t.Context(), "key")
@@ -107,8 +107,8 @@
 	qt.Assert(t, err, qt.IsNil)
 	address := listener.Addr().String()
 	listener.Close()
-	_, err = platform.NewConsul(address, nil).Swap(t.Context(), "key", 0, nil)
-	qt.Assert(t, errors.Is(err, platform.ErrUnavailable), qt.IsTrue)
+	_, err = infra.NewConsul(address, nil).Swap(t.Context(), "key", 0, nil)
+	qt.Assert(t, errors.Is(err, infra.ErrUnavailable), qt.IsTrue)
 }
 
 // TestConsulSilentConnection: every open connection has gone silent for good while new ones work.
@@ -129,7 +129,7 @@
 		}
 		service.Handler().ServeHTTP(w, r)
 	})
-	client := platform.NewConsul(overHTTP(t, handler), nil)
+	client := infra.NewConsul(overHTTP(t, handler), nil)
 	t.Cleanup(func() { close(forever) })
 	done := make(chan error)
 	for range 3 { // three pooled connections
@@ -142,7 +142,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	_, err := client.Get(ctx, "key")
-	qt.Assert(t, errors.Is(err, platform.ErrUnavailable), qt.IsTrue)
+	qt.Assert(t, errors.Is(err, infra.ErrUnavailable), qt.IsTrue)
 	_, err = client.Get(t.Context(), "key")
 	qt.Assert(t, err, qt.IsNil)
 }
@@ -153,9 +153,9 @@
 func TestConsulWatch(t *testing.T) {
 	c := qt.New(t)
 	service := kv.New()
-	client := platform.NewConsul(overHTTP(t, service.Handler()), nil)
+	client := infra.NewConsul(overHTTP(t, service.Handler()), nil)
 	_, err := client.Watch(t.Context(), "key", 0, 20*time.Millisecond)
-	c.Assert(errors.Is(err, platform.ErrNotFound), qt.IsTrue)
+	c.Assert(errors.Is(err, infra.ErrNotFound), qt.IsTrue)
 	version := service.Put("key", []byte("v"))
 	entry, err := client.Watch(t.Context(), "key", 0, time.Minute)
 	c.Assert(err, qt.IsNil)
@@ -170,7 +170,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	_, err = client.Watch(ctx, "key", version, time.Millisecond)
-	c.Assert(errors.Is(err, platform.ErrUnavailable), qt.IsTrue)
+	c.Assert(errors.Is(err, infra.ErrUnavailable), qt.IsTrue)
 }
 
 // TestConsulWatchMissing: the published interface answers a query without an index at once, also
@@ -186,9 +186,9 @@
 		}
 		w.WriteHeader(http.StatusNotFound)
 	})
-	entry, err := platform.NewConsul(overHTTP(t, handler), nil).Watch(t.Context(), "key", 0, time.Minute)
+	entry, err := infra.NewConsul(overHTTP(t, handler), nil).Watch(t.Context(), "key", 0, time.Minute)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, entry.Version, qt.Equals, platform.Version(13))
+	qt.Assert(t, entry.Version, qt.Equals, infra.Version(13))
 	qt.Assert(t, calls.Load(), qt.Equals, int32(2))
 }
 
@@ -197,7 +197,7 @@
 func TestConsulLease(t *testing.T) {
 	c := qt.New(t)
 	var calls atomic.Int32
-	client := platform.NewConsul(overHTTP(t, kv.New().Handler()), func(string) { calls.Add(1) })
+	client := infra.NewConsul(overHTTP(t, kv.New().Handler()), func(string) { calls.Add(1) })
 	asked := time.Now()
 	first, err := client.Acquire(t.Context(), "lease", "one", 10*time.Second)
 	c.Assert(err, qt.IsNil)
@@ -205,7 +205,7 @@
 	c.Assert(first.Expires.Before(asked.Add(10*time.Second)), qt.IsFalse)
 	c.Assert(first.Expires.After(time.Now().Add(10*time.Second)), qt.IsFalse)
 	_, err = client.Acquire(t.Context(), "lease", "two", 10*time.Second)
-	c.Assert(errors.Is(err, platform.ErrLeaseLost), qt.IsTrue)
+	c.Assert(errors.Is(err, infra.ErrLeaseLost), qt.IsTrue)
 	renewed, err := client.Acquire(t.Context(), "lease", "one", 10*time.Second)
 	c.Assert(err, qt.IsNil)
 	c.Assert(renewed.Fence, qt.Equals, first.Fence)
@@ -215,26 +215,26 @@
 	c.Assert(second.Fence > first.Fence, qt.IsTrue)
 	c.Assert(client.Release(t.Context(), first), qt.IsNil) // a lease that is lost
 	_, err = client.Acquire(t.Context(), "lease", "one", 10*time.Second)
-	c.Assert(errors.Is(err, platform.ErrLeaseLost), qt.IsTrue)
+	c.Assert(errors.Is(err, infra.ErrLeaseLost), qt.IsTrue)
 }
 
 // TestRaterAndWeights checks the two small adapters against the stand-ins.
 func TestRaterAndWeights(t *testing.T) {
 	c := qt.New(t)
 	judge := rater.New()
-	client := platform.NewHTTPRater(overHTTP(t, judge.Handler()), nil)
+	client := infra.NewHTTPRater(overHTTP(t, judge.Handler()), nil)
 	_, err := client.Rate(t.Context(), "r1", "prompt", "answer")
 	c.Assert(err, qt.IsNil)
 	judge.Set(true, 0)
 	_, err = client.Rate(t.Context(), "r1", "prompt", "answer")
 	c.Assert(err, qt.ErrorMatches, "rate: status 503")
 
-	store := platform.NewHTTPWeights(overHTTP(t, weights.New(0.001, 1, 100).Handler()), nil)
+	store := infra.NewHTTPWeights(overHTTP(t, weights.New(0.001, 1, 100).Handler()), nil)
 	got, err := store.Weights(t.Context(), "m", "v1")
 	c.Assert(err, qt.IsNil)
 	c.Assert(got.Bytes, qt.Equals, int64(100))
 	_, err = store.Weights(t.Context(), "m", "v1")
-	var limited *platform.RateLimited
+	var limited *infra.RateLimited
 	c.Assert(errors.As(err, &limited), qt.IsTrue)
 	c.Assert(limited.RetryAfter, qt.Equals, time.Second)
 }
--- a/infra/httplist_test.go
+++ b/infra/httplist_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package infra_test
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/standin/instances"
 )
 
@@ -37,7 +37,7 @@
 		handler.ServeHTTP(countingWriter{w, &bytes}, r)
 	}))
 	defer server.Close()
-	reader := platform.NewHTTPList(server.Listener.Addr().String(), nil)
+	reader := infra.NewHTTPList(server.Listener.Addr().String(), nil)
 	const seconds = 600
 	for second := range seconds {
 		if second%60 == 0 {
@@ -52,7 +52,7 @@
 	c.Assert(bytes/seconds <= 2300, qt.IsTrue, qt.Commentf("%d bytes a second", bytes/seconds))
 }
 
-func instance(i int, incarnation string) platform.Instance {
-	return platform.Instance{ID: fmt.Sprintf("engine-%04d", i), Incarnation: incarnation, Kind: platform.KindEngine, Zone: fmt.Sprint("zone-", i%17),
-		Pool: "engines", Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250), Model: "small", Version: "2026-10", State: platform.StateLive}
+func instance(i int, incarnation string) infra.Instance {
+	return infra.Instance{ID: fmt.Sprintf("engine-%04d", i), Incarnation: incarnation, Kind: infra.KindEngine, Zone: fmt.Sprint("zone-", i%17),
+		Pool: "engines", Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250), Model: "small", Version: "2026-10", State: infra.StateLive}
 }
--- a/infra/httprater.go
+++ b/infra/httprater.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
--- a/infra/store.go
+++ b/infra/store.go
@@ -1,6 +1,6 @@
-// Package platform holds the narrow interfaces through which plumbarrow uses the platform's
+// Package infra holds the narrow interfaces through which plumbarrow uses the platform's
 // services (key-value store, instance list, rater, weight store) and the adapters behind them.
-package platform
+package infra
 
 import (
 	"context"
--- a/ledger/budget_document.go
+++ b/ledger/budget_document.go
@@ -10,8 +10,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/ledger/ledgerpb"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 const (
@@ -26,7 +26,7 @@
 	name := fmt.Sprintf("%s%s/%d", budgetsPrefix, key.customer, key.month)
 	own := b.nonces.next()
 	var failed error
-	var unsure platform.Version // a write that expected it had an unknown outcome
+	var unsure infra.Version // a write that expected it had an unknown outcome
 	for attempt := range drawAttempts {
 		time.Sleep(rand.N(time.Duration(attempt)*retryPause + 1))
 		document, version, err := b.read(ctx, name)
@@ -37,7 +37,7 @@
 			return done.Micros, nil
 		}
 		if unsure != 0 && unsure != version && len(document.Recent) == recentDraws {
-			return 0, platform.ErrOutcomeUnknown // it may have been pushed out of the recent ones
+			return 0, infra.ErrOutcomeUnknown // it may have been pushed out of the recent ones
 		}
 		micros := amount(document.Drawn)
 		if micros == 0 {
@@ -46,16 +46,16 @@
 		if failed = b.write(ctx, name, version, document, &ledgerpb.Draw{Nonce: own[:], Micros: micros}); failed == nil {
 			return micros, nil
 		}
-		if errors.Is(failed, platform.ErrOutcomeUnknown) {
+		if errors.Is(failed, infra.ErrOutcomeUnknown) {
 			unsure = version
 		}
 	}
 	return 0, failed
 }
 
-func (b *budgets) read(ctx context.Context, name string) (*ledgerpb.Budget, platform.Version, error) {
+func (b *budgets) read(ctx context.Context, name string) (*ledgerpb.Budget, infra.Version, error) {
 	entry, err := b.parts.Store.Get(ctx, name)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, infra.ErrNotFound) {
 		return nil, 0, err
 	}
 	document := &ledgerpb.Budget{}
@@ -65,7 +65,7 @@
 	return document, entry.Version, nil
 }
 
-func (b *budgets) write(ctx context.Context, name string, version platform.Version, document *ledgerpb.Budget, draw *ledgerpb.Draw) error {
+func (b *budgets) write(ctx context.Context, name string, version infra.Version, document *ledgerpb.Budget, draw *ledgerpb.Draw) error {
 	document.Drawn += draw.Micros
 	document.Recent = append(document.Recent, draw)
 	if extra := len(document.Recent) - recentDraws; extra > 0 {
--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -9,8 +9,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/ledger/ledgerpb"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 const (
@@ -57,7 +57,7 @@
 	next := s.nextHead(ctx, appended)
 	if err := s.swap(ctx, next.head, batch); err != nil {
 		s.loaded = false
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, infra.ErrConflict) {
 			s.remove(ctx, next.added)
 		}
 		return err
@@ -120,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	if len(value) > platform.MaxValueBytes {
+	if len(value) > infra.MaxValueBytes {
 		return errors.New("the shard's head is full")
 	}
 	version, err := s.journal.parts.Store.Swap(ctx, s.key, s.version, value)
@@ -129,9 +129,9 @@
 		s.version = version
 		s.journal.count("written")
 		return nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, infra.ErrConflict):
 		s.journal.count("conflict")
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, infra.ErrUnavailable):
 	default:
 		s.journal.count("read_back")
 		for _, op := range batch {
@@ -163,9 +163,9 @@
 func (s *shard) load(ctx context.Context) error {
 	entry, err := s.journal.parts.Store.Get(ctx, s.key)
 	switch {
-	case errors.Is(err, platform.ErrNotFound) && s.version == 0:
-		entry = platform.Entry{}
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, infra.ErrNotFound) && s.version == 0:
+		entry = infra.Entry{}
+	case errors.Is(err, infra.ErrNotFound):
 		return errShardVanished
 	case err != nil:
 		return err
--- a/ledger/fakes_test.go
+++ b/ledger/fakes_test.go
@@ -14,10 +14,10 @@
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/ledger/ledgerpb"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 	"plumbarrow.example/plumbarrow/standin/kv"
 )
 
@@ -213,50 +213,50 @@
 // storeView is the store as one node reaches it. Faults of writes: lost answer, dropped, taking
 // effect long after the answer, refused.
 type storeView struct {
-	platform.Store
+	infra.Store
 	node *node
 }
 
-func (n *node) storeView() platform.Store { return &storeView{Store: n.fleet.store, node: n} }
+func (n *node) storeView() infra.Store { return &storeView{Store: n.fleet.store, node: n} }
 
 func (v *storeView) cut() bool {
 	return v.node.is(func(n *node) bool { return n.dead || n.noStore })
 }
 
-// Get implements platform.Store.
-func (v *storeView) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements infra.Store.
+func (v *storeView) Get(ctx context.Context, key string) (infra.Entry, error) {
 	time.Sleep(time.Millisecond)
 	if v.cut() || v.node.fleet.draw(8) == 0 {
-		return platform.Entry{}, platform.ErrUnavailable
+		return infra.Entry{}, infra.ErrUnavailable
 	}
 	return v.Store.Get(ctx, key)
 }
 
-// Swap implements platform.Store.
-func (v *storeView) Swap(ctx context.Context, key string, expect platform.Version, value []byte) (platform.Version, error) {
+// Swap implements infra.Store.
+func (v *storeView) Swap(ctx context.Context, key string, expect infra.Version, value []byte) (infra.Version, error) {
 	time.Sleep(time.Millisecond)
 	if v.cut() {
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	}
 	v.node.fleet.tally(key, len(value))
 	switch v.node.fleet.draw(4) {
 	case 0:
 		_, _ = v.Store.Swap(ctx, key, expect, value)
-		return 0, platform.ErrOutcomeUnknown
+		return 0, infra.ErrOutcomeUnknown
 	case 1:
-		return 0, platform.ErrOutcomeUnknown
+		return 0, infra.ErrOutcomeUnknown
 	case 2:
 		go func() {
 			time.Sleep(v.node.fleet.late())
 			_, _ = v.Store.Swap(context.Background(), key, expect, value)
 		}()
-		return 0, platform.ErrOutcomeUnknown
+		return 0, infra.ErrOutcomeUnknown
 	case 3:
-		return 0, platform.ErrUnavailable
+		return 0, infra.ErrUnavailable
 	}
 	version, err := v.Store.Swap(ctx, key, expect, value)
 	if err == nil && v.cut() {
-		return 0, platform.ErrOutcomeUnknown
+		return 0, infra.ErrOutcomeUnknown
 	}
 	return version, err
 }
--- a/ledger/journal.go
+++ b/ledger/journal.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/ledger/ledgerpb"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 // errUnsettled means that it is not known whether a record is in force; errNotWritten means that
@@ -152,7 +152,7 @@
 
 	// The worker alone uses what follows.
 	loaded  bool
-	version platform.Version
+	version infra.Version
 	head    *ledgerpb.Head
 	index   *index
 	folded  map[uint64]struct{} // sealed segments that the index holds
@@ -182,7 +182,7 @@
 
 // maxBatchBytes bounds the records of one batch, so that a head never outgrows the store's values
 // however many outcomes have waited for the end of an outage.
-const maxBatchBytes = platform.MaxValueBytes / 4
+const maxBatchBytes = infra.MaxValueBytes / 4
 
 // take returns the next operations whose callers still wait, or ends the worker.
 func (s *shard) take() []*operation {
--- a/ledger/segment.go
+++ b/ledger/segment.go
@@ -8,8 +8,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/ledger/ledgerpb"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 const (
@@ -18,7 +18,7 @@
 	// names few of them and a new home reads few.
 	mergeFanIn = 8
 	// maxMergedBytes bounds a merged segment, well below the largest value of the store.
-	maxMergedBytes = platform.MaxValueBytes / 2
+	maxMergedBytes = infra.MaxValueBytes / 2
 )
 
 // nextHead is a head on its way to the store with the segments that it adds and drops.
@@ -192,7 +192,7 @@
 func (s *shard) remove(ctx context.Context, refs []*ledgerpb.SealedRef) {
 	for _, ref := range refs {
 		delete(s.folded, ref.Id)
-		if err := s.journal.parts.Store.Delete(ctx, s.segmentKey(ref.Id), platform.Version(ref.Version)); err != nil {
+		if err := s.journal.parts.Store.Delete(ctx, s.segmentKey(ref.Id), infra.Version(ref.Version)); err != nil {
 			s.journal.count("segment_left")
 		}
 	}
--- a/ledger/settings.go
+++ b/ledger/settings.go
@@ -6,10 +6,10 @@
 	"log/slog"
 	"time"
 
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 // Settings of the ledger. All entry instances should have the same values; the number of shards
@@ -65,7 +65,7 @@
 	}
 }
 
-const maxSealBytes = platform.MaxValueBytes / 4
+const maxSealBytes = infra.MaxValueBytes / 4
 
 // Validate returns an error that names the first field that is out of range.
 func (s Settings) Validate() error {
@@ -124,7 +124,7 @@
 
 // Parts are what the ledger works with.
 type Parts struct {
-	Store    platform.Store
+	Store    infra.Store
 	Members  machine.Members
 	Peers    link.Peers
 	Counters *telemetry.Counters
--- a/ledger/totals.go
+++ b/ledger/totals.go
@@ -8,8 +8,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/ledger/ledgerpb"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 // Total is the sum of a customer's bills of one month over all zones.
@@ -24,7 +24,7 @@
 
 // Totals reads the bills that the store holds, by customer and month. Bills of the last second or
 // so, or of a store outage, may still wait at the instances.
-func Totals(ctx context.Context, store platform.Store) ([]Total, error) {
+func Totals(ctx context.Context, store infra.Store) ([]Total, error) {
 	entries, err := store.List(ctx, billsPrefix)
 	if err != nil {
 		return nil, err
--- a/ledger/zone_bills.go
+++ b/ledger/zone_bills.go
@@ -9,8 +9,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/ledger/ledgerpb"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 const billsPrefix = "ledger/bills/"
@@ -18,13 +18,13 @@
 // zoneBills writes bills into the document of one zone. Totals and marks are in one value, so a
 // bill and its number take effect together, and writing it again changes nothing.
 type zoneBills struct {
-	store platform.Store
+	store infra.Store
 	key   string
 	age   time.Duration // after which an incarnation's mark is forgotten
 	count func(event string)
 
 	loaded  bool
-	version platform.Version
+	version infra.Version
 	totals  map[totalKey]*ledgerpb.Total
 	marks   map[string]*ledgerpb.Mark
 }
@@ -79,8 +79,8 @@
 		return nil
 	}
 	entry, err := z.store.Get(ctx, z.key)
-	if errors.Is(err, platform.ErrNotFound) && z.version == 0 {
-		entry = platform.Entry{}
+	if errors.Is(err, infra.ErrNotFound) && z.version == 0 {
+		entry = infra.Entry{}
 		err = nil
 	}
 	if err != nil {
@@ -179,9 +179,9 @@
 	case err == nil:
 		z.version = version
 		z.count("written")
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, infra.ErrConflict):
 		z.count("conflict")
-	case !errors.Is(err, platform.ErrUnavailable):
+	case !errors.Is(err, infra.ErrUnavailable):
 		z.count("read_back")
 	}
 	return err
--- a/machine/bench_test.go
+++ b/machine/bench_test.go
@@ -14,10 +14,10 @@
 	"storj.io/drpc/drpcmux"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 // alone is a membership of fixed instances.
@@ -41,10 +41,10 @@
 		Settings: settings, Table: table, Members: alone{members}, Conns: conns, Listed: func() int { return len(members) },
 		Freed: machine.NewQueue(settings).Freed, Nudge: func() {}, Counters: telemetry.New(), Log: slog.New(slog.DiscardHandler),
 	})
-	var rows []platform.Instance
+	var rows []infra.Instance
 	for i := range n {
 		id := fmt.Sprintf("endpoint-%d", i)
-		rows = append(rows, platform.Instance{ID: id, Kind: platform.KindService, Zone: "z", Pool: "p", Address: id, State: platform.StateLive})
+		rows = append(rows, infra.Instance{ID: id, Kind: infra.KindService, Zone: "z", Pool: "p", Address: id, State: infra.StateLive})
 	}
 	table.Apply("z", rows, snapshot)
 	time.Sleep(2 * time.Millisecond) // the handover time
--- a/machine/endpoint_test.go
+++ b/machine/endpoint_test.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 	"plumbarrow.example/plumbarrow/verdict"
 )
 
@@ -18,7 +18,7 @@
 	homes       int // instances that take themselves for the home
 	incarnation string
 	service     time.Duration
-	state       platform.State
+	state       infra.State
 
 	mu        sync.Mutex
 	down      bool
--- a/machine/fleet_test.go
+++ b/machine/fleet_test.go
@@ -18,10 +18,10 @@
 	"go.uber.org/goleak"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 	"plumbarrow.example/plumbarrow/standin/peers"
 )
 
@@ -116,7 +116,7 @@
 	f.ctx = ctx
 	t.Cleanup(func() { stop(); f.running.Wait() })
 	for i := range endpoints {
-		f.endpoints = append(f.endpoints, &endpoint{id: fmt.Sprintf("endpoint-%d", i), service: service, state: platform.StateLive, died: make(chan struct{})})
+		f.endpoints = append(f.endpoints, &endpoint{id: fmt.Sprintf("endpoint-%d", i), service: service, state: infra.StateLive, died: make(chan struct{})})
 	}
 	var members []machine.Member
 	for i := range nodes {
@@ -210,9 +210,9 @@
 
 // list gives all nodes the platform's present list.
 func (f *fleet) list() {
-	var rows []platform.Instance
+	var rows []infra.Instance
 	for _, e := range f.endpoints {
-		rows = append(rows, platform.Instance{ID: e.id, Incarnation: e.incarnation, Kind: platform.KindService, Zone: "z", Pool: "p", Address: e.id, State: e.state})
+		rows = append(rows, infra.Instance{ID: e.id, Incarnation: e.incarnation, Kind: infra.KindService, Zone: "z", Pool: "p", Address: e.id, State: e.state})
 	}
 	for _, n := range f.nodes {
 		n.table.Apply("z", rows, f.snapshot)
--- a/machine/permits_test.go
+++ b/machine/permits_test.go
@@ -7,8 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 // TestColdLimitHolds loads six instances before three cold endpoints far beyond what those bear.
@@ -178,7 +178,7 @@
 	const bound = 3 * time.Second
 	sources := map[string]func(f *fleet, e *endpoint){
 		"list": func(f *fleet, e *endpoint) {
-			e.state = platform.StateLeaving
+			e.state = infra.StateLeaving
 			f.list()
 		},
 		"own word": func(_ *fleet, e *endpoint) {
--- a/machine/table.go
+++ b/machine/table.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"plumbarrow.example/plumbarrow/contract"
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 )
 
 // rememberFor is how long an endpoint that vanished from the list keeps its state, so that a
@@ -65,7 +65,7 @@
 
 // Apply takes over the platform's list for the zone and the pools' limits; endpoints keep their
 // state. Call it with each list and each configuration.
-func (t *Table) Apply(zone string, instances []platform.Instance, snapshot *contract.Snapshot) {
+func (t *Table) Apply(zone string, instances []infra.Instance, snapshot *contract.Snapshot) {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -78,7 +78,7 @@
 	}
 	for _, instance := range instances {
 		pool := snapshot.Pools[instance.Pool]
-		if instance.Kind == platform.KindEntry || instance.Zone != zone || pool == nil {
+		if instance.Kind == infra.KindEntry || instance.Zone != zone || pool == nil {
 			continue
 		}
 		one := last.find(instance)
@@ -92,7 +92,7 @@
 }
 
 // find returns the known state of a listed incarnation, or a fresh one.
-func (x *index) find(instance platform.Instance) *tracked {
+func (x *index) find(instance infra.Instance) *tracked {
 	id := EndpointID(instance.ID)
 	if one := x.byID[id]; one != nil && one.endpoint.Incarnation == instance.Incarnation {
 		return one
--- a/machine/tracked.go
+++ b/machine/tracked.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"plumbarrow.example/plumbarrow/contract"
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 )
 
 // tracked is the state of one incarnation of an endpoint under its own lock.
@@ -65,7 +65,7 @@
 	return xxhash.Sum64String(string(id) + "\x00" + incarnation)
 }
 
-func newTracked(instance platform.Instance) *tracked {
+func newTracked(instance infra.Instance) *tracked {
 	id := EndpointID(instance.ID)
 	return &tracked{
 		key:      endpointKey(id, instance.Incarnation),
@@ -75,7 +75,7 @@
 }
 
 // update takes over a row of the platform's list.
-func (t *tracked) update(instance platform.Instance, pool *contract.Pool) {
+func (t *tracked) update(instance infra.Instance, pool *contract.Pool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.listed = true
@@ -84,7 +84,7 @@
 	t.endpoint.Zone = instance.Zone
 	t.endpoint.Address = instance.Address
 	t.endpoint.Version = contract.VersionID{Model: instance.Model, Name: instance.Version}
-	t.leaving = instance.State == platform.StateLeaving
+	t.leaving = instance.State == infra.StateLeaving
 	if limits := limitsOf(pool); limits != t.limits {
 		t.limits = limits
 		t.home.stale = true
--- a/operate/status.go
+++ b/operate/status.go
@@ -7,8 +7,8 @@
 
 	"github.com/labstack/echo/v4"
 
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/operate/api"
-	"plumbarrow.example/plumbarrow/platform"
 	"plumbarrow.example/plumbarrow/rollout"
 )
 
@@ -92,11 +92,11 @@
 
 func rolloutError(err error) error {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, infra.ErrNotFound):
 		return echo.NewHTTPError(http.StatusNotFound, err.Error())
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, infra.ErrOutcomeUnknown):
 		return echo.NewHTTPError(http.StatusGatewayTimeout, err.Error())
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, infra.ErrUnavailable):
 		return echo.NewHTTPError(http.StatusServiceUnavailable, err.Error())
 	}
 	return echo.NewHTTPError(http.StatusConflict, err.Error())
--- a/quality/judge.go
+++ b/quality/judge.go
@@ -10,8 +10,8 @@
 
 	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/decide"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 // Evidence takes in the scores of versions.
@@ -24,7 +24,7 @@
 type RaterJudge struct {
 	*Learner
 	settings Settings
-	rater    platform.Rater
+	rater    infra.Rater
 	evidence Evidence
 	counters *telemetry.Counters
 	log      *slog.Logger
@@ -47,7 +47,7 @@
 }
 
 // NewJudge returns a judge; it rates once Run is running. evidence may be nil.
-func NewJudge(settings Settings, source contract.Source, rater platform.Rater, evidence Evidence, counters *telemetry.Counters, log *slog.Logger) *RaterJudge {
+func NewJudge(settings Settings, source contract.Source, rater infra.Rater, evidence Evidence, counters *telemetry.Counters, log *slog.Logger) *RaterJudge {
 	return &RaterJudge{
 		Learner:  NewLearner(settings, source),
 		settings: settings,
--- a/quality/judge_test.go
+++ b/quality/judge_test.go
@@ -14,8 +14,8 @@
 
 	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/decide"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
-	"plumbarrow.example/plumbarrow/platform"
 	"plumbarrow.example/plumbarrow/quality"
 )
 
@@ -49,21 +49,21 @@
 	calls  atomic.Int64
 }
 
-func (r *rater) Rate(ctx context.Context, id, _, _ string) (platform.Rating, error) {
+func (r *rater) Rate(ctx context.Context, id, _, _ string) (infra.Rating, error) {
 	r.calls.Add(1)
 	if r.silent {
 		<-ctx.Done()
-		return platform.Rating{}, ctx.Err()
+		return infra.Rating{}, ctx.Err()
 	}
 	select {
 	case <-time.After(r.delay):
 	case <-ctx.Done():
-		return platform.Rating{}, ctx.Err()
+		return infra.Rating{}, ctx.Err()
 	}
 	if r.down.Load() {
-		return platform.Rating{}, errors.New("down")
+		return infra.Rating{}, errors.New("down")
 	}
-	return platform.Rating{RequestID: id, Score: 0.9}, nil
+	return infra.Rating{RequestID: id, Score: 0.9}, nil
 }
 
 // judged runs f with a judge over the rater in virtual time.
--- a/replay/format.go
+++ b/replay/format.go
@@ -13,7 +13,7 @@
 	"fmt"
 	"io"
 
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/verdict"
 )
 
@@ -144,7 +144,7 @@
 // Read reads a trace. Errors name the line.
 func Read(r io.Reader) (Header, []Line, error) {
 	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, 2*platform.MaxValueBytes)
+	scanner.Buffer(nil, 2*infra.MaxValueBytes)
 	var header Header
 	if !scanner.Scan() {
 		return header, nil, fmt.Errorf("line 1: no header")
--- a/replica/change.go
+++ b/replica/change.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"plumbarrow.example/plumbarrow/contract"
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 )
 
 // change is one attempt to get something accepted, over all its retries.
@@ -22,7 +22,7 @@
 
 	// pending is the version that the last swap with an unknown outcome expected. While the head
 	// still has it, that swap may yet take effect.
-	pending *platform.Version
+	pending *infra.Version
 }
 
 func (c *change) run(ctx context.Context) Result {
@@ -58,7 +58,7 @@
 	result := &Result{Outcome: Refused, Reason: ReasonUnavailable}
 	if c.pending != nil || errors.Is(last, errHistoryUnread) {
 		result.Outcome = Unknown
-	} else if errors.Is(last, platform.ErrConflict) {
+	} else if errors.Is(last, infra.ErrConflict) {
 		result.Reason = ReasonBusy
 	}
 	if last != nil {
@@ -123,9 +123,9 @@
 }
 
 // refuse makes sure that the change was not accepted earlier before it says so.
-func (c *change) refuse(ctx context.Context, head *Head, version platform.Version, result *Result) (*Result, error) {
+func (c *change) refuse(ctx context.Context, head *Head, version infra.Version, result *Result) (*Result, error) {
 	if c.pending != nil && *c.pending == version {
-		return nil, platform.ErrOutcomeUnknown
+		return nil, infra.ErrOutcomeUnknown
 	}
 	earlier, err := c.accepted(ctx, head)
 	if err != nil || earlier != nil {
@@ -198,7 +198,7 @@
 }
 
 // swap writes the parts, then the head.
-func (c *change) swap(ctx context.Context, head *Head, version platform.Version, next *Record, document []byte) (*Result, error) {
+func (c *change) swap(ctx context.Context, head *Head, version infra.Version, next *Record, document []byte) (*Result, error) {
 	store := c.proposer.store
 	next.Parts = head.parts(next.Digest)
 	if next.Parts == nil {
@@ -217,7 +217,7 @@
 		return refused(ReasonInvalid, "%v", err), nil
 	}
 	_, err = store.Swap(ctx, HeadKey, version, value)
-	if errors.Is(err, platform.ErrOutcomeUnknown) {
+	if errors.Is(err, infra.ErrOutcomeUnknown) {
 		c.pending = &version
 	}
 	if err != nil {
--- a/replica/fleet_test.go
+++ b/replica/fleet_test.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 	"plumbarrow.example/plumbarrow/standin/kv"
 )
 
@@ -236,20 +236,20 @@
 	node *node
 }
 
-func (s nodeStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s nodeStore) Get(ctx context.Context, key string) (infra.Entry, error) {
 	if s.node.isCut() {
-		return platform.Entry{}, platform.ErrUnavailable
+		return infra.Entry{}, infra.ErrUnavailable
 	}
 	return s.Store.Get(ctx, key)
 }
 
-func (s nodeStore) Watch(ctx context.Context, key string, after platform.Version, wait time.Duration) (platform.Entry, error) {
+func (s nodeStore) Watch(ctx context.Context, key string, after infra.Version, wait time.Duration) (infra.Entry, error) {
 	if s.node.isCut() {
-		return platform.Entry{}, platform.ErrUnavailable
+		return infra.Entry{}, infra.ErrUnavailable
 	}
 	if s.node.isSilent() {
 		<-ctx.Done()
-		return platform.Entry{}, ctx.Err()
+		return infra.Entry{}, ctx.Err()
 	}
 	return s.Store.Watch(ctx, key, after, wait)
 }
--- a/replica/head.go
+++ b/replica/head.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"plumbarrow.example/plumbarrow/contract"
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 )
 
 // Keys in the platform's store.
@@ -49,7 +49,7 @@
 	// Digest is the hex SHA-256 of the part and the end of its key.
 	Digest string `json:"digest"`
 	// Version of the part's key when it was written; it guards the deletion.
-	Version platform.Version `json:"version"`
+	Version infra.Version `json:"version"`
 }
 
 // Head is the value of HeadKey: the last changes, oldest first. The last one is in force.
@@ -119,9 +119,9 @@
 }
 
 // readHead returns the head and its version in the store; an empty one if there is none yet.
-func readHead(ctx context.Context, store platform.Store) (*Head, platform.Version, error) {
+func readHead(ctx context.Context, store infra.Store) (*Head, infra.Version, error) {
 	entry, err := store.Get(ctx, HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return &Head{}, 0, nil
 	}
 	if err != nil {
--- a/replica/history.go
+++ b/replica/history.go
@@ -8,7 +8,7 @@
 	"slices"
 
 	"plumbarrow.example/plumbarrow/contract"
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 )
 
 // historySlots bounds the history: each slot holds half a head's changes, and the slots are used
@@ -27,7 +27,7 @@
 
 // writeHistory stores changes that leave the head, over those of a day before. It is idempotent:
 // accepted changes don't change any more.
-func writeHistory(ctx context.Context, store platform.Store, records []Record) error {
+func writeHistory(ctx context.Context, store infra.Store, records []Record) error {
 	short := slices.Clone(records)
 	for i := range short {
 		short[i].Parts = nil
@@ -37,10 +37,10 @@
 		return fmt.Errorf("encode history: %w", err)
 	}
 	key := historyKey(records[0].Revision)
-	var expect platform.Version
+	var expect infra.Version
 	entry, err := store.Get(ctx, key)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, infra.ErrNotFound):
 	case err != nil:
 		return fmt.Errorf("read history: %w", err)
 	default:
@@ -57,7 +57,7 @@
 }
 
 // readHistory returns the changes that have left the head, in no order.
-func readHistory(ctx context.Context, store platform.Store) ([]Record, error) {
+func readHistory(ctx context.Context, store infra.Store) ([]Record, error) {
 	entries, err := store.List(ctx, historyPrefix)
 	if err != nil {
 		return nil, fmt.Errorf("read history: %w", err)
--- a/replica/parts.go
+++ b/replica/parts.go
@@ -11,7 +11,7 @@
 	"github.com/klauspost/compress/zstd"
 
 	"plumbarrow.example/plumbarrow/contract"
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 )
 
 const (
@@ -53,7 +53,7 @@
 }
 
 // writeParts stores a packed document. It is idempotent.
-func writeParts(ctx context.Context, store platform.Store, packed []byte) ([]Part, error) {
+func writeParts(ctx context.Context, store infra.Store, packed []byte) ([]Part, error) {
 	var parts []Part
 	for len(packed) > 0 {
 		n := min(len(packed), partBytes)
@@ -69,9 +69,9 @@
 
 // writePart stores one part. A part that exists already is written again: its new version keeps
 // whoever found it unreferenced from deleting it.
-func writePart(ctx context.Context, store platform.Store, data []byte) (Part, error) {
+func writePart(ctx context.Context, store infra.Store, data []byte) (Part, error) {
 	part := Part{Digest: digestOf(data)}
-	var expect platform.Version
+	var expect infra.Version
 	var last error
 	for range partAttempts {
 		version, err := store.Swap(ctx, partPrefix+part.Digest, expect, data)
@@ -82,11 +82,11 @@
 		last = err
 		entry, err := store.Get(ctx, partPrefix+part.Digest)
 		switch {
-		case errors.Is(err, platform.ErrNotFound):
+		case errors.Is(err, infra.ErrNotFound):
 			expect = 0
 		case err != nil:
 			return part, fmt.Errorf("write part: %w", err)
-		case errors.Is(last, platform.ErrOutcomeUnknown) && entry.Version != expect && bytes.Equal(entry.Value, data):
+		case errors.Is(last, infra.ErrOutcomeUnknown) && entry.Version != expect && bytes.Equal(entry.Value, data):
 			part.Version = entry.Version
 			return part, nil
 		default:
@@ -97,7 +97,7 @@
 }
 
 // readParts returns a packed document.
-func readParts(ctx context.Context, store platform.Store, parts []Part) ([]byte, error) {
+func readParts(ctx context.Context, store infra.Store, parts []Part) ([]byte, error) {
 	var packed []byte
 	for _, part := range parts {
 		entry, err := store.Get(ctx, partPrefix+part.Digest)
@@ -110,7 +110,7 @@
 }
 
 // readDocument returns the document of a change.
-func readDocument(ctx context.Context, store platform.Store, record *Record) ([]byte, error) {
+func readDocument(ctx context.Context, store infra.Store, record *Record) ([]byte, error) {
 	packed, err := readParts(ctx, store, record.Parts)
 	if err != nil {
 		return nil, err
@@ -120,7 +120,7 @@
 
 // dropParts deletes parts that no change in kept refers to. A part that was written again since
 // has another version and stays. Failures leave garbage, never a missing part.
-func dropParts(ctx context.Context, store platform.Store, dropped, kept []Record) {
+func dropParts(ctx context.Context, store infra.Store, dropped, kept []Record) {
 	used := make(map[string]bool)
 	for _, record := range kept {
 		for _, part := range record.Parts {
--- a/replica/proposer.go
+++ b/replica/proposer.go
@@ -12,8 +12,8 @@
 	"github.com/google/uuid"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 const (
@@ -49,7 +49,7 @@
 
 // Proposer writes the configuration. Safe for concurrent use, by any number of processes.
 type Proposer struct {
-	store    platform.Store
+	store    infra.Store
 	inForce  contract.Source
 	counters *telemetry.Counters
 	log      *slog.Logger
@@ -63,12 +63,12 @@
 
 // NewProposer returns a proposer. inForce guards against a store that has lost its head; it may be
 // nil.
-func NewProposer(store platform.Store, inForce contract.Source, counters *telemetry.Counters, log *slog.Logger) *Proposer {
+func NewProposer(store infra.Store, inForce contract.Source, counters *telemetry.Counters, log *slog.Logger) *Proposer {
 	return &Proposer{store: store, inForce: inForce, counters: counters, log: log, cached: make(map[string][]byte)}
 }
 
 // Propose replaces whatever document is in force, without a base revision.
-func Propose(ctx context.Context, store platform.Store, changeID string, document []byte) (contract.Revision, error) {
+func Propose(ctx context.Context, store infra.Store, changeID string, document []byte) (contract.Revision, error) {
 	proposer := NewProposer(store, nil, telemetry.New(), slog.New(slog.DiscardHandler))
 	result := proposer.Replace(ctx, changeID, "direct", document)
 	if result.Outcome == Accepted {
--- a/replica/proposer_test.go
+++ b/replica/proposer_test.go
@@ -11,7 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"plumbarrow.example/plumbarrow/contract"
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/standin/kv"
 )
 
@@ -33,8 +33,8 @@
 		{"writes dropped without an answer", kv.Faults{DroppedWrites: 5}, Accepted, 2},
 		{"writes refused", kv.Faults{FailedWrites: 5}, Accepted, 2},
 		{"store down", kv.Faults{Down: true}, Refused, 1},
-		{"head write dropped, then store down", kv.Faults{Hook: headSwap(platform.ErrOutcomeUnknown)}, Unknown, 1},
-		{"head write refused for good", kv.Faults{Hook: headSwap(platform.ErrUnavailable)}, Refused, 1},
+		{"head write dropped, then store down", kv.Faults{Hook: headSwap(infra.ErrOutcomeUnknown)}, Unknown, 1},
+		{"head write refused for good", kv.Faults{Hook: headSwap(infra.ErrUnavailable)}, Refused, 1},
 	} {
 		t.Run(one.name, func(t *testing.T) {
 			inBubble(t, func(c *qt.C, f *fleet) {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -17,10 +17,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 // inForce is the configuration in force with what peers need of it. It is immutable.
@@ -42,7 +42,7 @@
 
 // Replica is the configuration in force at one entry instance.
 type Replica struct {
-	store    platform.Store
+	store    infra.Store
 	log      *slog.Logger
 	settings Settings
 	counters *telemetry.Counters
@@ -85,7 +85,7 @@
 }
 
 // New returns a replica without configuration.
-func New(store platform.Store, log *slog.Logger, options ...Option) *Replica {
+func New(store infra.Store, log *slog.Logger, options ...Option) *Replica {
 	r := &Replica{
 		store:    store,
 		log:      log,
--- a/replica/sweep.go
+++ b/replica/sweep.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	rendezvous "github.com/dgryski/go-rendezvous"
 
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 )
 
 // sweepInterval is the time between two looks for parts that nothing refers to. A proposal takes
@@ -20,8 +20,8 @@
 // goes if two looks in a row find it unreferenced at the same version: whoever needs it again
 // writes it again, which gives it another version.
 type sweeper struct {
-	store platform.Store
-	found map[string]platform.Version // unreferenced at the last look
+	store infra.Store
+	found map[string]infra.Version // unreferenced at the last look
 }
 
 // sweepLoop sweeps while this instance is elected among all live ones.
@@ -71,7 +71,7 @@
 			used[part.Digest] = true
 		}
 	}
-	found := make(map[string]platform.Version)
+	found := make(map[string]infra.Version)
 	for _, entry := range entries {
 		switch before, seen := s.found[entry.Key]; {
 		case used[strings.TrimPrefix(entry.Key, partPrefix)]:
--- a/replica/watch.go
+++ b/replica/watch.go
@@ -10,8 +10,8 @@
 	rendezvous "github.com/dgryski/go-rendezvous"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 const (
@@ -98,7 +98,7 @@
 // watcher is the state of the elected instance's watch.
 type watcher struct {
 	replica *Replica
-	after   platform.Version
+	after   infra.Version
 	reread  time.Time // of the last read that was not a watch
 }
 
@@ -120,7 +120,7 @@
 	case silent:
 		r.counters.Inc("plumbarrow_configuration_watch_silent_total")
 		w.read(ctx, "silent_watch")
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, infra.ErrNotFound):
 		w.after = 0
 		r.noHead(asked)
 		if time.Since(asked.at) < retryWait {
@@ -148,19 +148,19 @@
 }
 
 // took moves the watch on; a head that could not be put into force is looked at again.
-func (w *watcher) took(err error, version platform.Version) {
+func (w *watcher) took(err error, version infra.Version) {
 	if err == nil {
 		w.after = version
 	}
 }
 
 // read reads the head once and handles it.
-func (r *Replica) read(ctx context.Context) (platform.Version, error) {
+func (r *Replica) read(ctx context.Context) (infra.Version, error) {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	asked := r.question()
 	entry, err := r.store.Get(readCtx, HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		r.noHead(asked)
 		return 0, nil
 	}
@@ -190,7 +190,7 @@
 
 // handle puts a head into force and notes that the store was heard. A store that was reset confirms
 // nothing.
-func (r *Replica) handle(ctx context.Context, entry platform.Entry, asked question) error {
+func (r *Replica) handle(ctx context.Context, entry infra.Entry, asked question) error {
 	trusted, err := r.apply(ctx, entry, asked)
 	if err != nil {
 		r.counters.Inc("plumbarrow_configuration_failed_total")
@@ -206,7 +206,7 @@
 }
 
 // apply puts a head into force. trusted is false for a head that contradicts what is in force.
-func (r *Replica) apply(ctx context.Context, entry platform.Entry, asked question) (trusted bool, err error) {
+func (r *Replica) apply(ctx context.Context, entry infra.Entry, asked question) (trusted bool, err error) {
 	head, err := DecodeHead(entry.Value)
 	if err != nil {
 		return false, err
--- a/rollout/driver.go
+++ b/rollout/driver.go
@@ -11,9 +11,9 @@
 	"golang.org/x/time/rate"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 const (
@@ -31,7 +31,7 @@
 // first live member of each zone tries for the lease, and only while a record is unfinished.
 type Driver struct {
 	settings Settings
-	store    platform.Store
+	store    infra.Store
 	records  *Records
 	evidence *Evidence
 	source   contract.Source
@@ -46,14 +46,14 @@
 
 // tenure is one unbroken hold of the lease.
 type tenure struct {
-	lease platform.Lease
+	lease infra.Lease
 	since time.Time
 	loads *rate.Limiter
 }
 
 // Parts are what a driver works with.
 type Parts struct {
-	Store    platform.Store
+	Store    infra.Store
 	Evidence *Evidence
 	// Source gives the accepted configuration, without local restrictions.
 	Source   contract.Source
@@ -152,7 +152,7 @@
 func (d *Driver) hold(ctx context.Context) (held bool, err error) {
 	owner := string(d.members.Self().Incarnation)
 	lease, err := d.store.Acquire(ctx, LeaseKey, owner, d.settings.lease())
-	if errors.Is(err, platform.ErrLeaseLost) {
+	if errors.Is(err, infra.ErrLeaseLost) {
 		d.tenure = tenure{}
 		return false, nil
 	}
--- a/rollout/driver_test.go
+++ b/rollout/driver_test.go
@@ -13,9 +13,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 	"plumbarrow.example/plumbarrow/rollout"
 	"plumbarrow.example/plumbarrow/standin/kv"
 )
@@ -217,5 +217,5 @@
 // crashing is a store whose leases are never given up early.
 type crashing struct{ *kv.Store }
 
-// Release implements platform.Store.
-func (crashing) Release(context.Context, platform.Lease) error { return nil }
+// Release implements infra.Store.
+func (crashing) Release(context.Context, infra.Lease) error { return nil }
--- a/rollout/httporders.go
+++ b/rollout/httporders.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 const (
@@ -24,14 +24,14 @@
 // fence seen, POST /orders gives an order. Safe for concurrent use.
 type HTTPOrders struct {
 	client *http.Client
-	listed func() []platform.Instance
+	listed func() []infra.Instance
 }
 
 var _ Orderer = (*HTTPOrders)(nil)
 
 // NewHTTPOrders returns an orderer for the engines of the platform's list; listed gives its last
 // copy.
-func NewHTTPOrders(listed func() []platform.Instance) *HTTPOrders {
+func NewHTTPOrders(listed func() []infra.Instance) *HTTPOrders {
 	return &HTTPOrders{client: &http.Client{Transport: &http.Transport{IdleConnTimeout: orderIdle}}, listed: listed}
 }
 
@@ -45,7 +45,7 @@
 func (o *HTTPOrders) Engines(pool string) []machine.Endpoint {
 	var engines []machine.Endpoint
 	for _, one := range o.listed() {
-		if one.Kind != platform.KindEngine || one.Pool != pool || one.State == platform.StateLeaving {
+		if one.Kind != infra.KindEngine || one.Pool != pool || one.State == infra.StateLeaving {
 			continue
 		}
 		engines = append(engines, machine.Endpoint{
--- a/rollout/httporders_test.go
+++ b/rollout/httporders_test.go
@@ -6,7 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/rollout"
 	"plumbarrow.example/plumbarrow/standin/engine"
 )
@@ -16,8 +16,8 @@
 	c := qt.New(t)
 	server := httptest.NewServer(engine.New(engine.Settings{Model: "small", Version: "v1", ChecksFence: true}).Handler())
 	defer server.Close()
-	orders := rollout.NewHTTPOrders(func() []platform.Instance {
-		return []platform.Instance{{ID: "e1", Kind: platform.KindEngine, Pool: "engines", Address: server.Listener.Addr().String(), Model: "small", Version: "v1"}}
+	orders := rollout.NewHTTPOrders(func() []infra.Instance {
+		return []infra.Instance{{ID: "e1", Kind: infra.KindEngine, Pool: "engines", Address: server.Listener.Addr().String(), Model: "small", Version: "v1"}}
 	})
 	engines := orders.Engines("engines")
 	c.Assert(engines, qt.HasLen, 1)
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 // RecordPrefix is where the store keeps the records of roll-outs.
@@ -86,15 +86,15 @@
 var ErrSuperseded = errors.New("roll-out taken over by another driver")
 
 // Records keeps roll-outs in the platform's store.
-type Records struct{ store platform.Store }
+type Records struct{ store infra.Store }
 
 // NewRecords returns the records of a store.
-func NewRecords(store platform.Store) *Records { return &Records{store} }
+func NewRecords(store infra.Store) *Records { return &Records{store} }
 
 // stored is a record with the store's version of it.
 type stored struct {
 	Record
-	version platform.Version
+	version infra.Version
 }
 
 // Start creates a record. A lost answer is resolved by reading back.
@@ -170,11 +170,11 @@
 		if err := change(&record.Record); err != nil {
 			return err
 		}
-		if err := r.write(ctx, record); !errors.Is(err, platform.ErrConflict) {
+		if err := r.write(ctx, record); !errors.Is(err, infra.ErrConflict) {
 			return err
 		}
 	}
-	return platform.ErrConflict
+	return infra.ErrConflict
 }
 
 // write swaps a record in; an unknown outcome is resolved by comparing what the store holds.
@@ -185,7 +185,7 @@
 	}
 	key := RecordPrefix + record.ID
 	_, err = r.store.Swap(ctx, key, record.version, value)
-	if !errors.Is(err, platform.ErrOutcomeUnknown) {
+	if !errors.Is(err, infra.ErrOutcomeUnknown) {
 		return err
 	}
 	entry, readErr := r.store.Get(ctx, key)
@@ -195,7 +195,7 @@
 	return err
 }
 
-func decode(entry platform.Entry) (stored, error) {
+func decode(entry infra.Entry) (stored, error) {
 	record := stored{version: entry.Version}
 	if err := json.Unmarshal(entry.Value, &record.Record); err != nil {
 		return record, fmt.Errorf("roll-out record %s: %w", entry.Key, err)
--- a/standin/fleet/bench_test.go
+++ b/standin/fleet/bench_test.go
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/replica"
 	"plumbarrow.example/plumbarrow/standin/engine"
 	"plumbarrow.example/plumbarrow/standin/fleet"
@@ -62,8 +62,8 @@
 	one, err := f.StartEngine("engine-0", "z0", "engines", engine.Settings{Model: "small", Version: "v1"})
 	qt.Assert(b, err, qt.IsNil)
 	for i := 1; i < engines; i++ { // all rows lead to one server
-		f.List.Set(platform.Instance{ID: fmt.Sprint("engine-", i), Incarnation: "1", Kind: platform.KindEngine, Zone: fmt.Sprint("z", i%zones),
-			Pool: "engines", Address: one.Instance.Address, Model: "small", Version: "v1", State: platform.StateLive})
+		f.List.Set(infra.Instance{ID: fmt.Sprint("engine-", i), Incarnation: "1", Kind: infra.KindEngine, Zone: fmt.Sprint("z", i%zones),
+			Pool: "engines", Address: one.Instance.Address, Model: "small", Version: "v1", State: infra.StateLive})
 	}
 	for z := range zones {
 		for i := range perZone {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -14,7 +14,7 @@
 	"github.com/google/uuid"
 
 	"plumbarrow.example/plumbarrow/daemon"
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/standin/engine"
 	"plumbarrow.example/plumbarrow/standin/instances"
 	"plumbarrow.example/plumbarrow/standin/kv"
@@ -47,14 +47,14 @@
 // Engine is a running stand-in engine.
 type Engine struct {
 	*engine.Engine
-	Instance platform.Instance
+	Instance infra.Instance
 	server   *server
 }
 
 // Service is a running stand-in service.
 type Service struct {
 	*service.Service
-	Instance platform.Instance
+	Instance infra.Instance
 	server   *server
 }
 
@@ -114,16 +114,16 @@
 	if err != nil {
 		return nil, err
 	}
-	*e = Engine{Engine: stand, server: server, Instance: platform.Instance{
+	*e = Engine{Engine: stand, server: server, Instance: infra.Instance{
 		ID:          id,
 		Incarnation: stand.Incarnation(),
-		Kind:        platform.KindEngine,
+		Kind:        infra.KindEngine,
 		Zone:        zone,
 		Pool:        pool,
 		Address:     server.address(),
 		Model:       settings.Model,
 		Version:     settings.Version,
-		State:       platform.StateLive,
+		State:       infra.StateLive,
 	}}
 	f.Engines[id] = e
 	f.List.Set(e.Instance)
@@ -137,14 +137,14 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Service{Service: stand, server: server, Instance: platform.Instance{
+	s := &Service{Service: stand, server: server, Instance: infra.Instance{
 		ID:          id,
 		Incarnation: uuid.NewString(),
-		Kind:        platform.KindService,
+		Kind:        infra.KindService,
 		Zone:        zone,
 		Pool:        pool,
 		Address:     server.address(),
-		State:       platform.StateLive,
+		State:       infra.StateLive,
 	}}
 	f.Services[id] = s
 	f.List.Set(s.Instance)
@@ -179,12 +179,12 @@
 	d := &Daemon{Settings: settings, stop: stop, done: make(chan error, 1)}
 	go func() { d.done <- instance.Run(ctx) }()
 	f.Daemons[id] = d
-	f.List.Set(platform.Instance{
+	f.List.Set(infra.Instance{
 		ID:      id,
-		Kind:    platform.KindEntry,
+		Kind:    infra.KindEntry,
 		Zone:    zone,
 		Address: settings.PeersAddress,
-		State:   platform.StateLive,
+		State:   infra.StateLive,
 	})
 	return d, nil
 }
--- a/standin/instances/list.go
+++ b/standin/instances/list.go
@@ -14,7 +14,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/labstack/echo/v4/middleware"
 
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 )
 
 // List is the stand-in. Changes become visible after the lag.
@@ -24,25 +24,25 @@
 	down    bool
 	changes []change
 	version int // counts the changes that readers see
-	now     []platform.Instance
+	now     []infra.Instance
 }
 
 type change struct {
 	at       time.Time
-	instance platform.Instance
+	instance infra.Instance
 	remove   bool
 }
 
-var _ platform.InstanceList = (*List)(nil)
+var _ infra.InstanceList = (*List)(nil)
 
 // New returns an empty list whose readers see changes after lag.
 func New(lag time.Duration) *List { return &List{lag: lag} }
 
 // Set adds or replaces an instance.
-func (l *List) Set(instance platform.Instance) { l.push(change{instance: instance}) }
+func (l *List) Set(instance infra.Instance) { l.push(change{instance: instance}) }
 
 // Remove drops an instance.
-func (l *List) Remove(id string) { l.push(change{instance: platform.Instance{ID: id}, remove: true}) }
+func (l *List) Remove(id string) { l.push(change{instance: infra.Instance{ID: id}, remove: true}) }
 
 // SetDown makes every read fail.
 func (l *List) SetDown(down bool) {
@@ -58,14 +58,14 @@
 	l.changes = append(l.changes, c)
 }
 
-// Instances implements platform.InstanceList.
-func (l *List) Instances(context.Context) ([]platform.Instance, error) {
+// Instances implements infra.InstanceList.
+func (l *List) Instances(context.Context) ([]infra.Instance, error) {
 	instances, _, err := l.read()
 	return instances, err
 }
 
 // read returns the list as readers see it now, with its entity tag.
-func (l *List) read() (instances []platform.Instance, tag string, err error) {
+func (l *List) read() (instances []infra.Instance, tag string, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
@@ -80,7 +80,7 @@
 
 func (l *List) apply(c change) {
 	l.version++
-	i := slices.IndexFunc(l.now, func(one platform.Instance) bool { return one.ID == c.instance.ID })
+	i := slices.IndexFunc(l.now, func(one infra.Instance) bool { return one.ID == c.instance.ID })
 	switch {
 	case c.remove && i >= 0:
 		l.now = slices.Delete(l.now, i, i+1)
@@ -119,7 +119,7 @@
 }
 
 func (l *List) put(c echo.Context) error {
-	var instance platform.Instance
+	var instance infra.Instance
 	if err := json.NewDecoder(c.Request().Body).Decode(&instance); err != nil {
 		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 	}
--- a/standin/kv/faults.go
+++ b/standin/kv/faults.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 )
 
 // Op is a kind of call.
@@ -64,7 +64,7 @@
 		}
 	}
 	if faults.Down {
-		return answerFault{}, platform.ErrUnavailable
+		return answerFault{}, infra.ErrUnavailable
 	}
 	if op == OpGet || op == OpList || op == OpWatch {
 		return answerFault{}, nil
@@ -78,10 +78,10 @@
 	switch {
 	case s.faults.FailedWrites > 0:
 		s.faults.FailedWrites--
-		return answerFault{}, platform.ErrUnavailable
+		return answerFault{}, infra.ErrUnavailable
 	case s.faults.DroppedWrites > 0:
 		s.faults.DroppedWrites--
-		return answerFault{}, platform.ErrOutcomeUnknown
+		return answerFault{}, infra.ErrOutcomeUnknown
 	case s.faults.LostAnswers > 0:
 		s.faults.LostAnswers--
 		return answerFault{lost: true}, nil
@@ -93,7 +93,7 @@
 	if op == OpGet || op == OpList || op == OpWatch {
 		return err
 	}
-	return platform.ErrUnavailable
+	return infra.ErrUnavailable
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
--- a/standin/kv/http.go
+++ b/standin/kv/http.go
@@ -10,7 +10,7 @@
 
 	"github.com/labstack/echo/v4"
 
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 )
 
 const (
@@ -77,7 +77,7 @@
 	}
 	if c.QueryParam("index") == "" {
 		entry, err := s.store.Get(c.Request().Context(), key)
-		return s.pairs(c, []platform.Entry{entry}, err)
+		return s.pairs(c, []infra.Entry{entry}, err)
 	}
 	after, err := strconv.ParseUint(c.QueryParam("index"), 10, 64)
 	if err != nil {
@@ -87,12 +87,12 @@
 	if err != nil {
 		wait = defaultWatchWait
 	}
-	entry, err := s.store.Watch(c.Request().Context(), key, platform.Version(after), wait)
-	return s.pairs(c, []platform.Entry{entry}, err)
+	entry, err := s.store.Watch(c.Request().Context(), key, infra.Version(after), wait)
+	return s.pairs(c, []infra.Entry{entry}, err)
 }
 
-func (s *server) pairs(c echo.Context, entries []platform.Entry, err error) error {
-	if errors.Is(err, platform.ErrNotFound) || (err == nil && len(entries) == 0) {
+func (s *server) pairs(c echo.Context, entries []infra.Entry, err error) error {
+	if errors.Is(err, infra.ErrNotFound) || (err == nil && len(entries) == 0) {
 		return c.NoContent(http.StatusNotFound)
 	}
 	if err != nil {
@@ -116,7 +116,7 @@
 		return echo.NewHTTPError(http.StatusBadRequest, "want one cas operation")
 	}
 	op := ops[0].KV
-	version, err := s.store.Swap(c.Request().Context(), op.Key, platform.Version(op.Index), op.Value)
+	version, err := s.store.Swap(c.Request().Context(), op.Key, infra.Version(op.Index), op.Value)
 	if err != nil {
 		return fail(c, err)
 	}
@@ -129,7 +129,7 @@
 	if err != nil {
 		return echo.NewHTTPError(http.StatusBadRequest, "want cas")
 	}
-	err = s.store.Delete(c.Request().Context(), c.Param("*"), platform.Version(expect))
+	err = s.store.Delete(c.Request().Context(), c.Param("*"), infra.Version(expect))
 	return boolean(c, err)
 }
 
@@ -138,7 +138,7 @@
 	ctx := c.Request().Context()
 	if id := c.QueryParam("release"); id != "" {
 		_, fence := s.store.lockOf(key)
-		return boolean(c, s.store.Release(ctx, platform.Lease{Key: key, Session: id, Fence: fence}))
+		return boolean(c, s.store.Release(ctx, infra.Lease{Key: key, Session: id, Fence: fence}))
 	}
 	id := c.QueryParam("acquire")
 	ttl, ok := s.sessions.remaining(id)
@@ -153,7 +153,7 @@
 }
 
 func boolean(c echo.Context, err error) error {
-	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrLeaseLost) {
+	if errors.Is(err, infra.ErrConflict) || errors.Is(err, infra.ErrLeaseLost) {
 		return c.JSON(http.StatusOK, false)
 	}
 	if err != nil {
@@ -165,9 +165,9 @@
 // fail answers an injected fault. A lost answer closes the connection without one.
 func fail(c echo.Context, err error) error {
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, infra.ErrConflict):
 		return c.String(http.StatusConflict, "index mismatch")
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, infra.ErrOutcomeUnknown):
 		panic(http.ErrAbortHandler)
 	default:
 		return c.String(http.StatusServiceUnavailable, err.Error())
--- a/standin/kv/sessions.go
+++ b/standin/kv/sessions.go
@@ -9,7 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 )
 
 type session struct {
@@ -95,7 +95,7 @@
 	defer s.mu.Unlock()
 	s.calls[OpAcquire]++
 	if s.faults.Down {
-		return platform.ErrUnavailable
+		return infra.ErrUnavailable
 	}
 	return nil
 }
--- a/standin/kv/store.go
+++ b/standin/kv/store.go
@@ -1,6 +1,6 @@
 // Package kv is a stand-in for the platform's key-value service: compare-and-swap, leases and
 // blocking watches in memory, with outages, slow spells and answers lost after the write. It serves
-// the subset of the Consul HTTP API that the platform package uses, and is itself a platform.Store.
+// the subset of the Consul HTTP API that the infra package uses, and is itself an infra.Store.
 package kv
 
 import (
@@ -11,12 +11,12 @@
 	"sync"
 	"time"
 
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 )
 
 type record struct {
 	value   []byte
-	version platform.Version
+	version infra.Version
 	owner   string
 	fence   uint64
 	expires time.Time
@@ -26,13 +26,13 @@
 type Store struct {
 	mu      sync.Mutex
 	records map[string]*record
-	last    platform.Version
+	last    infra.Version
 	changed chan struct{} // closed and replaced at each write
 	faults  Faults
 	calls   map[Op]int
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ infra.Store = (*Store)(nil)
 
 // New returns an empty store without faults.
 func New() *Store {
@@ -54,24 +54,24 @@
 	return calls
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements infra.Store.
+func (s *Store) Get(ctx context.Context, key string) (infra.Entry, error) {
 	if _, err := s.begin(ctx, OpGet, key); err != nil {
-		return platform.Entry{}, err
+		return infra.Entry{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.entry(key)
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+// List implements infra.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]infra.Entry, error) {
 	if _, err := s.begin(ctx, OpList, prefix); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var entries []platform.Entry
+	var entries []infra.Entry
 	for key := range s.records {
 		if strings.HasPrefix(key, prefix) {
 			entry, _ := s.entry(key)
@@ -82,20 +82,20 @@
 	return entries, nil
 }
 
-// Swap implements platform.Store.
-func (s *Store) Swap(ctx context.Context, key string, expect platform.Version, value []byte) (platform.Version, error) {
+// Swap implements infra.Store.
+func (s *Store) Swap(ctx context.Context, key string, expect infra.Version, value []byte) (infra.Version, error) {
 	answer, err := s.begin(ctx, OpSwap, key)
 	if err != nil {
 		return 0, err
 	}
-	if len(value) > platform.MaxValueBytes {
+	if len(value) > infra.MaxValueBytes {
 		return 0, errors.New("value too large")
 	}
 	s.mu.Lock()
 	rec := s.records[key]
 	if versionOf(rec) != expect {
 		s.mu.Unlock()
-		return 0, platform.ErrConflict
+		return 0, infra.ErrConflict
 	}
 	if rec == nil {
 		rec = &record{}
@@ -106,13 +106,13 @@
 	version := rec.version
 	s.mu.Unlock()
 	if answer.lost {
-		return 0, platform.ErrOutcomeUnknown
+		return 0, infra.ErrOutcomeUnknown
 	}
 	return version, nil
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(ctx context.Context, key string, expect platform.Version) error {
+// Delete implements infra.Store.
+func (s *Store) Delete(ctx context.Context, key string, expect infra.Version) error {
 	answer, err := s.begin(ctx, OpDelete, key)
 	if err != nil {
 		return err
@@ -120,22 +120,22 @@
 	s.mu.Lock()
 	if versionOf(s.records[key]) != expect {
 		s.mu.Unlock()
-		return platform.ErrConflict
+		return infra.ErrConflict
 	}
 	delete(s.records, key)
 	s.last++
 	s.broadcast()
 	s.mu.Unlock()
 	if answer.lost {
-		return platform.ErrOutcomeUnknown
+		return infra.ErrOutcomeUnknown
 	}
 	return nil
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, key string, after platform.Version, wait time.Duration) (platform.Entry, error) {
+// Watch implements infra.Store.
+func (s *Store) Watch(ctx context.Context, key string, after infra.Version, wait time.Duration) (infra.Entry, error) {
 	if _, err := s.begin(ctx, OpWatch, key); err != nil {
-		return platform.Entry{}, err
+		return infra.Entry{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -156,21 +156,21 @@
 		case <-timer.C:
 			if silent {
 				<-ctx.Done()
-				return platform.Entry{}, ctx.Err()
+				return infra.Entry{}, ctx.Err()
 			}
 			return entry, err
 		case <-ctx.Done():
-			return platform.Entry{}, ctx.Err()
+			return infra.Entry{}, ctx.Err()
 		}
 	}
 }
 
-// Acquire implements platform.Store.
-func (s *Store) Acquire(ctx context.Context, key, owner string, ttl time.Duration) (platform.Lease, error) {
+// Acquire implements infra.Store.
+func (s *Store) Acquire(ctx context.Context, key, owner string, ttl time.Duration) (infra.Lease, error) {
 	asked := time.Now()
 	answer, err := s.begin(ctx, OpAcquire, key)
 	if err != nil {
-		return platform.Lease{}, err
+		return infra.Lease{}, err
 	}
 	s.mu.Lock()
 	rec := s.records[key]
@@ -181,7 +181,7 @@
 	now := time.Now()
 	if rec.owner != "" && rec.owner != owner && now.Before(rec.expires) {
 		s.mu.Unlock()
-		return platform.Lease{}, platform.ErrLeaseLost
+		return infra.Lease{}, infra.ErrLeaseLost
 	}
 	if rec.owner != owner || !now.Before(rec.expires) {
 		rec.fence++
@@ -192,13 +192,13 @@
 	fence := rec.fence
 	s.mu.Unlock()
 	if answer.lost {
-		return platform.Lease{}, platform.ErrOutcomeUnknown
+		return infra.Lease{}, infra.ErrOutcomeUnknown
 	}
-	return platform.Lease{Key: key, Session: owner, Fence: fence, Expires: asked.Add(ttl)}, nil
+	return infra.Lease{Key: key, Session: owner, Fence: fence, Expires: asked.Add(ttl)}, nil
 }
 
-// Release implements platform.Store.
-func (s *Store) Release(ctx context.Context, lease platform.Lease) error {
+// Release implements infra.Store.
+func (s *Store) Release(ctx context.Context, lease infra.Lease) error {
 	if _, err := s.begin(ctx, OpRelease, lease.Key); err != nil {
 		return err
 	}
@@ -213,7 +213,7 @@
 }
 
 // Put writes a key unconditionally, past all faults; for setting a scene.
-func (s *Store) Put(key string, value []byte) platform.Version {
+func (s *Store) Put(key string, value []byte) infra.Version {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	rec := s.records[key]
@@ -227,13 +227,13 @@
 }
 
 // entry reads a key; s.mu is held.
-func (s *Store) entry(key string) (platform.Entry, error) {
+func (s *Store) entry(key string) (infra.Entry, error) {
 	rec := s.records[key]
 	if rec == nil {
-		return platform.Entry{Key: key}, platform.ErrNotFound
+		return infra.Entry{Key: key}, infra.ErrNotFound
 	}
 	value := append([]byte(nil), rec.value...)
-	return platform.Entry{Key: key, Value: value, Version: rec.version}, nil
+	return infra.Entry{Key: key, Value: value, Version: rec.version}, nil
 }
 
 // touch gives the record a new version and wakes the watches; s.mu is held.
@@ -248,7 +248,7 @@
 	s.changed = make(chan struct{})
 }
 
-func versionOf(rec *record) platform.Version {
+func versionOf(rec *record) infra.Version {
 	if rec == nil {
 		return 0
 	}
--- a/standin/rater/rater.go
+++ b/standin/rater/rater.go
@@ -11,7 +11,7 @@
 
 	"github.com/labstack/echo/v4"
 
-	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/infra"
 )
 
 // marker is where the stand-in engine writes its quality.
@@ -70,7 +70,7 @@
 		return c.String(http.StatusServiceUnavailable, "down")
 	}
 	time.Sleep(delay)
-	rating := platform.Rating{RequestID: asked.RequestID, Score: score(asked.Answer)}
+	rating := infra.Rating{RequestID: asked.RequestID, Score: score(asked.Answer)}
 	return c.JSON(http.StatusOK, rating)
 }
 
--- a/zone/bench_test.go
+++ b/zone/bench_test.go
@@ -8,8 +8,8 @@
 	"testing"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 	"plumbarrow.example/plumbarrow/standin/instances"
 	"plumbarrow.example/plumbarrow/zone"
 )
@@ -20,7 +20,7 @@
 	list := instances.New(0)
 	for i := range n {
 		id := fmt.Sprintf("entry-%d", i)
-		list.Set(platform.Instance{ID: id, Incarnation: "1", Kind: platform.KindEntry, Zone: fmt.Sprint(i % 17), Address: id, State: platform.StateLive})
+		list.Set(infra.Instance{ID: id, Incarnation: "1", Kind: infra.KindEntry, Zone: fmt.Sprint(i % 17), Address: id, State: infra.StateLive})
 	}
 	var before, after runtime.MemStats
 	runtime.GC()
--- a/zone/contacts.go
+++ b/zone/contacts.go
@@ -5,8 +5,8 @@
 	"strings"
 	"time"
 
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 	"plumbarrow.example/plumbarrow/zone/zonepb"
 )
 
@@ -68,7 +68,7 @@
 	var members []machine.Member
 	for id, contact := range m.contact {
 		listed, ok := m.listed[id]
-		if ok && listed.member.Zone == m.self.Zone && listed.state == platform.StateLive && !contact.failingSince.IsZero() && !contact.leaving {
+		if ok && listed.member.Zone == m.self.Zone && listed.state == infra.StateLive && !contact.failingSince.IsZero() && !contact.leaving {
 			members = append(members, m.current(id, listed.member))
 		}
 	}
@@ -85,7 +85,7 @@
 	members := slices.Clone(m.live)
 	for id, listed := range m.listed {
 		contact := m.contact[id]
-		if listed.state != platform.StateLive || contact == nil || contact.leaving || contact.failingSince.IsZero() {
+		if listed.state != infra.StateLive || contact == nil || contact.leaving || contact.failingSince.IsZero() {
 			continue
 		}
 		if !slices.ContainsFunc(m.live, func(one machine.Member) bool { return one.ID == id }) {
@@ -114,7 +114,7 @@
 			continue
 		}
 		listed, ok := m.listed[id]
-		if ok && listed.member.Address == contact.member.Address && contact.leaving == (listed.state == platform.StateLeaving) {
+		if ok && listed.member.Address == contact.member.Address && contact.leaving == (listed.state == infra.StateLeaving) {
 			continue
 		}
 		members = append(members, memberMessage(contact.member, contact.leaving, age))
--- a/zone/fake_test.go
+++ b/zone/fake_test.go
@@ -13,9 +13,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 	"plumbarrow.example/plumbarrow/standin/instances"
 	"plumbarrow.example/plumbarrow/standin/peers"
 	"plumbarrow.example/plumbarrow/zone"
@@ -70,7 +70,7 @@
 
 func (f *fleet) add(t *testing.T, zoneName, id string) *node {
 	n := f.assemble(t, zoneName, id, id, zone.DefaultSettings())
-	f.list.Set(platform.Instance{ID: id, Incarnation: "1", Kind: platform.KindEntry, Zone: zoneName, Address: id, State: platform.StateLive})
+	f.list.Set(infra.Instance{ID: id, Incarnation: "1", Kind: infra.KindEntry, Zone: zoneName, Address: id, State: infra.StateLive})
 	f.run(n)
 	return n
 }
--- a/zone/membership.go
+++ b/zone/membership.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 // Membership decides which entry instances are live from the platform's lagging list and from
@@ -19,7 +19,7 @@
 type Membership struct {
 	settings Settings
 	self     machine.Member
-	list     platform.InstanceList
+	list     infra.InstanceList
 	log      *slog.Logger
 
 	mu      sync.Mutex
@@ -28,13 +28,13 @@
 	contact map[machine.InstanceID]*contact
 	live    []machine.Member
 	builtAt time.Time // of live; zero after news
-	changed []func([]platform.Instance)
+	changed []func([]infra.Instance)
 }
 
 // listedMember is an entry instance in the platform's last list.
 type listedMember struct {
 	member machine.Member
-	state  platform.State
+	state  infra.State
 }
 
 // contact is what was heard of a member, from itself or through others.
@@ -52,7 +52,7 @@
 var _ machine.Members = (*Membership)(nil)
 
 // NewMembership returns a membership that knows only self.
-func NewMembership(settings Settings, self machine.Member, list platform.InstanceList, log *slog.Logger) *Membership {
+func NewMembership(settings Settings, self machine.Member, list infra.InstanceList, log *slog.Logger) *Membership {
 	return &Membership{
 		settings: settings,
 		self:     self,
@@ -84,7 +84,7 @@
 }
 
 // OnList registers a function that is called with each list read.
-func (m *Membership) OnList(f func([]platform.Instance)) {
+func (m *Membership) OnList(f func([]infra.Instance)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.changed = append(m.changed, f)
@@ -112,7 +112,7 @@
 	}
 	listed := make(map[machine.InstanceID]listedMember)
 	for _, instance := range instances {
-		if instance.Kind == platform.KindEntry {
+		if instance.Kind == infra.KindEntry {
 			listed[machine.InstanceID(instance.ID)] = listedMember{member: memberOf(instance), state: instance.State}
 		}
 	}
@@ -126,7 +126,7 @@
 	}
 }
 
-func memberOf(instance platform.Instance) machine.Member {
+func memberOf(instance infra.Instance) machine.Member {
 	return machine.Member{
 		ID:          machine.InstanceID(instance.ID),
 		Incarnation: machine.Incarnation(instance.Incarnation),
@@ -142,7 +142,7 @@
 	defer m.mu.Unlock()
 	n := 0
 	for _, one := range m.listed {
-		if one.member.Zone == m.self.Zone && one.state == platform.StateLive {
+		if one.member.Zone == m.self.Zone && one.state == infra.StateLive {
 			n++
 		}
 	}
@@ -185,7 +185,7 @@
 // listedLive says whether a listed member is live: the list does not show it leaving, and it
 // neither announced that it leaves nor failed to answer for too long.
 func (m *Membership) listedLive(id machine.InstanceID, listed listedMember, now time.Time) bool {
-	if listed.state != platform.StateLive {
+	if listed.state != infra.StateLive {
 		return false
 	}
 	contact := m.contact[id]
--- a/zone/orders_test.go
+++ b/zone/orders_test.go
@@ -12,8 +12,8 @@
 	"pgregory.net/rapid"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/machine"
-	"plumbarrow.example/plumbarrow/platform"
 	"plumbarrow.example/plumbarrow/zone"
 )
 
@@ -238,7 +238,7 @@
 		settings.ExchangeIntervalMS = 3_600_000
 		for i := range 7 {
 			id := fmt.Sprintf("entry-%d", i)
-			f.list.Set(platform.Instance{ID: id, Incarnation: "1", Kind: platform.KindEntry, Zone: "z0", Address: id, State: platform.StateLive})
+			f.list.Set(infra.Instance{ID: id, Incarnation: "1", Kind: infra.KindEntry, Zone: "z0", Address: id, State: infra.StateLive})
 			f.run(f.assemble(t, "z0", id, id, settings))
 		}
 		accept(t, document(t, "z0"), 7, f.nodes...)
--- a/zone/traffic_test.go
+++ b/zone/traffic_test.go
@@ -12,10 +12,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/machine/machinepb"
-	"plumbarrow.example/plumbarrow/platform"
 )
 
 // budget of one daemon for control, in bytes a second.
@@ -28,7 +28,7 @@
 )
 
 // withEndpoints gives a node permits over its zone's endpoints, all warm, and their topic.
-func withEndpoints(t *testing.T, f *fleet, n *node, rows []platform.Instance, snapshot *contract.Snapshot) *machine.StateTopic {
+func withEndpoints(t *testing.T, f *fleet, n *node, rows []infra.Instance, snapshot *contract.Snapshot) *machine.StateTopic {
 	table := machine.NewTable(machine.DefaultSettings(), n.self.ID)
 	permits := machine.NewPermits(machine.Parts{
 		Settings: machine.DefaultSettings(), Table: table, Members: n.membership, Conns: f.network.Node("unused"),
@@ -43,7 +43,7 @@
 }
 
 // told is a message with the states of some of the rows.
-func told(t *testing.T, rows []platform.Instance, change func(*machinepb.State)) []byte {
+func told(t *testing.T, rows []infra.Instance, change func(*machinepb.State)) []byte {
 	message := &machinepb.States{}
 	for _, row := range rows {
 		state := &machinepb.State{Endpoint: xxhash.Sum64String(row.ID + "\x00" + row.Incarnation), Progress: 32, Shared: true}
@@ -86,11 +86,11 @@
 	snapshot := f.nodes[0].source.Current()
 	withLoads(t, f, 50)
 	topics := make(map[*node]*machine.StateTopic)
-	rows := make(map[string][]platform.Instance)
+	rows := make(map[string][]infra.Instance)
 	for _, name := range names {
 		for i := range endpoints {
 			pool := fmt.Sprintf("pool-%d", i%pools)
-			rows[name] = append(rows[name], platform.Instance{ID: fmt.Sprintf("%s-engine-%d", name, i), Incarnation: "1", Kind: platform.KindEngine, Zone: name, Pool: pool, State: platform.StateLive})
+			rows[name] = append(rows[name], infra.Instance{ID: fmt.Sprintf("%s-engine-%d", name, i), Incarnation: "1", Kind: infra.KindEngine, Zone: name, Pool: pool, State: infra.StateLive})
 		}
 	}
 	for _, n := range f.nodes {
