Serve the users' platform: gateway, catalog, upstream, mirror, canary

Cause: plumbarrow did not run on the users' platform at all. Documents of the store are followed by a watch and, without the store, read from peers by revision. Ruled out: net/http's transport towards endpoints. It replays by itself, knows nothing of the time for which an endpoint keeps a connection, and cannot skip an answer to an earlier request. Open: entry keeps its own flow; tests of the new packages follow.

--- /dev/null
+++ b/canary/canary.go
@@ -0,0 +1,193 @@
+// Package canary brings new versions of services in. The share of requests that a new version gets
+// grows in stages, which the driver writes to the store and every instance follows; evidence that it
+// is worse than the old one takes it out at once.
+package canary
+
+import (
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"plumbarrow.example/plumbarrow/internal/telemetry"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/mirror"
+)
+
+// StagePrefix is where the stages of roll-outs are kept, by service.
+const StagePrefix = "plumbarrow/rollout/"
+
+// Order is the operators' order to bring a version in.
+type Order struct {
+	Service  string
+	Target   string // the new version
+	Duration time.Duration
+	// Revision is the store's revision of the order. It tells orders apart.
+	Revision uint64
+}
+
+// State of a roll-out.
+type State string
+
+// States of roll-outs.
+const (
+	Running   State = "running"
+	Completed State = "completed"
+	Reverted  State = "reverted"
+)
+
+// Stage is how far a roll-out has come.
+type Stage struct {
+	Order uint64 `json:"order"` // revision of the order
+	State State  `json:"state"`
+	// Share of the requests that the new version gets, 0 to 1. It only grows.
+	Share float64 `json:"share"`
+	// ElapsedMS is the roll-out's age in milliseconds when the stage was written.
+	ElapsedMS int64 `json:"elapsed_ms"`
+}
+
+// rollout is one roll-out as this instance sees it.
+type rollout struct {
+	order    Order
+	seenAt   time.Time
+	stage    Stage
+	stageAt  time.Time // when this instance saw the stage
+	revision uint64    // of the stage's document
+	own      tally
+	peers    map[machine.InstanceID]tally
+	oldFirst average // time to the first byte at the old version, in seconds
+	distrust bool    // the evidence says that the version is bad
+	sessions sessions
+}
+
+// Rollouts holds the roll-outs of all services. Safe for concurrent use.
+type Rollouts struct {
+	counters *telemetry.Counters
+	log      *slog.Logger
+	session  time.Duration
+
+	mu        sync.Mutex
+	byService map[string]*rollout // by service
+	stages    map[string]staged   // by service, also without an order yet
+}
+
+type staged struct {
+	stage    Stage
+	revision uint64
+	at       time.Time
+}
+
+// New returns no roll-outs. session is the longest pause between requests of one session.
+func New(session time.Duration, counters *telemetry.Counters, log *slog.Logger) *Rollouts {
+	return &Rollouts{
+		counters: counters, log: log, session: session,
+		byService: make(map[string]*rollout), stages: make(map[string]staged),
+	}
+}
+
+// Apply takes over the newest order of a service.
+func (r *Rollouts) Apply(order Order) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.byService[order.Service]
+	if known != nil && known.order.Revision >= order.Revision {
+		return
+	}
+	one := &rollout{order: order, seenAt: time.Now(), peers: make(map[machine.InstanceID]tally), sessions: newSessions()}
+	if known != nil {
+		one.sessions = known.sessions
+	}
+	r.byService[order.Service] = one
+	r.adopt(one)
+	r.log.Info("roll-out ordered", "service", order.Service, "target", order.Target, "duration_ms", order.Duration.Milliseconds(), "order", order.Revision)
+}
+
+// Withdraw takes back the order of a service.
+func (r *Rollouts) Withdraw(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.byService, service)
+}
+
+// ApplyStage takes over a stage's document.
+func (r *Rollouts) ApplyStage(document mirror.Document) {
+	service := strings.TrimPrefix(document.Key, StagePrefix)
+	var stage Stage
+	if document.Deleted {
+		return
+	}
+	if err := json.Unmarshal(document.Value, &stage); err != nil {
+		r.log.Warn("stage not decoded", "key", document.Key, "error", err)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stages[service] = staged{stage: stage, revision: document.Revision, at: time.Now()}
+	if one := r.byService[service]; one != nil {
+		r.adopt(one)
+	}
+}
+
+// adopt gives a roll-out the stage that belongs to its order. The caller holds the lock.
+func (r *Rollouts) adopt(one *rollout) {
+	found := r.stages[one.order.Service]
+	one.revision = found.revision
+	if found.stage.Order != one.order.Revision || found.stage == one.stage {
+		return
+	}
+	one.stage, one.stageAt = found.stage, found.at
+	r.log.Info("roll-out stage", "service", one.order.Service, "target", one.order.Target, "state", string(one.stage.State),
+		"share", one.stage.Share, "revision", found.revision)
+}
+
+// elapsed is the roll-out's age.
+func (one *rollout) elapsed(now time.Time) time.Duration {
+	if one.stage.Order == 0 {
+		return now.Sub(one.seenAt)
+	}
+	return time.Duration(one.stage.ElapsedMS)*time.Millisecond + now.Sub(one.stageAt)
+}
+
+// Choose returns the version that a request has to use and the one that it must not; either may be
+// empty. Requests of one session get the same answer at every instance.
+func (r *Rollouts) Choose(service, session, request string) (only, without string) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	one := r.byService[service]
+	if one == nil {
+		return "", ""
+	}
+	switch {
+	case one.stage.State == Completed:
+		return one.order.Target, ""
+	case one.stage.State == Reverted || one.distrust || one.stage.Share == 0:
+		one.sessions.keepOld(session, now)
+		return "", one.order.Target
+	}
+	key := session
+	if key == "" {
+		key = request
+	}
+	early := one.elapsed(now) < one.order.Duration/2
+	if share(one.order.Revision, key) >= one.stage.Share || early && one.sessions.onOld(session, now, r.session) {
+		one.sessions.keepOld(session, now)
+		return "", one.order.Target
+	}
+	return one.order.Target, ""
+}
+
+// share maps a session to [0, 1), differently for each roll-out.
+func share(order uint64, key string) float64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(key)
+	var bytes [8]byte
+	for i := range bytes {
+		bytes[i] = byte(order >> (8 * i))
+	}
+	_, _ = digest.Write(bytes[:])
+	return float64(digest.Sum64()>>11) / (1 << 53)
+}
--- /dev/null
+++ b/canary/evidence.go
@@ -0,0 +1,160 @@
+package canary
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"plumbarrow.example/plumbarrow/canary/canarypb"
+	"plumbarrow.example/plumbarrow/link"
+	"plumbarrow.example/plumbarrow/machine"
+)
+
+const (
+	// minFailures is the number of failures of a new version below which nothing is concluded. It
+	// is a fraction of the number after which the platform wants the version out of service.
+	minFailures = 8
+	// failureFactor and failureMargin say how much more often than the old version a bad one fails.
+	failureFactor = 2
+	failureMargin = 0.1
+	// slowFactor and slowMin say when an answer of the new version counts as a failure: when its
+	// first byte takes so many times the old version's mean, and at least that long.
+	slowFactor = 4
+	slowMin    = 800 * time.Millisecond
+	// averageWeight is the weight of the newest value in the mean time to the first byte.
+	averageWeight = 0.05
+)
+
+// tally counts answers by version since the roll-out's start.
+type tally struct {
+	newAnswers, newFailures uint32
+	oldAnswers, oldFailures uint32
+}
+
+func (t tally) plus(o tally) tally {
+	return tally{
+		newAnswers: t.newAnswers + o.newAnswers, newFailures: t.newFailures + o.newFailures,
+		oldAnswers: t.oldAnswers + o.oldAnswers, oldFailures: t.oldFailures + o.oldFailures,
+	}
+}
+
+// bad says whether the new version fails clearly more often than the old one.
+func (t tally) bad() bool {
+	if t.newFailures < minFailures {
+		return false
+	}
+	before := float64(t.oldFailures) / float64(max(t.oldAnswers, 1))
+	return float64(t.newFailures)/float64(t.newAnswers) > failureFactor*before+failureMargin
+}
+
+// average is an exponentially weighted mean.
+type average struct {
+	value float64
+	set   bool
+}
+
+func (a *average) add(value float64) {
+	if !a.set {
+		a.value, a.set = value, true
+		return
+	}
+	a.value += averageWeight * (value - a.value)
+}
+
+// Observe takes the outcome of an attempt at a version of a service.
+func (r *Rollouts) Observe(service, version string, failed bool, firstByte time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	one := r.byService[service]
+	if one == nil || one.stage.State == Completed || one.stage.State == Reverted {
+		return
+	}
+	if version != one.order.Target {
+		one.own.oldAnswers++
+		if failed {
+			one.own.oldFailures++
+			return
+		}
+		one.oldFirst.add(firstByte.Seconds())
+		return
+	}
+	slow := one.oldFirst.set && firstByte > slowMin && firstByte.Seconds() > slowFactor*one.oldFirst.value
+	one.own.newAnswers++
+	if failed || slow {
+		one.own.newFailures++
+	}
+	r.judge(one)
+}
+
+// judge stops a version that the evidence of all instances is against. The caller holds the lock.
+func (r *Rollouts) judge(one *rollout) {
+	sum := one.sum()
+	if one.distrust || !sum.bad() {
+		return
+	}
+	one.distrust = true
+	r.counters.Inc("plumbarrow_rollout_distrusted_total")
+	r.log.Warn("new version distrusted", "service", one.order.Service, "target", one.order.Target, "new_answers", sum.newAnswers,
+		"new_failures", sum.newFailures, "old_answers", sum.oldAnswers, "old_failures", sum.oldFailures)
+}
+
+func (one *rollout) sum() tally {
+	sum := one.own
+	for _, peer := range one.peers {
+		sum = sum.plus(peer)
+	}
+	return sum
+}
+
+var _ link.Topic = (*Rollouts)(nil)
+
+// Name implements link.Topic.
+func (r *Rollouts) Name() string { return "version tallies" }
+
+// Message implements link.Topic.
+func (r *Rollouts) Message(machine.Member) []byte {
+	message := &canarypb.Tallies{}
+	r.mu.Lock()
+	for service, one := range r.byService {
+		if one.own == (tally{}) {
+			continue
+		}
+		message.Tallies = append(message.Tallies, &canarypb.Tally{
+			Service: service, Order: one.order.Revision,
+			NewAnswers: one.own.newAnswers, NewFailures: one.own.newFailures,
+			OldAnswers: one.own.oldAnswers, OldFailures: one.own.oldFailures,
+		})
+	}
+	r.mu.Unlock()
+	if len(message.Tallies) == 0 {
+		return nil
+	}
+	data, err := proto.Marshal(message)
+	if err != nil {
+		r.log.Error("tallies not encoded", "error", err)
+		return nil
+	}
+	return data
+}
+
+// Receive implements link.Topic.
+func (r *Rollouts) Receive(from machine.Member, data []byte) {
+	message := &canarypb.Tallies{}
+	if err := proto.Unmarshal(data, message); err != nil {
+		r.log.Warn("tallies not decoded", "peer", from.ID, "error", err)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, told := range message.GetTallies() {
+		one := r.byService[told.GetService()]
+		if one == nil || one.order.Revision != told.GetOrder() {
+			continue
+		}
+		one.peers[from.ID] = tally{
+			newAnswers: told.GetNewAnswers(), newFailures: told.GetNewFailures(),
+			oldAnswers: told.GetOldAnswers(), oldFailures: told.GetOldFailures(),
+		}
+		r.judge(one)
+	}
+}
--- /dev/null
+++ b/cmd/plumbarrowd/gateway.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/oklog/run"
+
+	"plumbarrow.example/plumbarrow/daemon"
+	"plumbarrow.example/plumbarrow/internal/boundedlog"
+)
+
+// serveGateway runs a gateway instance until it is told to stop.
+func serveGateway(file string) error {
+	settings, err := daemon.LoadGatewaySettings(file)
+	if err != nil {
+		return err
+	}
+	lines := boundedlog.New()
+	log := settings.Logger(lines)
+	logging, stopLogging := context.WithCancel(context.Background())
+	written := make(chan error, 1)
+	go func() { written <- lines.Run(logging, os.Stdout) }()
+	err = runGateway(settings, file, log)
+	if err != nil {
+		log.Error("stopped", "error", err)
+	}
+	stopLogging()
+	return errors.Join(err, <-written)
+}
+
+func runGateway(settings daemon.GatewaySettings, file string, log *slog.Logger) error {
+	instance, err := daemon.NewGateway(settings, log)
+	if err != nil {
+		return err
+	}
+	log.Info("start", "zone", settings.Zone, "region", settings.Region, "callers", settings.CallersAddress,
+		"peers", settings.PeersAddress, "store", settings.StoreAddress, "memory_mb", settings.MemoryMB)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group run.Group
+	group.Add(func() error { return instance.Run(ctx) }, func(error) { cancel() })
+	group.Add(run.SignalHandler(ctx, syscall.SIGINT, syscall.SIGTERM))
+	group.Add(func() error { return reload(ctx, instance, file, log) }, func(error) { cancel() })
+	if err := group.Run(); !errors.Is(err, run.ErrSignal) {
+		return err
+	}
+	return nil
+}
+
+// reload reads the settings file again at each SIGHUP.
+func reload(ctx context.Context, instance *daemon.Gateway, file string, log *slog.Logger) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-signals:
+			settings, err := daemon.LoadGatewaySettings(file)
+			if err != nil {
+				log.Error("settings not read again; the old ones stay", "error", err)
+				continue
+			}
+			instance.Reload(settings)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- a/cmd/plumbarrowd/main.go
+++ b/cmd/plumbarrowd/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"os"
 	"syscall"
@@ -16,6 +17,7 @@
 )
 
 type arguments struct {
+	Gateway  bool   `arg:"--gateway" help:"serve as a gateway on a hosting platform that brings its own store and discovery"`
 	Settings string `arg:"positional,required" help:"settings file (TOML)"`
 }
 
@@ -27,6 +29,13 @@
 func main() {
 	var args arguments
 	arg.MustParse(&args)
+	if args.Gateway {
+		if err := serveGateway(args.Settings); err != nil {
+			fmt.Fprintln(os.Stderr, "plumbarrowd:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
 	if err := serve(args, log); err != nil {
 		log.Error("stopped", "error", eris.ToString(err, false), "trace", eris.ToJSON(err, true))
--- /dev/null
+++ b/daemon/gatewaysettings.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+
+	"plumbarrow.example/plumbarrow/internal/tomlfile"
+	"plumbarrow.example/plumbarrow/zone"
+)
+
+// GatewaySettings of one gateway instance. They name what it needs to start; what it serves is in the
+// platform's store.
+type GatewaySettings struct {
+	// Instance is the id of this entry instance. Required.
+	Instance string `toml:"instance"`
+	// Zone is the data centre that it runs in. Required.
+	Zone string `toml:"zone"`
+	// Region groups the zones whose instances exchange state directly. Required.
+	Region string `toml:"region"`
+	// CallersAddress, ReadyAddress, PeersAddress and MetricsAddress are IP:port of the callers'
+	// surface, the balancer's readiness check, the drpc surface for peers, and the metrics. Required.
+	CallersAddress string `toml:"callers_address"`
+	ReadyAddress   string `toml:"ready_address"`
+	PeersAddress   string `toml:"peers_address"`
+	MetricsAddress string `toml:"metrics_address"`
+	// StoreAddress is IP:port of the platform's store. Required.
+	StoreAddress string `toml:"store_address"`
+	// MemoryMB is the memory in megabytes beyond which the process is killed. Required.
+	MemoryMB int `toml:"memory_mb"`
+	// StopSeconds is the time between the signal to stop and the kill. Required.
+	StopSeconds float64 `toml:"stop_seconds"`
+	// SessionSeconds is the longest pause between two requests of one session. Default 5.
+	SessionSeconds float64 `toml:"session_seconds"`
+	// LogLevel is debug, info, warn or error. Default info.
+	LogLevel string `toml:"log_level"`
+
+	Exchange zone.Settings `toml:"exchange"`
+}
+
+const (
+	// gatewayExchangeMS is the interval of the exchange: loads that are older lead instances to
+	// crowd endpoints.
+	gatewayExchangeMS = 250
+	// gatewayFewMembers lets the instances of a small fleet exchange with all others.
+	gatewayFewMembers = 10
+)
+
+// DefaultGatewaySettings returns the defaults of all optional fields.
+func DefaultGatewaySettings() GatewaySettings {
+	settings := GatewaySettings{SessionSeconds: 5, LogLevel: "info", Exchange: zone.DefaultSettings()}
+	settings.Exchange.ExchangeIntervalMS = gatewayExchangeMS
+	settings.Exchange.FewMembers = gatewayFewMembers
+	return settings
+}
+
+// LoadGatewaySettings reads and checks a settings file. Fields that it does not know are ignored.
+// Errors are one line with file, line and field.
+func LoadGatewaySettings(file string) (GatewaySettings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return GatewaySettings{}, err
+	}
+	settings := DefaultGatewaySettings()
+	if err := tomlfile.DecodeLenient(file, data, &settings); err != nil {
+		return GatewaySettings{}, err
+	}
+	if err := settings.Validate(); err != nil {
+		return GatewaySettings{}, locate(file, data, err)
+	}
+	return settings, nil
+}
+
+// Validate returns the first fault in the form field: problem.
+func (s GatewaySettings) Validate() error {
+	required := []struct{ field, value string }{{"instance", s.Instance}, {"zone", s.Zone}, {"region", s.Region}}
+	for _, one := range required {
+		if one.value == "" {
+			return fmt.Errorf("%s: is required", one.field)
+		}
+	}
+	if err := s.validateAddresses(); err != nil {
+		return err
+	}
+	switch {
+	case s.MemoryMB <= 0:
+		return errors.New("memory_mb: must be positive")
+	case s.StopSeconds <= 0:
+		return errors.New("stop_seconds: must be positive")
+	case s.SessionSeconds < 0:
+		return errors.New("session_seconds: must not be negative")
+	}
+	if _, err := s.level(); err != nil {
+		return err
+	}
+	if err := s.Exchange.Validate(); err != nil {
+		return fmt.Errorf("exchange.%w", err)
+	}
+	return nil
+}
+
+func (s GatewaySettings) validateAddresses() error {
+	addresses := []struct{ field, value string }{
+		{"callers_address", s.CallersAddress},
+		{"ready_address", s.ReadyAddress},
+		{"peers_address", s.PeersAddress},
+		{"metrics_address", s.MetricsAddress},
+		{"store_address", s.StoreAddress},
+	}
+	seen := make(map[string]string)
+	for _, one := range addresses {
+		host, port, err := net.SplitHostPort(one.value)
+		if err != nil || net.ParseIP(host) == nil {
+			return fmt.Errorf("%s: %q is not IP:port", one.field, one.value)
+		}
+		if other := seen[one.value]; other != "" && port != "0" {
+			return fmt.Errorf("%s: %s is %s too", one.field, one.value, other)
+		}
+		seen[one.value] = one.field
+	}
+	return nil
+}
+
+// level is the least severe level that is logged.
+func (s GatewaySettings) level() (slog.Level, error) {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+		return level, fmt.Errorf("log_level: %q is no level", s.LogLevel)
+	}
+	return level, nil
+}
+
+// Logger returns the instance's logger, which writes JSON lines to out.
+func (s GatewaySettings) Logger(out io.Writer) *slog.Logger {
+	level, err := s.level()
+	if err != nil {
+		level = slog.LevelInfo // Validate has refused it before
+	}
+	return slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level})).With("instance", s.Instance)
+}
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -50,11 +50,11 @@
 // logs and records it once it is over.
 func (s *Server) observe(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		if s.flights.start() {
+		if s.flights.Start() {
 			// A stopping instance serves what arrives, and takes the connection out of use.
 			c.Response().Header().Set(echo.HeaderConnection, "close")
 		}
-		defer s.flights.end()
+		defer s.flights.End()
 		x := s.newExchange(c)
 		defer s.finish(c, x)
 		defer s.recovered(c)
--- a/entry/server.go
+++ b/entry/server.go
@@ -14,6 +14,7 @@
 
 	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/decide"
+	"plumbarrow.example/plumbarrow/internal/flights"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/ledger"
 	"plumbarrow.example/plumbarrow/limit"
@@ -72,7 +73,7 @@
 	Parts
 	handler http.Handler
 	explain *explainRing
-	flights flights
+	flights flights.Flights
 
 	sessionKeys atomic.Pointer[sessionKeys]
 }
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -14,17 +14,25 @@
 // Decode reads data into target, a pointer to a struct with defaults filled in. Unknown fields,
 // wrong types and bad syntax are errors of the form file:line: field: problem, one a line.
 func Decode(file string, data []byte, target any) error {
-	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+	return decode(file, toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields(), target)
+}
+
+// DecodeLenient is Decode for files that may hold fields of later versions: those are ignored.
+func DecodeLenient(file string, data []byte, target any) error {
+	return decode(file, toml.NewDecoder(bytes.NewReader(data)), target)
+}
+
+func decode(file string, decoder *toml.Decoder, target any) error {
 	err := decoder.Decode(target)
 	var strict *toml.StrictMissingError
 	if errors.As(err, &strict) {
 		return unknownFields(file, strict)
 	}
-	var decode *toml.DecodeError
-	if errors.As(err, &decode) {
-		row, _ := decode.Position()
-		problem := strings.TrimPrefix(decode.Error(), "toml: ")
-		if key := strings.Join(decode.Key(), "."); key != "" {
+	var fault *toml.DecodeError
+	if errors.As(err, &fault) {
+		row, _ := fault.Position()
+		problem := strings.TrimPrefix(fault.Error(), "toml: ")
+		if key := strings.Join(fault.Key(), "."); key != "" {
 			problem = key + ": " + problem
 		}
 		return fmt.Errorf("%s:%d: %s", file, row, problem)
--- a/link/header.go
+++ b/link/header.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 )
 
@@ -14,6 +15,9 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
+// HopByHop says whether a header, in its canonical form, belongs to one connection.
+func HopByHop(name string) bool { return slices.Contains(hopByHop, name) }
+
 // RequestHeader returns the part of a caller's header that goes to endpoints.
 func RequestHeader(caller http.Header) http.Header {
 	header := EndToEnd(caller)
--- /dev/null
+++ b/mirror/presence.go
@@ -0,0 +1,124 @@
+package mirror
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"strings"
+	"time"
+
+	"plumbarrow.example/plumbarrow/infra"
+	"plumbarrow.example/plumbarrow/machine"
+)
+
+// MembersPrefix is where entry instances announce themselves.
+const MembersPrefix = "plumbarrow/members/"
+
+const (
+	// presenceTTL is how long an instance that is gone stays listed. Peers notice sooner that it
+	// does not answer.
+	presenceTTL = 12 * time.Second
+	// presenceRenewal leaves two more tries within the lease's time.
+	presenceRenewal = 4 * time.Second
+	// presenceTimeout bounds one call.
+	presenceTimeout = 2 * time.Second
+)
+
+// memberDocument is an entry instance as it announces itself.
+type memberDocument struct {
+	Incarnation string `json:"incarnation"`
+	Group       string `json:"group"`
+	Address     string `json:"address"`
+}
+
+// Presence announces an entry instance under a lease and lists those that are announced.
+type Presence struct {
+	mirror *Mirror
+	writer Writer
+	self   machine.Member
+	log    *slog.Logger
+}
+
+var _ infra.InstanceList = (*Presence)(nil)
+
+// NewPresence returns the presence of an instance. Its Run must be running.
+func NewPresence(mirror *Mirror, writer Writer, self machine.Member, log *slog.Logger) *Presence {
+	return &Presence{mirror: mirror, writer: writer, self: self, log: log}
+}
+
+// Instances implements infra.InstanceList from the copy; it makes no call.
+func (p *Presence) Instances(context.Context) ([]infra.Instance, error) {
+	var instances []infra.Instance
+	for _, document := range p.mirror.List(MembersPrefix) {
+		var member memberDocument
+		if err := json.Unmarshal(document.Value, &member); err != nil {
+			p.log.Warn("member's document not decoded", "key", document.Key, "error", err)
+			continue
+		}
+		instances = append(instances, infra.Instance{
+			ID: strings.TrimPrefix(document.Key, MembersPrefix), Incarnation: member.Incarnation, Kind: infra.KindEntry,
+			Zone: member.Group, Address: member.Address, State: infra.StateLive,
+		})
+	}
+	return instances, nil
+}
+
+// Run keeps the instance announced until ctx ends, then withdraws it.
+func (p *Presence) Run(ctx context.Context) error {
+	var lease uint64
+	pause := firstPause
+	for {
+		var err error
+		if lease, err = p.announce(ctx, lease); err != nil {
+			p.log.Warn("presence not renewed", "lease", lease, "error", err)
+			if !pauseFor(ctx, &pause) {
+				break
+			}
+			continue
+		}
+		pause = firstPause
+		timer := time.NewTimer(presenceRenewal)
+		select {
+		case <-timer.C:
+			continue
+		case <-ctx.Done():
+			timer.Stop()
+		}
+		break
+	}
+	if lease == 0 {
+		return nil
+	}
+	ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), presenceTimeout)
+	defer cancel()
+	if err := p.writer.End(ending, lease); err != nil {
+		p.log.Warn("presence not withdrawn", "lease", lease, "error", err)
+	}
+	return nil
+}
+
+// announce renews the lease, or starts one and announces the instance under it.
+func (p *Presence) announce(ctx context.Context, lease uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, presenceTimeout)
+	defer cancel()
+	if lease != 0 {
+		err := p.writer.Renew(ctx, lease)
+		if !errors.Is(err, ErrNoLease) {
+			return lease, err
+		}
+	}
+	value, err := json.Marshal(memberDocument{Incarnation: string(p.self.Incarnation), Group: p.self.Zone, Address: p.self.Address})
+	if err != nil {
+		return 0, err
+	}
+	lease, err = p.writer.Grant(ctx, presenceTTL)
+	if err != nil {
+		return 0, err
+	}
+	put := Put{Key: MembersPrefix + string(p.self.ID), Value: value, Lease: lease}
+	if _, err := p.writer.Write(ctx, &Write{Puts: []Put{put}}); err != nil {
+		return 0, err
+	}
+	return lease, nil
+}
--- /dev/null
+++ b/mirror/write.go
@@ -0,0 +1,52 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Errors of writes. Callers test them with errors.Is.
+var (
+	// ErrConflict means that a condition did not hold; nothing was written.
+	ErrConflict = errors.New("condition does not hold")
+	// ErrNoLease means that the lease has ended; nothing was written.
+	ErrNoLease = errors.New("lease has ended")
+	// ErrUnavailable means that the call had no effect and will have none.
+	ErrUnavailable = errors.New("store unavailable")
+	// ErrOutcomeUnknown means that the call may have taken effect, or may seconds later.
+	ErrOutcomeUnknown = errors.New("outcome unknown")
+)
+
+// Condition is a document's revision that a write depends on; 0 means that it must not exist.
+type Condition struct {
+	Key      string
+	Revision uint64
+}
+
+// Put is one document to write. A document with a lease is removed when the lease ends.
+type Put struct {
+	Key   string
+	Value []byte
+	Lease uint64 // 0: none
+}
+
+// Write changes documents, all or none.
+type Write struct {
+	Conditions []Condition
+	Puts       []Put
+	Deletes    []string
+}
+
+// Writer writes to the platform's store.
+type Writer interface {
+	// Write returns the revision of the change. Errors: ErrConflict, ErrNoLease, ErrUnavailable,
+	// ErrOutcomeUnknown.
+	Write(ctx context.Context, write *Write) (uint64, error)
+	// Grant starts a lease and returns its id. Errors: ErrUnavailable, ErrOutcomeUnknown.
+	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
+	// Renew restarts a lease's time. Errors: ErrNoLease, ErrUnavailable, ErrOutcomeUnknown.
+	Renew(ctx context.Context, lease uint64) error
+	// End ends a lease early. Errors as Renew.
+	End(ctx context.Context, lease uint64) error
+}
--- /dev/null
+++ b/upstream/queue.go
@@ -0,0 +1,118 @@
+package upstream
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+	"time"
+)
+
+// queue holds the requests that wait for a place at a service's endpoints, the most urgent first.
+type queue struct {
+	mu      sync.Mutex
+	waiters waiters
+}
+
+type waiter struct {
+	priority int
+	arrived  time.Time // of the request; older ones go first
+	index    int       // in the heap; -1 once removed
+	turn     chan struct{}
+}
+
+// waiters is a heap of waiting requests.
+type waiters []*waiter
+
+var _ heap.Interface = (*waiters)(nil)
+
+// Len implements heap.Interface.
+func (w waiters) Len() int { return len(w) }
+
+// Less implements heap.Interface.
+func (w waiters) Less(i, j int) bool {
+	if w[i].priority != w[j].priority {
+		return w[i].priority < w[j].priority
+	}
+	return w[i].arrived.Before(w[j].arrived)
+}
+
+// Swap implements heap.Interface.
+func (w waiters) Swap(i, j int) {
+	w[i], w[j] = w[j], w[i]
+	w[i].index, w[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (w *waiters) Push(x any) {
+	one := x.(*waiter)
+	one.index = len(*w)
+	*w = append(*w, one)
+}
+
+// Pop implements heap.Interface.
+func (w *waiters) Pop() any {
+	last := len(*w) - 1
+	one := (*w)[last]
+	(*w)[last] = nil
+	*w = (*w)[:last]
+	one.index = -1
+	return one
+}
+
+func (t *Table) queue(service string) *queue {
+	found, ok := t.queues.Load(service)
+	if !ok {
+		found, _ = t.queues.LoadOrStore(service, &queue{})
+	}
+	return found.(*queue)
+}
+
+// Waiting returns the number of requests that wait for the service.
+func (t *Table) Waiting(service string) int {
+	q := t.queue(service)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiters)
+}
+
+// Wait returns true when the service may have a place for the request, and false if ctx or the wait
+// ended first. Places freed at other instances are not heard of, so a waiter's turn also comes after
+// retryPlace.
+func (t *Table) Wait(ctx context.Context, service string, priority int, arrived time.Time, wait time.Duration) bool {
+	q := t.queue(service)
+	one := &waiter{priority: priority, arrived: arrived, turn: make(chan struct{}, 1)}
+	q.mu.Lock()
+	heap.Push(&q.waiters, one)
+	q.mu.Unlock()
+	timer := time.NewTimer(min(wait, retryPlace))
+	defer timer.Stop()
+	served := false
+	select {
+	case <-one.turn:
+		served = true
+	case <-timer.C:
+		served = wait > retryPlace
+	case <-ctx.Done():
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if one.index >= 0 {
+		heap.Remove(&q.waiters, one.index)
+	}
+	return served
+}
+
+// retryPlace is how long a waiting request goes at most without looking for a place: the order of
+// the exchange interval, after which the load of other instances is known anew.
+const retryPlace = 100 * time.Millisecond
+
+// Freed wakes the first request that waits for the service.
+func (t *Table) Freed(service string) {
+	q := t.queue(service)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.waiters) == 0 {
+		return
+	}
+	heap.Pop(&q.waiters).(*waiter).turn <- struct{}{}
+}
