Planned stop refuses late streams; lapsed entries are doubted from the store's return on

Change: (1) once the balancer has noticed, idle connections are closed and new streams refused as not run; (2) the doubt ends 2.5 s after the store's return.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -34,8 +34,8 @@
 	// sweepPeriod is how often idle connections are looked through.
 	sweepPeriod = time.Second
 	// unready is the time after which the balancer has noticed that an instance is not ready: two
-	// checks a second apart, and as much again for slow ones.
-	unready = 3 * time.Second
+	// checks a second apart and the way of their answers.
+	unready = 2500 * time.Millisecond
 	// stopMargin is left of the time to stop, to close connections and withdraw from the store.
 	stopMargin = 700 * time.Millisecond
 	// quietTime without a request ends a planned stop.
@@ -71,6 +71,7 @@
 	dialer     *link.PeerDialer
 	peers      *drpcmux.Mux
 	server     *gateway.Server
+	callers    *http.Server
 }
 
 // NewGateway assembles an instance; nothing runs before Run.
@@ -158,12 +159,17 @@
 	for _, part := range g.parts() {
 		group.Add(func() error { return part(background) }, func(error) { cancel() })
 	}
+	g.callers = g.httpServer(g.server)
 	servers := []struct {
 		address string
-		handler http.Handler
-	}{{g.settings.CallersAddress, g.server}, {g.settings.ReadyAddress, g.readyHandler()}, {g.settings.MetricsAddress, g.metricsHandler()}}
+		server  *http.Server
+	}{
+		{g.settings.CallersAddress, g.callers},
+		{g.settings.ReadyAddress, g.httpServer(g.readyHandler())},
+		{g.settings.MetricsAddress, g.httpServer(g.metricsHandler())},
+	}
 	for _, one := range servers {
-		if err := g.addServer(&group, one.address, one.handler); err != nil {
+		if err := addServer(&group, one.address, one.server); err != nil {
 			return err
 		}
 	}
@@ -209,18 +215,21 @@
 	}
 }
 
-func (g *Gateway) addServer(group *run.Group, address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return eris.Wrap(err, address)
-	}
-	server := &http.Server{
+func (g *Gateway) httpServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: gatewayHeaderTimeout,
 		IdleTimeout:       gatewayIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
 	}
+}
+
+func addServer(group *run.Group, address string, server *http.Server) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, address)
+	}
 	group.Add(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
@@ -266,6 +275,10 @@
 	started := time.Now()
 	g.server.Stop()
 	time.Sleep(unready)
+	// No new connection comes any more. Those that are idle are closed, so that what would arrive on
+	// them goes to another instance with its whole time left.
+	g.callers.SetKeepAlivesEnabled(false)
+	g.server.Close()
 	left := time.Duration(g.settings.StopSeconds*float64(time.Second)) - time.Since(started) - stopMargin
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -19,6 +19,9 @@
 	firstSeconds   = "plumbarrow_first_byte_second" // histogram of the time to an answer's first byte
 	// defaultWait is how long a caller that states no time is taken to wait.
 	defaultWait = 30 * time.Second
+	// stoppingPause is the pause asked of a caller that reached a stopping instance: other instances
+	// can serve it at once.
+	stoppingPause = 50 * time.Millisecond
 	// bodyTimeout is the longest silence within a request's body.
 	bodyTimeout = 5 * time.Second
 )
@@ -87,6 +90,11 @@
 	if refusal := f.readBody(); refusal != nil {
 		return refusal
 	}
+	if f.route.Kind == catalog.Streaming && f.server.closed.Load() {
+		refusal := verdict.Refuse(verdict.Stopping, "this instance is about to stop")
+		refusal.RetryAfter = stoppingPause
+		return refusal
+	}
 	wait := f.call.Wait
 	if wait <= 0 {
 		wait = defaultWait
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"plumbarrow.example/plumbarrow/catalog"
@@ -67,6 +68,7 @@
 type Server struct {
 	Parts
 	flights flights.Flights
+	closed  atomic.Bool
 }
 
 var _ http.Handler = (*Server)(nil)
@@ -104,6 +106,10 @@
 // Stop takes the instance out of service: kept connections are closed with their next answer.
 func (s *Server) Stop() { s.flights.Stop() }
 
+// Close makes the instance refuse streams, which its remaining time may not suffice for. Other requests
+// that still arrive are served.
+func (s *Server) Close() { s.closed.Store(true) }
+
 // Stopping says whether Stop was called.
 func (s *Server) Stopping() bool { return s.flights.Stopping() }
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -23,14 +23,19 @@
 	Deleted  bool
 }
 
-// steadyAfter is how long the store must have been heard without a gap before a missing document
-// counts as deleted on purpose: twice the time within which lapsed entries come back.
-const steadyAfter = 4 * time.Second
+const (
+	// lapseWindow is how long after the store's return entries that lapsed meanwhile may still come
+	// back: about two seconds, and the time of a round of writes.
+	lapseWindow = 2500 * time.Millisecond
+	// lapseUnheard is how long a deletion that came from a peer is doubted while the store itself
+	// cannot be heard. It stays below the time within which a leaving endpoint must be left.
+	lapseUnheard = 1500 * time.Millisecond
+)
 
-// Listener is told of documents that changed, oldest first. steady says that the store has been heard
-// without a gap, so that deletions are no after-effect of an outage. It is called by one goroutine at
-// a time, must not block and must not call the mirror.
-type Listener func(changed []Document, steady bool)
+// Listener is told of documents that changed, oldest first. Until lapseEnds a missing document may be
+// an after-effect of an outage and come back. It is called by one goroutine at a time, must not block
+// and must not call the mirror.
+type Listener func(changed []Document, lapseEnds time.Time)
 
 // Mirror is one instance's copy. Safe for concurrent use.
 type Mirror struct {
@@ -59,9 +64,16 @@
 	return m.revision
 }
 
-// steady says whether the store has been heard without a gap for a while.
-func (m *Mirror) steady() bool {
-	return !m.lost && (m.lostAt.IsZero() || time.Since(m.lostAt) >= steadyAfter)
+// lapseEnds is the time until which missing documents may come back. The caller holds the lock.
+func (m *Mirror) lapseEnds() time.Time {
+	switch {
+	case m.lost:
+		return time.Now().Add(lapseUnheard)
+	case m.lostAt.IsZero():
+		return time.Time{}
+	default:
+		return m.lostAt.Add(lapseWindow)
+	}
 }
 
 // Get returns a document; ok is false if it does not exist.
@@ -134,7 +146,7 @@
 		return
 	}
 	slices.SortStableFunc(changed, func(a, b Document) int { return cmp.Compare(a.Revision, b.Revision) })
-	m.listener(changed, m.steady())
+	m.listener(changed, m.lapseEnds())
 }
 
 // changes returns what changed after a revision, or everything if the copy's deletions do not reach
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// lapseGrace is how long an endpoint is used after its entry vanished around an outage of the
-	// store. Entries of live endpoints are back within about two seconds.
-	lapseGrace = 2500 * time.Millisecond
 	// forgetAfter is how long an endpoint that is gone is remembered, so that answers on their way
 	// find it.
 	forgetAfter = 30 * time.Second
@@ -84,9 +81,9 @@
 	t.Freed(report.Service)
 }
 
-// Remove takes an endpoint out. After an outage of the store, whose entries may have lapsed, it is
-// still used for a while in case its entry comes back.
-func (t *Table) Remove(id machine.EndpointID, steady bool) {
+// Remove takes an endpoint out. Until lapseEnds it is still used: after an outage of the store its entry
+// may have lapsed and come back.
+func (t *Table) Remove(id machine.EndpointID, lapseEnds time.Time) {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -98,8 +95,8 @@
 	known := endpoint.known
 	endpoint.known = false
 	endpoint.lapsesAt = now
-	if !steady && known && !endpoint.report.Draining {
-		endpoint.lapsesAt = now.Add(lapseGrace)
+	if known && !endpoint.report.Draining && lapseEnds.After(now) {
+		endpoint.lapsesAt = lapseEnds
 	}
 	service := endpoint.report.Service
 	endpoint.mu.Unlock()
