Cascade: smallest model first, the largest if its answer is not trusted

Change: the first attempt asks the smallest model; an answer below the trust is dropped before the caller has any of it and asked again of the largest, within attempts and retry budget.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -85,7 +85,8 @@
 		attempt.Customer = f.customer.Name
 	}
 	if f.call.OpenModel && len(f.route.Models) > 0 {
-		attempt.Model = f.chooseModel()
+		f.chooseModel()
+		attempt.Model = f.route.Models[f.model]
 	}
 	if f.stream != nil && f.stream.lastID != "" {
 		attempt.ResumeAfter = f.stream.lastID
@@ -158,6 +159,10 @@
 		failed.reason, failed.err = verdict.RetryWrongAttempt, errUnsigned
 		return failed
 	}
+	if f.escalate(reply) {
+		failed.verdict, failed.reason, failed.free = verdict.Ran, verdict.RetryLowQuality, true
+		return failed
+	}
 	if answer.Status == http.StatusOK && strings.HasPrefix(answer.Header.Get("Content-Type"), eventStreams) {
 		return f.pass(ctx, grant, answer)
 	}
@@ -216,6 +221,8 @@
 // outcomeOf is what a failed or successful attempt shows of its endpoint.
 func (f *flow) outcomeOf(ctx context.Context, failed *failedAttempt) upstream.Outcome {
 	switch {
+	case failed != nil && failed.reason == verdict.RetryLowQuality:
+		return upstream.Answered
 	case failed == nil && f.stream != nil && !f.stream.whole:
 		return upstream.Abandoned
 	case failed == nil:
--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -25,10 +25,6 @@
 	retryFirst      = 250 * time.Millisecond
 	retryPerWaiting = 10 * time.Millisecond
 	retryLongest    = 2 * time.Second
-	// busyMiddle and busyHigh are the shares of a service's places beyond which its second largest
-	// and its smallest model are used.
-	busyMiddle = 0.7
-	busyHigh   = 0.95
 )
 
 // hashShare maps an id to [0, 1), the same at every instance.
@@ -83,21 +79,3 @@
 	}
 	return ends.Sub(now)
 }
-
-// chooseModel picks one of the route's models by how busy the service is: a larger model answers
-// better, a smaller one takes less of an endpoint's time.
-func (f *flow) chooseModel() string {
-	if f.stream != nil && f.stream.model != "" {
-		return f.stream.model
-	}
-	models := f.route.Models
-	busy := f.server.Upstreams.Busy(f.service)
-	index := len(models) - 1
-	switch {
-	case busy > busyHigh:
-		index = 0
-	case busy > busyMiddle:
-		index = max(0, index-1)
-	}
-	return models[index]
-}
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -46,6 +46,7 @@
 	tries    int             // attempts sent, those included that did not run
 	avoid    []machine.EndpointID
 	fresh    bool // the next attempt needs a new connection
+	model    int  // index of the model for the next attempt
 	stream   *eventStream
 	held     *heldAnswer // an endpoint's failure, delivered if nothing better comes
 	refusal  *verdict.Refusal
@@ -219,7 +220,9 @@
 	if failed.fresh || failed.reason != "" && failed.connFailure() {
 		f.fresh = true
 	}
-	f.avoid = append(f.avoid, failed.endpoint)
+	if failed.reason != verdict.RetryLowQuality {
+		f.avoid = append(f.avoid, failed.endpoint)
+	}
 	return nil
 }
 
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -68,6 +68,10 @@
 	// Misdirected says that another endpoint has the address.
 	Misdirected bool
 	ColdFor     time.Duration
+	// Confidence is the model's own opinion of its answer, 0 to 100; HasConfidence says that it gave
+	// one.
+	Confidence    float64
+	HasConfidence bool
 }
 
 // EndpointProtocol is the protocol that endpoints speak.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -30,7 +30,6 @@
 	whole  bool
 	lastID string // of the last event passed on
 	events int
-	model  string
 	buffer []byte // bytes of an event that is not whole
 }
 
