Planned stop: keep idle connections open until the end

Change: idle connections stay open; late streams are refused, and before the process ends everything.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -71,7 +71,6 @@
 	dialer     *link.PeerDialer
 	peers      *drpcmux.Mux
 	server     *gateway.Server
-	callers    *http.Server
 }
 
 // NewGateway assembles an instance; nothing runs before Run.
@@ -159,12 +158,11 @@
 	for _, part := range g.parts() {
 		group.Add(func() error { return part(background) }, func(error) { cancel() })
 	}
-	g.callers = g.httpServer(g.server)
 	servers := []struct {
 		address string
 		server  *http.Server
 	}{
-		{g.settings.CallersAddress, g.callers},
+		{g.settings.CallersAddress, g.httpServer(g.server)},
 		{g.settings.ReadyAddress, g.httpServer(g.readyHandler())},
 		{g.settings.MetricsAddress, g.httpServer(g.metricsHandler())},
 	}
@@ -275,16 +273,16 @@
 	started := time.Now()
 	g.server.Stop()
 	time.Sleep(unready)
-	// No new connection comes any more. Those that are idle are closed, so that what would arrive on
-	// them goes to another instance with its whole time left.
-	g.callers.SetKeepAlivesEnabled(false)
-	g.server.Close()
+	// New connections come no more. Idle ones stay open: a request may be on its way on any of them.
+	g.server.Close(gateway.ClosedToStreams)
 	left := time.Duration(g.settings.StopSeconds*float64(time.Second)) - time.Since(started) - stopMargin
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	if err := g.server.Drain(ctx, quietTime); err != nil {
 		g.log.Error("requests were still in progress at the end of the time to stop", "error", err)
 	}
+	// What arrives now would be cut off at an endpoint by the end of the process.
+	g.server.Close(gateway.ClosedToAll)
 	g.membership.Leave()
 	g.exchange.Nudge()
 	g.log.Info("stopped", "took_ms", time.Since(started).Milliseconds())
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -91,7 +91,7 @@
 	if refusal := f.readBody(); refusal != nil {
 		return refusal
 	}
-	if f.route.Kind == catalog.Streaming && f.server.closed.Load() {
+	if !f.server.takes(f.route) {
 		refusal := verdict.Refuse(verdict.Stopping, "this instance is about to stop")
 		refusal.RetryAfter = stoppingPause
 		return refusal
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -68,7 +68,7 @@
 type Server struct {
 	Parts
 	flights flights.Flights
-	closed  atomic.Bool
+	closing atomic.Int32 // a Closing
 }
 
 var _ http.Handler = (*Server)(nil)
@@ -106,9 +106,33 @@
 // Stop takes the instance out of service: kept connections are closed with their next answer.
 func (s *Server) Stop() { s.flights.Stop() }
 
-// Close makes the instance refuse streams, which its remaining time may not suffice for. Other requests
-// that still arrive are served.
-func (s *Server) Close() { s.closed.Store(true) }
+// Closing says what a stopping instance still takes.
+type Closing int32
+
+// Stages of a planned stop.
+const (
+	// Open takes everything.
+	Open Closing = iota
+	// ClosedToStreams refuses streams, which the remaining time may not suffice for.
+	ClosedToStreams
+	// ClosedToAll refuses everything.
+	ClosedToAll
+)
+
+// Close sets what the instance still takes.
+func (s *Server) Close(closing Closing) { s.closing.Store(int32(closing)) }
+
+// takes says whether the instance still takes requests of the route.
+func (s *Server) takes(route *catalog.Route) bool {
+	switch Closing(s.closing.Load()) {
+	case Open:
+		return true
+	case ClosedToStreams:
+		return route.Kind != catalog.Streaming
+	default:
+		return false
+	}
+}
 
 // Stopping says whether Stop was called.
 func (s *Server) Stopping() bool { return s.flights.Stopping() }
