--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -35,9 +35,9 @@
 }
 
 const (
-	// watchWait is how long one watch waits: short enough that a connection which went silent is
-	// noticed within the time in which endpoints' entries lapse.
-	watchWait = 4 * time.Second
+	// watchWait is how long one watch waits. Calls have a price; that a connection went silent shows
+	// sooner, by the store client's probes and by peers that are ahead.
+	watchWait = 10 * time.Second
 	// watchSlack is how much longer than watchWait an answer may take, several round trips to a slow
 	// store.
 	watchSlack = 1200 * time.Millisecond
