Peers vouch for the store; the last second of a planned stop takes nothing new

Change: instances that heard the store without a gap say so to their peers, and a peer's word ends the doubt; a stop refuses everything in its last second.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -36,8 +36,11 @@
 	// unready is the time after which the balancer has noticed that an instance is not ready: two
 	// checks a second apart and the way of their answers.
 	unready = 2500 * time.Millisecond
-	// stopMargin is left of the time to stop, to close connections and withdraw from the store.
-	stopMargin = 700 * time.Millisecond
+	// stopMargin is left of the time to stop, to withdraw from the store and end.
+	stopMargin = 400 * time.Millisecond
+	// lastRequests is left before that for the requests under way, after which no further ones are
+	// taken: several times what a plain request takes.
+	lastRequests = time.Second
 	// quietTime without a request ends a planned stop.
 	quietTime = 300 * time.Millisecond
 	// gatewayHeaderTimeout bounds how long a caller may take for its request's header. The
@@ -275,19 +278,25 @@
 	time.Sleep(unready)
 	// New connections come no more. Idle ones stay open: a request may be on its way on any of them.
 	g.server.Close(gateway.ClosedToStreams)
-	left := time.Duration(g.settings.StopSeconds*float64(time.Second)) - time.Since(started) - stopMargin
-	ctx, cancel := context.WithTimeout(context.Background(), left)
-	defer cancel()
-	if err := g.server.Drain(ctx, quietTime); err != nil {
-		g.log.Error("requests were still in progress at the end of the time to stop", "error", err)
-	}
-	// What arrives now would be cut off at an endpoint by the end of the process.
+	ends := started.Add(time.Duration(g.settings.StopSeconds*float64(time.Second)) - stopMargin)
+	g.drain(ends.Add(-lastRequests))
+	// What arrives from now on would be cut off at an endpoint by the end of the process.
 	g.server.Close(gateway.ClosedToAll)
+	if !g.drain(ends) {
+		g.log.Error("requests were still in progress at the end of the time to stop")
+	}
 	g.membership.Leave()
 	g.exchange.Nudge()
 	g.log.Info("stopped", "took_ms", time.Since(started).Milliseconds())
 }
 
+// drain waits until no request is in progress, and returns false if that is not so by the time.
+func (g *Gateway) drain(by time.Time) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), by)
+	defer cancel()
+	return g.server.Drain(ctx, quietTime) == nil
+}
+
 // Reload takes over a changed settings file as far as that is possible without a restart.
 func (g *Gateway) Reload(settings GatewaySettings) {
 	changed := settings.Instance != g.settings.Instance || settings.CallersAddress != g.settings.CallersAddress ||
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -45,7 +45,7 @@
 	readTimeout = 2 * time.Second
 	// firstPause and longestPause bound the pause after a failed call. It doubles with each failure.
 	firstPause   = 50 * time.Millisecond
-	longestPause = time.Second
+	longestPause = 500 * time.Millisecond
 	// maxTombstones bounds the deleted documents that are remembered; more than a fleet loses while
 	// an instance is out of touch.
 	maxTombstones = 2000
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -25,8 +25,14 @@
 
 const (
 	// lapseWindow is how long after the store's return entries that lapsed meanwhile may still come
-	// back: about two seconds, and the time of a round of writes.
-	lapseWindow = 2500 * time.Millisecond
+	// back.
+	lapseWindow = 2200 * time.Millisecond
+	// steadyAfter is how long an instance must have heard the store without a gap to tell its peers
+	// that the store itself had no outage: longer than entries take to lapse and to come back.
+	steadyAfter = 8 * time.Second
+	// steadyWord is how long a peer's word that the store had no outage counts: some intervals of
+	// the exchange.
+	steadyWord = time.Second
 	// lapseUnheard is how long a deletion that came from a peer is doubted while the store itself
 	// cannot be heard. It stays below the time within which a leaving endpoint must be left.
 	lapseUnheard = 1500 * time.Millisecond
@@ -49,6 +55,7 @@
 	heardAt   time.Time // last word of the store
 	lostAt    time.Time // the store could last not be heard
 	lost      bool
+	steadyAt  time.Time         // last word of a peer that the store had no outage
 	positions map[string]uint64 // of the watches, by prefix
 }
 
@@ -64,9 +71,27 @@
 	return m.revision
 }
 
-// lapseEnds is the time until which missing documents may come back. The caller holds the lock.
+// steady says whether the store has been heard without a gap for a while.
+func (m *Mirror) steady() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision > 0 && !m.lost && time.Since(m.lostAt) >= steadyAfter
+}
+
+// peerSteady notes a peer's word that it has heard the store without a gap.
+func (m *Mirror) peerSteady() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.steadyAt = time.Now()
+}
+
+// lapseEnds is the time until which missing documents may come back. Where a peer has heard the store
+// all the time, it was this instance that was cut off, and no entry has lapsed. The caller holds the
+// lock.
 func (m *Mirror) lapseEnds() time.Time {
 	switch {
+	case time.Since(m.steadyAt) <= steadyWord:
+		return time.Time{}
 	case m.lost:
 		return time.Now().Add(lapseUnheard)
 	case m.lostAt.IsZero():
--- a/mirror/peers.go
+++ b/mirror/peers.go
@@ -41,7 +41,7 @@
 
 // Message implements link.Topic.
 func (t *Topic) Message(machine.Member) []byte {
-	data, err := proto.Marshal(&mirrorpb.Position{Revision: t.mirror.Revision()})
+	data, err := proto.Marshal(&mirrorpb.Position{Revision: t.mirror.Revision(), Steady: t.mirror.steady()})
 	if err != nil {
 		t.mirror.log.Error("position not encoded", "error", err)
 		return nil
@@ -56,6 +56,9 @@
 		t.mirror.log.Warn("position not decoded", "peer", from.ID, "error", err)
 		return
 	}
+	if position.GetSteady() {
+		t.mirror.peerSteady()
+	}
 	if position.GetRevision() <= t.mirror.Revision() {
 		return
 	}
