canary: a new version gets requests in the second half of its time only

Ruled out: remembering sessions per instance, since most return elsewhere; gossip of sessions, which leaves the race of its delay. Change: no share before half time, then 0.1, 0.4 and 1.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -60,14 +60,12 @@
 	peers    map[machine.InstanceID]tally
 	oldFirst average // time to the first byte at the old version, in seconds
 	distrust bool    // the evidence says that the version is bad
-	sessions sessions
 }
 
 // Rollouts holds the roll-outs of all services. Safe for concurrent use.
 type Rollouts struct {
 	counters *telemetry.Counters
 	log      *slog.Logger
-	session  time.Duration
 
 	mu        sync.Mutex
 	byService map[string]*rollout // by service
@@ -80,10 +78,10 @@
 	at       time.Time
 }
 
-// New returns no roll-outs. session is the longest pause between requests of one session.
-func New(session time.Duration, counters *telemetry.Counters, log *slog.Logger) *Rollouts {
+// New returns no roll-outs.
+func New(counters *telemetry.Counters, log *slog.Logger) *Rollouts {
 	return &Rollouts{
-		counters: counters, log: log, session: session,
+		counters: counters, log: log,
 		byService: make(map[string]*rollout), stages: make(map[string]staged),
 	}
 }
@@ -96,10 +94,7 @@
 	if known != nil && known.order.Revision >= order.Revision {
 		return
 	}
-	one := &rollout{order: order, seenAt: time.Now(), peers: make(map[machine.InstanceID]tally), sessions: newSessions()}
-	if known != nil {
-		one.sessions = known.sessions
-	}
+	one := &rollout{order: order, seenAt: time.Now(), peers: make(map[machine.InstanceID]tally)}
 	r.byService[order.Service] = one
 	r.adopt(one)
 	r.log.Info("roll-out ordered", "service", order.Service, "target", order.Target, "duration_ms", order.Duration.Milliseconds(), "order", order.Revision)
@@ -152,32 +147,29 @@
 }
 
 // Choose returns the version that a request has to use and the one that it must not; either may be
-// empty. Requests of one session get the same answer at every instance.
+// empty. Requests of one session get the same answer at every instance, and since shares only grow, a
+// session moves at most once.
 func (r *Rollouts) Choose(service, session, request string) (only, without string) {
-	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	one := r.byService[service]
 	if one == nil {
 		return "", ""
 	}
-	switch {
-	case one.stage.State == Completed:
-		return one.order.Target, ""
-	case one.stage.State == Reverted || one.distrust || one.stage.Share == 0:
-		one.sessions.keepOld(session, now)
-		return "", one.order.Target
-	}
 	key := session
 	if key == "" {
 		key = request
 	}
-	early := one.elapsed(now) < one.order.Duration/2
-	if share(one.order.Revision, key) >= one.stage.Share || early && one.sessions.onOld(session, now, r.session) {
-		one.sessions.keepOld(session, now)
+	switch {
+	case one.stage.State == Completed:
+		return one.order.Target, ""
+	case one.stage.State == Reverted || one.distrust:
+		return "", one.order.Target
+	case share(one.order.Revision, key) < one.stage.Share:
+		return one.order.Target, ""
+	default:
 		return "", one.order.Target
 	}
-	return one.order.Target, ""
 }
 
 // share maps a session to [0, 1), differently for each roll-out.
--- a/canary/driver.go
+++ b/canary/driver.go
@@ -32,10 +32,11 @@
 	share float64
 }
 
-// schedule keeps the new version small until half time, in which sessions stay on their version, and
-// then doubles it at intervals that the evidence needs. The rest of the time is for work that is still
-// under way at the old version.
-var schedule = []step{{0.02, 0.06}, {0.52, 0.25}, {0.6, 0.5}, {0.68, 1}}
+// schedule leaves all sessions on the old version in the first half of the time: a session may only
+// move in the second, and its requests come to any instance. Then the share grows at intervals in which
+// the evidence against a bad version comes together. The rest of the time is for work that is still under
+// way at the old version.
+var schedule = []step{{0.5, 0.1}, {0.62, 0.4}, {0.72, 1}}
 
 // completeAt is the part of a roll-out's duration after which the old version is given up.
 const completeAt = 0.9
--- a/daemon/gatewaysettings.go
+++ b/daemon/gatewaysettings.go
@@ -33,8 +33,6 @@
 	MemoryMB int `toml:"memory_mb"`
 	// StopSeconds is the time between the signal to stop and the kill. Required.
 	StopSeconds float64 `toml:"stop_seconds"`
-	// SessionSeconds is the longest pause between two requests of one session. Default 5.
-	SessionSeconds float64 `toml:"session_seconds"`
 	// LogLevel is debug, info, warn or error. Default info.
 	LogLevel string `toml:"log_level"`
 
@@ -51,7 +49,7 @@
 
 // DefaultGatewaySettings returns the defaults of all optional fields.
 func DefaultGatewaySettings() GatewaySettings {
-	settings := GatewaySettings{SessionSeconds: 5, LogLevel: "info", Exchange: zone.DefaultSettings()}
+	settings := GatewaySettings{LogLevel: "info", Exchange: zone.DefaultSettings()}
 	settings.Exchange.ExchangeIntervalMS = gatewayExchangeMS
 	settings.Exchange.FewMembers = gatewayFewMembers
 	return settings
@@ -90,8 +88,6 @@
 		return errors.New("memory_mb: must be positive")
 	case s.StopSeconds <= 0:
 		return errors.New("stop_seconds: must be positive")
-	case s.SessionSeconds < 0:
-		return errors.New("session_seconds: must not be negative")
 	}
 	if _, err := s.level(); err != nil {
 		return err
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -312,6 +312,9 @@
 	if f.snapshot != nil {
 		attrs = append(attrs, slog.Uint64("configuration", f.snapshot.Version))
 	}
+	if f.call != nil && f.call.Session != "" {
+		attrs = append(attrs, slog.String("session", f.call.Session))
+	}
 	if f.customer != nil {
 		attrs = append(attrs, slog.String("customer", f.customer.Name))
 	}
