Place by the expected time to the first event; escalate only where that is in time

Change: prefill time per token is learnt by model; instances share their backlog in milliseconds; an answer is only dropped for a larger model's where that is expected before the goal.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -57,7 +57,8 @@
 	f.server.Log.LogAttrs(context.Background(), slog.LevelInfo, "attempt",
 		slog.String("request_id", f.id()), slog.String("endpoint", string(grant.Endpoint.ID())), slog.String("service", f.service),
 		slog.String("version", grant.Report.Version), slog.String("model", model), slog.Uint64("configuration", f.snapshot.Version),
-		slog.Int("load", grant.Load), slog.Int64("left_ms", f.deadline.Sub(started).Milliseconds()))
+		slog.Int("load", grant.Load), slog.Int64("expected_ms", grant.Expected.Milliseconds()),
+		slog.Int64("left_ms", f.deadline.Sub(started).Milliseconds()))
 	f.tries++
 	answer, err := f.server.Sender.Send(ctx, out)
 	if err != nil {
@@ -80,14 +81,11 @@
 // outgoing builds the attempt's request.
 func (f *flow) outgoing(grant *upstream.Grant, now time.Time) (out *link.Outgoing, model string) {
 	left := f.deadline.Sub(now)
-	attempt := &Attempt{Endpoint: grant.Endpoint.ID(), Left: left, Priority: f.priority(), ResumeAfter: f.call.LastEvent}
+	attempt := &Attempt{Endpoint: grant.Endpoint.ID(), Left: left, Priority: f.priority(), ResumeAfter: f.call.LastEvent,
+		Model: f.modelName()}
 	if f.customer != nil {
 		attempt.Customer = f.customer.Name
 	}
-	if f.call.OpenModel && len(f.route.Models) > 0 {
-		f.chooseModel()
-		attempt.Model = f.route.Models[f.model]
-	}
 	if f.stream != nil && f.stream.lastID != "" {
 		attempt.ResumeAfter = f.stream.lastID
 	}
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -253,13 +253,22 @@
 
 // need is what the request needs of an endpoint.
 func (f *flow) need() *upstream.Need {
+	f.chooseModel()
 	only, without := f.server.Versions.Choose(f.service, f.call.Session, f.call.ID)
 	return &upstream.Need{
 		Service: f.service, Version: only, NotVersion: without, Parts: f.call.Parts,
-		PromptTokens: f.call.PromptTokens, Avoid: f.avoid,
+		PromptTokens: f.call.PromptTokens, Avoid: f.avoid, Model: f.modelName(),
 	}
 }
 
+// modelName is the model of the next attempt; empty if the caller named one that is no concern here.
+func (f *flow) modelName() string {
+	if !f.call.OpenModel || len(f.route.Models) == 0 {
+		return ""
+	}
+	return f.route.Models[min(f.model, len(f.route.Models)-1)]
+}
+
 func (f *flow) priority() int {
 	if f.customer != nil && f.customer.HasPriority {
 		return f.customer.Priority
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -27,8 +27,8 @@
 	// Wait returns true when the service may have a place.
 	Wait(ctx context.Context, service string, priority int, arrived time.Time, wait time.Duration) bool
 	Waiting(service string) int
-	// Busy is the share of the service's places that are taken, 0 to 1 and beyond.
-	Busy(service string) float64
+	// Expect returns the shortest expected time to a request's first event; false without a place.
+	Expect(need *upstream.Need) (time.Duration, bool)
 }
 
 // Sender sends one request to one endpoint. Errors are *link.Failure.
--- a/upstream/endpoint.go
+++ b/upstream/endpoint.go
@@ -51,8 +51,9 @@
 // load is work under way at an endpoint.
 type load struct {
 	requests int
-	// promptTokens are those of requests whose first event has not come.
-	promptTokens int
+	// prefill is the expected time for reading the prompts of requests whose first event has not
+	// come.
+	prefill time.Duration
 }
 
 type peerLoad struct {
@@ -111,7 +112,7 @@
 			continue
 		}
 		sum.requests += peer.requests
-		sum.promptTokens += peer.promptTokens
+		sum.prefill += peer.prefill
 	}
 	return sum
 }
--- a/upstream/loads.go
+++ b/upstream/loads.go
@@ -37,9 +37,9 @@
 			continue
 		}
 		message.Endpoints = append(message.Endpoints, &upstreampb.EndpointLoad{
-			Endpoint:     hash,
-			Requests:     uint32(own.requests),
-			PromptTokens: uint32(max(own.promptTokens, 0)),
+			Endpoint: hash,
+			Requests: uint32(own.requests),
+			WorkMs:   uint32(max(own.prefill, 0) / time.Millisecond),
 		})
 	}
 	data, err := proto.Marshal(message)
@@ -60,7 +60,7 @@
 	now := time.Now()
 	told := make(map[uint64]load, len(message.GetEndpoints()))
 	for _, one := range message.GetEndpoints() {
-		told[one.GetEndpoint()] = load{requests: int(one.GetRequests()), promptTokens: int(one.GetPromptTokens())}
+		told[one.GetEndpoint()] = load{requests: int(one.GetRequests()), prefill: time.Duration(one.GetWorkMs()) * time.Millisecond}
 	}
 	for hash, endpoint := range l.table.view.Load().byHash {
 		endpoint.mu.Lock()
--- a/upstream/place.go
+++ b/upstream/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,15 +12,14 @@
 )
 
 const (
-	// requestTokens is what a running request slows an endpoint down, in prompt tokens: about a step
-	// of the whole batch for each token that it generates.
-	requestTokens = 400
-	// foreignZoneTokens is what a path between zones costs, in prompt tokens. It decides between
-	// endpoints that are otherwise equal.
-	foreignZoneTokens = 40
-	// failureTokens is what an error rate of 1 costs, in prompt tokens: more than any prompt that
-	// would have to be read elsewhere.
-	failureTokens = 20_000
+	// requestCost is the delay of a prompt by one running request: about one step of its batch.
+	requestCost = 4 * time.Millisecond
+	// foreignZoneCost is what a path between zones costs. It decides between endpoints that are
+	// otherwise equal.
+	foreignZoneCost = 500 * time.Microsecond
+	// failureCost is what an error rate of 1 costs: more than any prompt that would have to be read
+	// elsewhere.
+	failureCost = 400 * time.Millisecond
 	// overcommit is the number of requests per slot that an endpoint is given, so that its queue
 	// bridges the lag with which instances see each other's load.
 	overcommit = 1.25
@@ -38,6 +38,8 @@
 	Parts []Part
 	// PromptTokens is the length of the whole prompt.
 	PromptTokens int
+	// Model that is asked; empty for requests that are no prompts.
+	Model string
 	// Avoid are endpoints that failed the request. They are used if there is no other.
 	Avoid []machine.EndpointID
 }
@@ -48,14 +50,21 @@
 	Endpoint *Endpoint
 	Report   Report
 	// Load is the number of requests at the endpoint when it was chosen, as far as known.
-	Load   int
-	tokens int // prompt tokens that count until the first event
+	Load int
+	// Expected is the time until the answer's first event.
+	Expected time.Duration
+
+	model     string
+	tokens    int           // of the prompt that the endpoint has to read
+	prefill   time.Duration // their expected time, which counts until the first event
+	alone     bool          // little else stood before it
+	startedAt time.Time
 }
 
 // candidate is an endpoint that passed the filters.
 type candidate struct {
 	endpoint *Endpoint
-	cost     float64
+	cost     time.Duration
 	reserve  bool // only if nothing better is there
 }
 
@@ -149,11 +158,11 @@
 	if len(need.Parts) < 2 {
 		return nil
 	}
-	shared := bytesOf(need.Parts[len(need.Parts)-2].ID)
+	shared := append(bytesOf(need.Parts[len(need.Parts)-2].ID), need.Model...)
 	var best *Endpoint
 	var highest uint64
 	for _, endpoint := range endpoints {
-		rank := xxhash.Sum64(append(shared, bytesOf(endpoint.hash)...))
+		rank := xxhash.Sum64(slices.Concat(shared, bytesOf(endpoint.hash)))
 		if (best == nil || rank > highest) && usable(endpoint) {
 			best, highest = endpoint, rank
 		}
@@ -161,21 +170,27 @@
 	return best
 }
 
-// score is the work in prompt tokens that stands before the request's first token, its own prompt
-// included. The caller holds the lock.
+// score is the expected time to the request's first event, and what else speaks against the endpoint.
+// The caller holds the lock.
 func (t *Table) score(e *Endpoint, need *Need, preferred bool, now time.Time) candidate {
-	total := e.total(now)
-	cost := float64(total.requests*requestTokens + total.promptTokens)
-	cost += float64(need.PromptTokens - t.expectCached(e, need, preferred, now))
+	cost := t.expect(e, need, preferred, now)
 	if e.report.Zone != t.zone {
-		cost += foreignZoneTokens
+		cost += foreignZoneCost
 	}
 	errors := e.health.errorRate(now)
-	cost += errors * failureTokens
-	reserve := errors > errorRateHigh || e.health.open(now) || contains(need.Avoid, e.id)
+	cost += time.Duration(errors * float64(failureCost))
+	reserve := errors > errorRateHigh || e.health.open(now) || slices.Contains(need.Avoid, e.id)
 	return candidate{endpoint: e, cost: cost, reserve: reserve}
 }
 
+// expect is the expected time to the request's first event. The caller holds the lock.
+func (t *Table) expect(e *Endpoint, need *Need, preferred bool, now time.Time) time.Duration {
+	total := e.total(now)
+	uncached := need.PromptTokens - t.expectCached(e, need, preferred, now)
+	own := time.Duration(uncached) * t.paces.get(need.Service, need.Model)
+	return time.Duration(total.requests)*requestCost + total.prefill + own
+}
+
 // expectCached is the number of the prompt's tokens that the endpoint need not read.
 func (t *Table) expectCached(e *Endpoint, need *Need, preferred bool, now time.Time) int {
 	if len(need.Parts) < 2 {
@@ -183,7 +198,7 @@
 	}
 	shared := need.Parts[:len(need.Parts)-1]
 	if !preferred {
-		return e.cache.cached(shared, now)
+		return e.cache.cached(need.Model, shared, now)
 	}
 	tokens := 0
 	for _, part := range shared {
@@ -192,15 +207,6 @@
 	return tokens
 }
 
-func contains(ids []machine.EndpointID, id machine.EndpointID) bool {
-	for _, one := range ids {
-		if one == id {
-			return true
-		}
-	}
-	return false
-}
-
 // pick returns the index of the cheapest candidate; those in reserve come last. Equal ones are
 // chosen at random, so that instances do not crowd one endpoint.
 func pick(candidates []candidate) int {
@@ -236,22 +242,41 @@
 	if !e.health.openUntil.IsZero() {
 		e.health.trying = true
 	}
-	grant := &Grant{table: t, Endpoint: e, Report: e.report, Load: e.total(now).requests}
-	if len(need.Parts) > 0 {
-		grant.tokens = need.PromptTokens - e.cache.cached(need.Parts[:len(need.Parts)-1], now)
-		e.cache.use(need.Parts, now)
-	}
-	e.own.requests++
-	e.own.promptTokens += grant.tokens
+	grant := &Grant{table: t, Endpoint: e, Report: e.report, Load: e.total(now).requests, Expected: t.expect(e, need, false, now)}
+	t.charge(grant, need, now)
 	return grant
 }
 
+// charge counts the request into the endpoint's load. The caller holds the endpoint's lock.
+func (t *Table) charge(grant *Grant, need *Need, now time.Time) {
+	e := grant.Endpoint
+	e.own.requests++
+	if len(need.Parts) == 0 {
+		return
+	}
+	shared := need.Parts[:len(need.Parts)-1]
+	grant.model = need.Model
+	grant.startedAt = now
+	grant.tokens = need.PromptTokens - e.cache.cached(need.Model, shared, now)
+	grant.prefill = time.Duration(grant.tokens) * t.paces.get(need.Service, need.Model)
+	before := e.total(now)
+	waits := before.prefill + time.Duration(before.requests-1)*requestCost
+	grant.alone = float64(waits) <= paceBacklog*float64(grant.prefill)
+	e.own.prefill += grant.prefill
+	e.cache.use(need.Model, need.Parts, now)
+}
+
 // Began notes that the answer's first event has come, so that the prompt is read.
 func (g *Grant) Began() {
-	g.Endpoint.mu.Lock()
-	defer g.Endpoint.mu.Unlock()
-	g.Endpoint.own.promptTokens -= g.tokens
-	g.tokens = 0
+	e := g.Endpoint
+	e.mu.Lock()
+	e.own.prefill -= g.prefill
+	g.prefill = 0
+	e.mu.Unlock()
+	if g.alone {
+		g.alone = false
+		g.table.paces.learn(g.Report.Service, g.model, g.tokens, time.Since(g.startedAt))
+	}
 }
 
 // Done returns the place with what the attempt showed.
@@ -260,15 +285,16 @@
 	e := g.Endpoint
 	e.mu.Lock()
 	e.own.requests--
-	e.own.promptTokens -= g.tokens
+	e.own.prefill -= g.prefill
 	opened := e.health.observe(outcome, now)
+	openFor := e.health.openFor
 	if ends := now.Add(signals.ColdFor); signals.ColdFor > 0 && ends.After(e.coldEnds) {
 		e.coldEnds = ends
 	}
 	e.mu.Unlock()
 	if opened {
 		g.table.counters.Inc("plumbarrow_breaker_opened_total")
-		g.table.log.Warn("breaker opened", "endpoint", e.id, "service", g.Report.Service, "for_ms", e.health.openFor.Milliseconds())
+		g.table.log.Warn("breaker opened", "endpoint", e.id, "service", g.Report.Service, "for_ms", openFor.Milliseconds())
 	}
 	g.table.Freed(g.Report.Service)
 }
@@ -279,21 +305,16 @@
 	ColdFor time.Duration
 }
 
-// Busy returns the share of the service's places that are taken, 0 to 1 and beyond.
-func (t *Table) Busy(service string) float64 {
-	now := time.Now()
-	evacuated := *t.evacuated.Load()
-	taken, slots := 0, 0
-	for _, endpoint := range t.view.Load().byService[service] {
-		endpoint.mu.Lock()
-		if endpoint.listed(now) && !evacuated[endpoint.report.Zone] && !endpoint.health.open(now) {
-			taken += endpoint.total(now).requests
-			slots += endpoint.report.Slots
-		}
-		endpoint.mu.Unlock()
+// Expect returns the shortest expected time to the first event of a request over the endpoints that
+// have a place; false if none has.
+func (t *Table) Expect(need *Need) (time.Duration, bool) {
+	snapshot := t.current.Get()
+	if snapshot == nil {
+		return 0, false
 	}
-	if slots == 0 {
-		return 0
+	candidates, _ := t.filter(need, snapshot.Services[need.Service], time.Now())
+	if len(candidates) == 0 {
+		return 0, false
 	}
-	return float64(taken) / float64(slots)
+	return candidates[pick(candidates)].cost, true
 }
--- a/upstream/prefixes.go
+++ b/upstream/prefixes.go
@@ -19,16 +19,22 @@
 // prefixes are the parts of prompts that an endpoint probably caches, with the time of their last
 // use by this instance.
 type prefixes struct {
-	used map[uint64]time.Time
+	used map[prefixKey]time.Time
 }
 
-func newPrefixes() prefixes { return prefixes{used: make(map[uint64]time.Time)} }
+// prefixKey names a part as one model caches it.
+type prefixKey struct {
+	model string
+	part  uint64
+}
+
+func newPrefixes() prefixes { return prefixes{used: make(map[prefixKey]time.Time)} }
 
 // cached is the number of tokens at the prompt's beginning that need not be read again.
-func (p *prefixes) cached(parts []Part, now time.Time) int {
+func (p *prefixes) cached(model string, parts []Part, now time.Time) int {
 	tokens := 0
 	for _, part := range parts {
-		at, ok := p.used[part.ID]
+		at, ok := p.used[prefixKey{model, part.ID}]
 		if !ok || now.Sub(at) > prefixMemory {
 			break
 		}
@@ -38,9 +44,9 @@
 }
 
 // use notes that the endpoint reads the parts.
-func (p *prefixes) use(parts []Part, now time.Time) {
+func (p *prefixes) use(model string, parts []Part, now time.Time) {
 	for _, part := range parts {
-		p.used[part.ID] = now
+		p.used[prefixKey{model, part.ID}] = now
 	}
 	if len(p.used) <= maxPrefixes {
 		return
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -34,6 +34,7 @@
 	view      atomic.Pointer[view]
 	evacuated atomic.Pointer[map[string]bool]
 	queues    sync.Map // *queue by service
+	paces     paces
 }
 
 // view is an immutable index of the endpoints.
