--- a/gateway/cascade.go
+++ b/gateway/cascade.go
@@ -7,10 +7,10 @@
 	trust = 55
 	// trustBusy is the same where the larger model's answer would just be in time: only the worst
 	// answers are worth the wait of the requests behind.
-	trustBusy = 30
+	trustBusy = 40
 	// easyPart is the part of the time left to the goal within which the larger model's first event
 	// must be expected for the full trust to be asked.
-	easyPart = 0.4
+	easyPart = 0.8
 )
 
 // chooseModel sets the model of the next attempt. A request begins with the smallest model and goes to
