--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -38,6 +38,9 @@
 	// watchWait is how long one watch waits. Calls have a price; that a connection went silent shows
 	// sooner, by the store client's probes and by peers that are ahead.
 	watchWait = 10 * time.Second
+	// probeWait is how long the first watch after a failure waits: its answer says at once that the
+	// store is back.
+	probeWait = time.Millisecond
 	// watchSlack is how much longer than watchWait an answer may take, several round trips to a slow
 	// store.
 	watchSlack = 1200 * time.Millisecond
@@ -76,10 +79,10 @@
 
 // follow keeps one prefix in step.
 func (m *Mirror) follow(ctx context.Context, store Store, prefix string, all []string, position uint64) error {
-	pause := firstPause
+	pause, wait := firstPause, watchWait
 	for ctx.Err() == nil {
-		watching, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-		changes, err := store.Watch(watching, prefix, position, watchWait)
+		watching, cancel := context.WithTimeout(ctx, wait+watchSlack)
+		changes, err := store.Watch(watching, prefix, position, wait)
 		cancel()
 		if errors.Is(err, ErrCompacted) {
 			m.log.Warn("store history compacted", "prefix", prefix, "revision", position)
@@ -94,12 +97,13 @@
 				return nil
 			}
 			m.unheard(err)
+			wait = probeWait
 			if !pauseFor(ctx, &pause) {
 				return nil
 			}
 			continue
 		}
-		pause = firstPause
+		pause, wait = firstPause, watchWait
 		m.heard()
 		m.apply(changes.Documents, 0)
 		position = max(position, changes.Revision)
