--- a/canary/driver.go
+++ b/canary/driver.go
@@ -49,12 +49,19 @@
 	OrderKey(service string) string
 }
 
+// Documents is the part of a mirror that the driver reads.
+type Documents interface {
+	Get(key string) (document mirror.Document, ok bool)
+}
+
+var _ Documents = (*mirror.Mirror)(nil)
+
 // Driver moves roll-outs on while this instance holds the driver's lease. Every write depends on the
 // lease's document and on the order's, so that a driver that was paused cannot write over its
 // successor.
 type Driver struct {
 	rollouts  *Rollouts
-	mirror    *mirror.Mirror
+	documents Documents
 	writer    mirror.Writer
 	publisher Publisher
 	self      machine.InstanceID
@@ -63,13 +70,13 @@
 	lease    uint64
 	holds    uint64 // revision of the driver's document; 0 without the lease
 	renewed  time.Time
-	backoff  time.Time
-	firstTry time.Time
+	backoff  time.Time // no call before
+	firstTry time.Time // when a free lease was first seen
 }
 
 // NewDriver returns the driver of an instance. Its Run must be running.
-func NewDriver(rollouts *Rollouts, copy *mirror.Mirror, writer mirror.Writer, publisher Publisher, self machine.InstanceID, log *slog.Logger) *Driver {
-	return &Driver{rollouts: rollouts, mirror: copy, writer: writer, publisher: publisher, self: self, log: log}
+func NewDriver(rollouts *Rollouts, documents Documents, writer mirror.Writer, publisher Publisher, self machine.InstanceID, log *slog.Logger) *Driver {
+	return &Driver{rollouts: rollouts, documents: documents, writer: writer, publisher: publisher, self: self, log: log}
 }
 
 // Run drives until ctx ends.
@@ -115,7 +122,7 @@
 
 // acquire takes the lease unless another instance holds it.
 func (d *Driver) acquire(ctx context.Context, now time.Time) {
-	if _, held := d.mirror.Get(DriverKey); held {
+	if _, held := d.documents.Get(DriverKey); held {
 		return
 	}
 	if d.firstTry.IsZero() {
@@ -189,7 +196,7 @@
 		d.failed("stage not written", err)
 		if errors.Is(err, mirror.ErrConflict) {
 			// Either the lease has a new holder or the copy lags behind.
-			if held, ok := d.mirror.Get(DriverKey); !ok || held.Revision != d.holds {
+			if held, ok := d.documents.Get(DriverKey); !ok || held.Revision != d.holds {
 				d.holds = 0
 			}
 		}
