--- /dev/null
+++ b/gateway/fixture_test.go
@@ -0,0 +1,236 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"plumbarrow.example/plumbarrow/catalog"
+	"plumbarrow.example/plumbarrow/internal/telemetry"
+	"plumbarrow.example/plumbarrow/link"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/upstream"
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+// plainProtocol is a small protocol for tests.
+type plainProtocol struct{}
+
+func (plainProtocol) Read(r *http.Request) (*Call, *verdict.Refusal) {
+	wait, _ := strconv.Atoi(r.Header.Get("Wait-Ms"))
+	call := &Call{
+		ID: r.Header.Get("Id"), Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Host: r.Host,
+		Key: r.Header.Get("Key"), Wait: time.Duration(wait) * time.Millisecond, OpenModel: r.Header.Get("Model") == "any",
+		Header: r.Header.Clone(), PromptTokens: 10, Parts: []upstream.Part{{ID: 1, Tokens: 10}},
+	}
+	return call, nil
+}
+
+func (plainProtocol) Refuse(http.Header, *Call, *verdict.Refusal) {}
+
+func (plainProtocol) Prepare(header http.Header, attempt *Attempt) {
+	header.Set("Endpoint", string(attempt.Endpoint))
+	header.Set("Customer", attempt.Customer)
+	header.Set("Left-Ms", strconv.FormatInt(attempt.Left.Milliseconds(), 10))
+	header.Set("Model", attempt.Model)
+	header.Set("After", attempt.ResumeAfter)
+}
+
+func (plainProtocol) Reply(status int, header http.Header) Reply {
+	confidence, err := strconv.ParseFloat(header.Get("Confidence"), 64)
+	return Reply{
+		Signed: header.Get("Signature") != "", NotRun: header.Get("Not-Run") != "",
+		Misdirected: status == http.StatusMisdirectedRequest, Confidence: confidence, HasConfidence: err == nil,
+	}
+}
+
+func (plainProtocol) Answers(http.Header, string) bool { return true }
+
+// answer is what a scripted endpoint does with a request.
+type answer struct {
+	status int
+	header string // Name: value, one a line
+	body   string
+	breaks bool          // the body ends before its end
+	fails  *link.Failure // instead of an answer
+	after  time.Duration
+	before func() // called when the request arrives
+}
+
+func signed(status int, body string) answer {
+	return answer{status: status, header: "Signature: s", body: body}
+}
+
+func events(body string) answer {
+	return answer{status: http.StatusOK, header: "Signature: s\nContent-Type: text/event-stream", body: body}
+}
+
+func lost() answer {
+	return answer{fails: &link.Failure{Verdict: verdict.MayHaveRun, Reason: verdict.RetryConnection, Err: errors.New("reset")}}
+}
+
+func unsent() answer {
+	return answer{fails: &link.Failure{Verdict: verdict.NotRun, Reason: verdict.RetryNotSent, Err: errors.New("refused")}}
+}
+
+func declined() answer {
+	return answer{status: http.StatusServiceUnavailable, header: "Not-Run: 1"}
+}
+
+// scriptedSender plays answers in order and keeps what was sent.
+type scriptedSender struct {
+	mu     sync.Mutex
+	script []answer
+	sent   []*link.Outgoing
+}
+
+func (s *scriptedSender) Send(ctx context.Context, out *link.Outgoing) (*link.Incoming, error) {
+	s.mu.Lock()
+	s.sent = append(s.sent, out)
+	if len(s.script) == 0 {
+		s.mu.Unlock()
+		panic("a request beyond the script")
+	}
+	next := s.script[0]
+	s.script = s.script[1:]
+	s.mu.Unlock()
+	if next.before != nil {
+		next.before()
+	}
+	select {
+	case <-time.After(next.after):
+	case <-ctx.Done():
+		return nil, &link.Failure{Verdict: verdict.MayHaveRun, Reason: verdict.RetryConnection, Err: ctx.Err()}
+	}
+	if next.fails != nil {
+		return nil, next.fails
+	}
+	header := make(http.Header)
+	for line := range strings.Lines(next.header) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		header.Set(name, value)
+	}
+	var body io.Reader = strings.NewReader(next.body)
+	if next.breaks {
+		body = io.MultiReader(body, brokenReader{})
+	}
+	return &link.Incoming{Status: next.status, Header: header, Body: io.NopCloser(body), Length: -1}, nil
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) {
+	return 0, &link.Failure{Reason: verdict.RetryTruncated, Err: io.ErrUnexpectedEOF}
+}
+
+type noRollouts struct{}
+
+func (noRollouts) Choose(string, string, string) (only, without string) { return "", "" }
+func (noRollouts) Observe(string, string, bool, time.Duration)          {}
+
+// fixture is a server before scripted endpoints.
+type fixture struct {
+	server  *Server
+	sender  *scriptedSender
+	current *catalog.Current
+	table   *upstream.Table
+	log     *bytes.Buffer
+}
+
+type noMembers struct{}
+
+func (noMembers) Self() machine.Member   { return machine.Member{ID: "entry-1"} }
+func (noMembers) Live() []machine.Member { return []machine.Member{{ID: "entry-1"}} }
+
+// draft is the configuration of the tests: a route of each kind.
+func draft(revision uint64) *catalog.Draft {
+	route := func(prefix string, kind catalog.Kind, attempts int) *catalog.Route {
+		return &catalog.Route{
+			Name: prefix, Host: "host", Prefix: "/" + prefix + "/", Kind: kind, Resumable: prefix == "stream",
+			Timeout: 4 * time.Second, Goal: time.Second, Pause: time.Second, MaxAttempts: attempts,
+			Shares: []catalog.Share{{Service: "app", Weight: 1}},
+		}
+	}
+	stream := route("stream", catalog.Streaming, 3)
+	stream.Models = []string{"small", "large"}
+	return &catalog.Draft{
+		Version: revision, Revision: revision, Guarded: true,
+		Routes: []*catalog.Route{
+			route("read", catalog.Idempotent, 2), route("book", catalog.NonIdempotent, 1), stream, route("once", catalog.Streaming, 3),
+		},
+		Services:  []*catalog.Service{{Name: "app"}, {Name: "other"}},
+		Customers: map[string]*catalog.Customer{"key": {Name: "firm"}},
+		Limits:    catalog.Limits{MaxBodyBytes: 100},
+	}
+}
+
+func newFixture(script ...answer) *fixture {
+	f := &fixture{sender: &scriptedSender{script: script}, current: &catalog.Current{}, log: &bytes.Buffer{}}
+	log := slog.New(slog.NewJSONHandler(f.log, nil))
+	f.table = upstream.NewTable("entry-1", "a", f.current, noMembers{}, telemetry.New(), log)
+	for _, id := range []machine.EndpointID{"e1", "e2", "e3"} {
+		f.table.Apply(upstream.Report{ID: id, Service: "app", Address: string(id), Zone: "a", Slots: 4})
+	}
+	f.current.Set(catalog.New(draft(1)))
+	f.server = New(Parts{
+		Callers: plainProtocol{}, Endpoints: plainProtocol{}, Current: f.current, Upstreams: f.table, Sender: f.sender,
+		Versions: noRollouts{}, Retries: NewRetryBudget(), Counters: telemetry.New(), Log: log,
+	})
+	return f
+}
+
+// outcome is what a caller sees.
+type outcome struct {
+	status  int
+	header  http.Header
+	body    string
+	aborted bool // the connection was cut
+}
+
+func (f *fixture) request(prefix string, header ...string) *http.Request {
+	r := httptest.NewRequest(http.MethodPost, "/"+prefix+"/x", strings.NewReader("body"))
+	r.Host = "host"
+	r.Header.Set("Id", "r1")
+	r.Header.Set("Key", "key")
+	r.Header.Set("Wait-Ms", "3000")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return r
+}
+
+func (f *fixture) serve(r *http.Request) (seen outcome) {
+	recorder := httptest.NewRecorder()
+	defer func() {
+		if cause := recover(); cause != nil {
+			if cause != http.ErrAbortHandler {
+				panic(cause)
+			}
+			seen.aborted = true
+		}
+		seen.status, seen.header, seen.body = recorder.Code, recorder.Header(), recorder.Body.String()
+	}()
+	f.server.ServeHTTP(recorder, r)
+	return seen
+}
+
+func (f *fixture) call(prefix string, header ...string) outcome {
+	return f.serve(f.request(prefix, header...))
+}
+
+// endpoints are those that requests were sent to, in order.
+func (f *fixture) endpoints() []string {
+	var ids []string
+	for _, out := range f.sender.sent {
+		ids = append(ids, out.Address)
+	}
+	return ids
+}
