upstream: plain services get three requests per slot

Change: endpoints of plain services get up to three requests per slot; they decline what is too much.

--- a/gateway/cascade.go
+++ b/gateway/cascade.go
@@ -32,7 +32,7 @@
 	need := f.need()
 	need.Model = f.route.Models[last]
 	expected, ok := f.server.Upstreams.Expect(need)
-	left := f.arrived.Add(f.route.Goal).Sub(time.Now())
+	left := time.Until(f.arrived.Add(f.route.Goal))
 	if !ok || reply.Confidence >= requiredTrust(expected, left) || !f.server.Retries.Take(f.service) {
 		return false
 	}
--- a/upstream/place.go
+++ b/upstream/place.go
@@ -20,9 +20,12 @@
 	// failureCost is what an error rate of 1 costs: more than any prompt that would have to be read
 	// elsewhere.
 	failureCost = 400 * time.Millisecond
-	// overcommit is the number of requests per slot that an endpoint is given, so that its queue
-	// bridges the lag with which instances see each other's load.
-	overcommit = 1.25
+	// overcommitModel and overcommitPlain are the numbers of requests per slot that an endpoint is
+	// given, so that its queue bridges the lag with which instances see each other's load. Requests
+	// to plain services are so short that the lag covers several of them; an endpoint that is too full
+	// declines them unrun.
+	overcommitModel = 1.25
+	overcommitPlain = 3
 	// to be cold, as a multiple of its share of the cold rate: endpoints turn cold without notice.
 )
 
@@ -139,7 +142,11 @@
 
 // hasPlace says whether the endpoint may be given one more request. The caller holds the lock.
 func (t *Table) hasPlace(e *Endpoint, service *catalog.Service, now time.Time) bool {
-	if limit := int(float64(e.report.Slots) * overcommit); limit > 0 && e.total(now).requests >= limit {
+	overcommit := float64(overcommitPlain)
+	if service != nil && service.Model {
+		overcommit = overcommitModel
+	}
+	if e.total(now).requests >= int(float64(e.report.Slots)*overcommit) {
 		return false
 	}
 	if service == nil || service.ColdRate == 0 || !now.Before(e.coldEnds) {
