--- a/upstream/place.go
+++ b/upstream/place.go
@@ -116,7 +116,7 @@
 	preferred := preferredEndpoint(endpoints, need, func(e *Endpoint) bool {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		return e.listed(now) && !evacuated[e.report.Zone] && e.suits(need) && !e.health.open(now)
+		return e.report.Zone == t.zone && e.listed(now) && !evacuated[e.report.Zone] && e.suits(need) && !e.health.open(now)
 	})
 	for _, endpoint := range endpoints {
 		endpoint.mu.Lock()
