mirror: one watch on the whole store; changes gathered

Ruled out: longer waits, since most answers are changes. Change: one watch over all keys; 100 ms between answers that hold changes.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -182,7 +182,7 @@
 // parts are the long-running parts; each returns when its context ends.
 func (g *Gateway) parts() []func(context.Context) error {
 	return []func(context.Context) error{
-		func(ctx context.Context) error { return g.mirror.Follow(ctx, g.store, platform.Prefixes()) },
+		func(ctx context.Context) error { return g.mirror.Follow(ctx, g.store) },
 		g.documents.Run,
 		g.presence.Run,
 		g.membership.Run,
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -5,8 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"time"
-
-	"golang.org/x/sync/errgroup"
 )
 
 // ErrCompacted means that the store no longer has the history that a watch asked for.
@@ -27,11 +25,11 @@
 
 // Store is what a mirror needs of the platform's store.
 type Store interface {
-	// Range returns the documents below a prefix whose keys come after a key.
-	Range(ctx context.Context, prefix, after string) (Page, error)
-	// Watch returns the changes below a prefix after a revision as soon as there are some, or none
-	// once wait has passed. It returns ErrCompacted if the history does not reach back that far.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error)
+	// Range returns the documents whose keys come after a key.
+	Range(ctx context.Context, after string) (Page, error)
+	// Watch returns the changes after a revision as soon as there are some, or none once wait has
+	// passed. It returns ErrCompacted if the history does not reach back that far.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
 }
 
 const (
@@ -41,6 +39,9 @@
 	// probeWait is how long the first watch after a failure waits: its answer says at once that the
 	// store is back.
 	probeWait = time.Millisecond
+	// gatherPause is how long changes are gathered after some have come, so that a series of them
+	// takes fewer calls. It is a small part of the time within which a change has to be in force.
+	gatherPause = 100 * time.Millisecond
 	// watchSlack is how much longer than watchWait an answer may take, several round trips to a slow
 	// store.
 	watchSlack = 1200 * time.Millisecond
@@ -54,48 +55,24 @@
 	maxTombstones = 2000
 )
 
-// Follow keeps the copy in step with the store until ctx ends. Each prefix has a watch of its own.
-func (m *Mirror) Follow(ctx context.Context, store Store, prefixes []string) error {
-	positions := make([]uint64, len(prefixes))
-	for pause := firstPause; ; {
-		from, err := m.read(ctx, store, prefixes)
-		if err == nil {
-			for i := range positions {
-				positions[i] = from
-			}
-			break
-		}
-		m.unheard(err)
-		if !pauseFor(ctx, &pause) {
-			return nil
-		}
-	}
-	group, ctx := errgroup.WithContext(ctx)
-	for i, prefix := range prefixes {
-		group.Go(func() error { return m.follow(ctx, store, prefix, prefixes, positions[i]) })
-	}
-	return group.Wait()
-}
-
-// follow keeps one prefix in step.
-func (m *Mirror) follow(ctx context.Context, store Store, prefix string, all []string, position uint64) error {
+// Follow keeps the copy in step with the store until ctx ends.
+func (m *Mirror) Follow(ctx context.Context, store Store) error {
+	position, synced := uint64(0), false
 	pause, wait := firstPause, watchWait
 	for ctx.Err() == nil {
-		watching, cancel := context.WithTimeout(ctx, wait+watchSlack)
-		changes, err := store.Watch(watching, prefix, position, wait)
-		cancel()
+		var changed int
+		var err error
+		if synced {
+			position, changed, err = m.watch(ctx, store, position, wait)
+		} else {
+			position, err = m.read(ctx, store)
+		}
 		if errors.Is(err, ErrCompacted) {
-			m.log.Warn("store history compacted", "prefix", prefix, "revision", position)
-			var from uint64
-			if from, err = m.read(ctx, store, all); err == nil {
-				position = from
-				continue
-			}
+			m.log.Warn("store history compacted", "revision", position)
+			synced = false
+			continue
 		}
 		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
 			m.unheard(err)
 			wait = probeWait
 			if !pauseFor(ctx, &pause) {
@@ -103,69 +80,73 @@
 			}
 			continue
 		}
+		synced = true
 		pause, wait = firstPause, watchWait
-		m.heard()
-		m.apply(changes.Documents, 0)
-		position = max(position, changes.Revision)
-		m.advance(prefix, position, all)
-		m.sweep(maxTombstones)
+		if changed > 0 && !sleep(ctx, gatherPause) {
+			return nil
+		}
 	}
 	return nil
 }
 
-// advance moves the copy's revision on to the lowest position of its watches.
-func (m *Mirror) advance(prefix string, position uint64, all []string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.positions == nil {
-		m.positions = make(map[string]uint64)
-	}
-	m.positions[prefix] = position
-	lowest := position
-	for _, one := range all {
-		lowest = min(lowest, m.positions[one])
+// watch waits for the next changes and returns the position after them and their number.
+func (m *Mirror) watch(ctx context.Context, store Store, position uint64, wait time.Duration) (uint64, int, error) {
+	watching, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	defer cancel()
+	changes, err := store.Watch(watching, position, wait)
+	if err != nil {
+		if ctx.Err() != nil {
+			return position, 0, nil // this instance stops
+		}
+		return position, 0, err
 	}
-	m.revision = max(m.revision, lowest)
+	m.heard()
+	position = max(position, changes.Revision)
+	m.apply(changes.Documents, position)
+	m.sweep(maxTombstones)
+	return position, len(changes.Documents), nil
 }
 
-// read takes over the whole state below the prefixes and returns the revision from which watches
-// have to go on.
-func (m *Mirror) read(ctx context.Context, store Store, prefixes []string) (uint64, error) {
+// read takes over the whole state and returns the revision from which the watch has to go on.
+func (m *Mirror) read(ctx context.Context, store Store) (uint64, error) {
 	var documents []Document
 	var from uint64
-	for _, prefix := range prefixes {
-		after := ""
-		for {
-			page, err := readPage(ctx, store, prefix, after)
-			if err != nil {
-				return 0, err
-			}
-			if from == 0 {
-				from = page.Revision // before the first page: later changes are seen again
-			}
-			documents = append(documents, page.Documents...)
-			if !page.More || len(page.Documents) == 0 {
-				break
-			}
-			after = page.Documents[len(page.Documents)-1].Key
+	for after := ""; ; {
+		page, err := readPage(ctx, store, after)
+		if err != nil {
+			return 0, err
+		}
+		if from == 0 {
+			from = page.Revision // before the first page: later changes are seen again
+		}
+		documents = append(documents, page.Documents...)
+		if !page.More || len(page.Documents) == 0 {
+			break
 		}
+		after = page.Documents[len(page.Documents)-1].Key
 	}
 	m.heard()
 	m.replace(documents, from)
 	return from, nil
 }
 
-func readPage(ctx context.Context, store Store, prefix, after string) (Page, error) {
+func readPage(ctx context.Context, store Store, after string) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	return store.Range(ctx, prefix, after)
+	return store.Range(ctx, after)
 }
 
 // pauseFor waits with jitter and doubles the pause. It returns false if ctx ended.
 func pauseFor(ctx context.Context, pause *time.Duration) bool {
-	timer := time.NewTimer(time.Duration(float64(*pause) * (0.5 + rand.Float64())))
-	defer timer.Stop()
+	now := time.Duration(float64(*pause) * (0.5 + rand.Float64()))
 	*pause = min(2**pause, longestPause)
+	return sleep(ctx, now)
+}
+
+// sleep waits and returns false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
 	select {
 	case <-timer.C:
 		return true
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -55,8 +55,7 @@
 	heardAt   time.Time // last word of the store
 	lostAt    time.Time // the store could last not be heard
 	lost      bool
-	steadyAt  time.Time         // last word of a peer that the store had no outage
-	positions map[string]uint64 // of the watches, by prefix
+	steadyAt  time.Time // last word of a peer that the store had no outage
 }
 
 // New returns an empty copy.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -70,7 +69,7 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *fakeStore) Range(_ context.Context, prefix, after string) (Page, error) {
+func (s *fakeStore) Range(_ context.Context, after string) (Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down || s.silent {
@@ -79,7 +78,7 @@
 	page := Page{Revision: s.revision}
 	for _, key := range slices.Sorted(maps.Keys(s.documents)) {
 		document := s.documents[key]
-		if !strings.HasPrefix(key, prefix) || key <= after || document.Deleted {
+		if key <= after || document.Deleted {
 			continue
 		}
 		if len(page.Documents) == s.pageSize {
@@ -98,7 +97,7 @@
 	return page, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error) {
+func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error) {
 	ends := time.NewTimer(wait)
 	defer ends.Stop()
 	for {
@@ -106,7 +105,7 @@
 		down, silent, changed := s.down, s.silent, s.changed
 		result := Changes{Revision: s.revision}
 		for _, document := range s.history {
-			if document.Revision > after && strings.HasPrefix(document.Key, prefix) {
+			if document.Revision > after {
 				result.Documents = append(result.Documents, document)
 			}
 		}
@@ -158,7 +157,7 @@
 	return max(time.Until(r.until[key]), 0)
 }
 
-// follow starts a mirror of the store's documents below d/.
+// follow starts a mirror of the store.
 func follow(t *testing.T, store *fakeStore) (*Mirror, *recorder) {
 	told := &recorder{}
 	m := New(slog.New(slog.DiscardHandler), told.listen)
@@ -166,7 +165,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = m.Follow(ctx, store, []string{"d/"})
+		_ = m.Follow(ctx, store)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
 	return m, told
@@ -195,6 +194,7 @@
 		c.Check(value(m, "d/3"), qt.Equals, "first")
 		c.Check(value(m, "d/4"), qt.Equals, "none")
 		store.put("d/1", "third")
+		time.Sleep(gatherPause)
 		synctest.Wait()
 		c.Check(value(m, "d/1"), qt.Equals, "third")
 		c.Check(m.Revision(), qt.Equals, uint64(8))
@@ -279,6 +279,7 @@
 
 		m.peerSteady()
 		store.remove("d/c")
+		time.Sleep(gatherPause)
 		synctest.Wait()
 		c.Check(told.lapse("d/c"), qt.Equals, time.Duration(0))
 
--- a/mirror/presence.go
+++ b/mirror/presence.go
@@ -78,14 +78,9 @@
 			continue
 		}
 		pause = firstPause
-		timer := time.NewTimer(presenceRenewal)
-		select {
-		case <-timer.C:
-			continue
-		case <-ctx.Done():
-			timer.Stop()
+		if !sleep(ctx, presenceRenewal) {
+			break
 		}
-		break
 	}
 	if lease == 0 {
 		return nil
