--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -20,7 +20,7 @@
 	// slowFactor and slowMin say when an answer of the new version counts as a failure: when its
 	// first byte takes so many times the old version's mean, and at least that long.
 	slowFactor = 4
-	slowMin    = 800 * time.Millisecond
+	slowMin    = 250 * time.Millisecond
 	// averageWeight is the weight of the newest value in the mean time to the first byte.
 	averageWeight = 0.05
 )
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -34,8 +34,8 @@
 	status   int // of the endpoint's answer; 0 without one
 	fresh    bool
 	err      error
-	// free says that the attempt counts towards no bound: another endpoint had the address.
-	free bool
+	// paid says that the retry budget has been charged for the next attempt.
+	paid bool
 }
 
 func (a *failedAttempt) connFailure() bool {
@@ -144,7 +144,7 @@
 	failed := &failedAttempt{endpoint: grant.Endpoint.ID(), status: answer.Status}
 	switch {
 	case reply.Misdirected:
-		failed.verdict, failed.reason, failed.free = verdict.NotRun, verdict.RetryWrongAttempt, true
+		failed.verdict, failed.reason = verdict.NotRun, verdict.RetryMisplaced
 		f.drop(answer)
 		return failed
 	case reply.NotRun:
@@ -158,7 +158,7 @@
 		return failed
 	}
 	if f.escalate(reply) {
-		failed.verdict, failed.reason, failed.free = verdict.Ran, verdict.RetryLowQuality, true
+		failed.verdict, failed.reason, failed.paid = verdict.Ran, verdict.RetryLowQuality, true
 		return failed
 	}
 	if answer.Status == http.StatusOK && strings.HasPrefix(answer.Header.Get("Content-Type"), eventStreams) {
@@ -227,6 +227,8 @@
 		return upstream.Answered
 	case ctx.Err() != nil:
 		return upstream.Abandoned
+	case failed.reason == verdict.RetryMisplaced:
+		return upstream.Misplaced
 	case failed.verdict == verdict.NotRun && failed.reason != verdict.RetryNotSent:
 		return upstream.Rejected
 	case failed.connFailure():
--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -55,7 +55,7 @@
 		return refusal
 	case p.runs >= p.route.MaxAttempts:
 		return refusal
-	case !p.failed.free && !p.retries.Take(p.service):
+	case !p.failed.paid && !p.retries.Take(p.service):
 		return refusal
 	default:
 		return nil
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -197,6 +197,19 @@
 	c.Check(budget.Take("other"), qt.IsTrue)
 }
 
+// TestBudgetCountsEveryArrival charges the budget for each endpoint that is asked again, also after one
+// that declined unrun or had only another's address.
+func TestBudgetCountsEveryArrival(t *testing.T) {
+	for _, first := range []answer{declined(), {status: http.StatusMisdirectedRequest}, lost()} {
+		c := qt.New(t)
+		f := newFixture(first, signed(200, "ok"))
+		f.server.Retries.tokens["app"] = 0
+		seen := f.call("read")
+		c.Check(f.sender.sent, qt.HasLen, 1)
+		c.Check(seen.status >= 500, qt.IsTrue)
+	}
+}
+
 // TestRefusals checks requests that reach no endpoint.
 func TestRefusals(t *testing.T) {
 	for name, one := range map[string]struct {
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -33,18 +33,19 @@
 }
 
 const (
-	// watchWait is how long one watch waits. Calls have a price; that a connection went silent shows
-	// sooner, by the store client's probes and by peers that are ahead.
-	watchWait = 10 * time.Second
+	// watchWait is how long one watch waits. A watch can be cut without any sign while its connection
+	// lives, and with it the watches of all peers; what changed meanwhile has to be in force about
+	// three seconds after the store is well again.
+	watchWait = 2 * time.Second
 	// probeWait is how long the first watch after a failure waits: its answer says at once that the
 	// store is back.
 	probeWait = time.Millisecond
 	// gatherPause is how long changes are gathered after some have come, so that a series of them
 	// takes fewer calls. It is a small part of the time within which a change has to be in force.
 	gatherPause = 100 * time.Millisecond
-	// watchSlack is how much longer than watchWait an answer may take, several round trips to a slow
-	// store.
-	watchSlack = 1200 * time.Millisecond
+	// watchSlack is how much longer than watchWait an answer may take: two round trips to a store that
+	// is a hundred times slower than usual.
+	watchSlack = 800 * time.Millisecond
 	// readTimeout bounds the read of one page.
 	readTimeout = 2 * time.Second
 	// firstPause and longestPause bound the pause after a failed call. It doubles with each failure.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -239,6 +239,27 @@
 	})
 }
 
+// TestCutWatch hears of changes about three seconds after every watch was cut without a sign.
+func TestCutWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := newFakeStore()
+		store.put("d/a", "1")
+		m, _ := follow(t, store)
+		synctest.Wait()
+		store.set(false, true)
+		store.put("d/a", "2")
+		store.compact()
+		synctest.Wait()
+		store.mu.Lock()
+		store.silent = false // new calls are answered; the waiting one is not
+		store.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		c.Check(value(m, "d/a"), qt.Equals, "2")
+	})
+}
+
 // TestNeverBack drops older revisions, wherever they come from, deletions included.
 func TestNeverBack(t *testing.T) {
 	c := qt.New(t)
--- a/upstream/health.go
+++ b/upstream/health.go
@@ -46,6 +46,8 @@
 	Unreachable
 	// Rejected means that the endpoint said that it has not run the request.
 	Rejected
+	// Misplaced means that another endpoint has the address.
+	Misplaced
 	// Abandoned means that the caller left or its time was over; it says nothing.
 	Abandoned
 )
@@ -65,6 +67,8 @@
 	switch outcome {
 	case Abandoned, Rejected:
 		return false
+	case Misplaced:
+		h.brokenConns = max(h.brokenConns+1, breakAfter)
 	case Unreachable:
 		h.brokenConns++
 	default:
@@ -72,9 +76,11 @@
 		h.openFor = 0
 		h.openUntil = time.Time{}
 	}
-	h.decay(now)
-	h.answers++
-	if outcome != Answered {
+	if outcome != Misplaced {
+		h.decay(now)
+		h.answers++
+	}
+	if outcome == Failed || outcome == Unreachable {
 		h.failures++
 	}
 	if h.brokenConns < breakAfter {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -283,6 +283,25 @@
 	})
 }
 
+// TestAddressOfAnother leaves an endpoint at whose address another one answers, at once and until its entry
+// changes or a single try succeeds.
+func TestAddressOfAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table := newTable(report("x", "app", "a"), report("y", "app", "b"))
+		grant, _ := table.Place(&Need{Service: "app"})
+		c.Assert(grant.Endpoint.ID(), qt.Equals, machine.EndpointID("x"))
+		grant.Done(Misplaced, Signals{})
+		for range 5 {
+			c.Check(placedAt(table, Need{Service: "app"}), qt.Equals, machine.EndpointID("y"))
+		}
+		moved := report("x", "app", "a")
+		moved.Address = "x2:80"
+		table.Apply(moved)
+		c.Check(placedAt(table, Need{Service: "app"}), qt.Equals, machine.EndpointID("x"))
+	})
+}
+
 // TestQueueOrder serves the most urgent request first, and the oldest among equals.
 func TestQueueOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
