--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -312,7 +312,8 @@
 		c.Check(use(second.rollouts), qt.Equals, 1.0)
 		// The first one wakes up and believes that it still holds the lease.
 		held := first.driver.holds
-		first.driver.advance(t.Context(), move{order: second.rollouts.byService["app"].order, stage: Stage{State: Reverted}})
+		current := second.rollouts.byService["app"]
+		first.driver.advance(t.Context(), move{order: current.order, revision: current.revision, stage: Stage{State: Reverted}})
 		c.Check(held, qt.Not(qt.Equals), second.driver.holds)
 		c.Check(store.status(), qt.Equals, "running")
 		run(t, store, 5*time.Second, []*instance{second}, nil)
--- a/cmd/plumbarrow/explain.go
+++ b/cmd/plumbarrow/explain.go
@@ -3,17 +3,25 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
+	"os"
 
+	"plumbarrow.example/plumbarrow/internal/requestlog"
 	"plumbarrow.example/plumbarrow/operate/client"
 )
 
 type explainCommand struct {
 	remote
-	RequestID string `arg:"positional,required" help:"id from the Plumbarrow-Request-Id header"`
+	Log       string `arg:"--log" help:"read the request's story from a log instead of asking an instance; - is standard input" placeholder:"FILE"`
+	RequestID string `arg:"positional,required" help:"id from the answer's request id header"`
 }
 
-// run prints the record of a request. It is JSON in any case.
+// run prints the record of a request, which is JSON in any case, or its story from a log.
 func (c *explainCommand) run() error {
+	if c.Log != "" {
+		return c.fromLog()
+	}
 	client, err := c.client()
 	if err != nil {
 		return err
@@ -25,4 +33,24 @@
 	return printJSON(record)
 }
 
+func (c *explainCommand) fromLog() error {
+	var logs io.Reader = os.Stdin
+	if c.Log != "-" {
+		file, err := os.Open(c.Log)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = file.Close() }()
+		logs = file
+	}
+	lines, err := requestlog.Story(logs, c.RequestID)
+	if err != nil {
+		return err
+	}
+	for _, line := range lines {
+		fmt.Println(line)
+	}
+	return nil
+}
+
 func isNotFound(err error) bool { return errors.Is(err, client.ErrNotFound) }
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -278,11 +278,12 @@
 
 // full refuses a request that found no place.
 func (f *flow) full(blocked upstream.Blocked) *verdict.Refusal {
-	refusal := verdict.Refuse(verdict.NoEndpoint, "service %s has no endpoint", f.service)
+	waiting := f.server.Upstreams.Waiting(f.service)
+	refusal := verdict.Refuse(verdict.NoEndpoint, "service %s has no endpoint that may be used", f.service)
 	if blocked == upstream.Full {
-		refusal = verdict.Refuse(verdict.ShedOverload, "service %s is full", f.service)
+		refusal = verdict.Refuse(verdict.ShedOverload, "service %s is full and %d requests wait", f.service, waiting)
 	}
-	refusal.RetryAfter = retryAfter(f.server.Upstreams.Waiting(f.service))
+	refusal.RetryAfter = retryAfter(waiting)
 	return refusal
 }
 
--- /dev/null
+++ b/internal/requestlog/requestlog_test.go
@@ -0,0 +1,34 @@
+package requestlog
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestStory takes a request's lines of two instances, and what they believed of its endpoints, out of a
+// log with other requests and lines that are no JSON.
+func TestStory(t *testing.T) {
+	c := qt.New(t)
+	logs, err := os.Open("testdata/two-instances.log")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = logs.Close() }()
+	lines, err := Story(logs, "r-1")
+	c.Assert(err, qt.IsNil)
+	var text strings.Builder
+	for _, line := range lines {
+		text.WriteString(line.String() + "\n")
+	}
+	want, err := os.ReadFile("testdata/two-instances.golden")
+	c.Assert(err, qt.IsNil)
+	c.Check(text.String(), qt.Equals, string(want))
+}
+
+// TestUnknown says so if no line names the request.
+func TestUnknown(t *testing.T) {
+	_, err := Story(strings.NewReader("{\"msg\":\"request\",\"request_id\":\"r-2\"}\n"), "r-1")
+	qt.Check(t, errors.Is(err, ErrUnknown), qt.IsTrue)
+}
