--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -41,7 +41,8 @@
 	service string
 }
 
-// decideNext says whether another attempt may follow; nil means that it may.
+// decideNext says whether another attempt may follow; nil means that it may. An attempt that never left
+// is no load for an endpoint and costs nothing of the retry budget.
 func decideNext(p *progress) *verdict.Refusal {
 	refusal := &verdict.Refusal{Verdict: p.failed.verdict, Reason: verdict.UpstreamError, Detail: "the endpoint failed the request"}
 	if p.failed.verdict == verdict.NotRun {
@@ -55,7 +56,7 @@
 		return refusal
 	case p.runs >= p.route.MaxAttempts:
 		return refusal
-	case !p.failed.paid && !p.retries.Take(p.service):
+	case !p.failed.paid && p.failed.reason != verdict.RetryNotSent && !p.retries.Take(p.service):
 		return refusal
 	default:
 		return nil
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -210,6 +210,14 @@
 	}
 }
 
+// TestUnsentIsFree charges nothing for an attempt of which no byte left.
+func TestUnsentIsFree(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(unsent(), unsent(), signed(200, "ok"))
+	f.server.Retries.tokens["app"] = 0
+	c.Check(f.call("book").status, qt.Equals, 200)
+}
+
 // TestRefusals checks requests that reach no endpoint.
 func TestRefusals(t *testing.T) {
 	for name, one := range map[string]struct {
--- a/link/wire.go
+++ b/link/wire.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// endpointDial bounds the opening of a connection to an endpoint: two round trips across zones
-	// and one retransmission of the first packet would take longer than trying elsewhere.
-	endpointDial = 600 * time.Millisecond
+	// endpointDial bounds the opening of a connection to an endpoint: many round trips within a
+	// region, and less than the retransmission of a lost packet would take.
+	endpointDial = 250 * time.Millisecond
 	// endpointUserTimeout is how long sent bytes may stay unacknowledged (TCP_USER_TIMEOUT); beyond
 	// it the path or the machine is down.
 	endpointUserTimeout = 1500 * time.Millisecond
--- a/upstream/health.go
+++ b/upstream/health.go
@@ -83,8 +83,8 @@
 	if outcome == Failed || outcome == Unreachable {
 		h.failures++
 	}
-	if h.brokenConns < breakAfter {
-		return false
+	if h.brokenConns < breakAfter || now.Before(h.openUntil) {
+		return false // closed, or opened by an earlier one of the same failures
 	}
 	h.openFor = min(max(2*h.openFor, breakFirst), breakLongest)
 	h.openUntil = now.Add(h.openFor)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -283,6 +283,28 @@
 	})
 }
 
+// TestBreakerOpensOnce keeps an endpoint away for the first, short time after failures of requests that
+// were under way together.
+func TestBreakerOpensOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table := newTable(report("x", "app", "a"))
+		var grants []*Grant
+		for range 8 {
+			grant, _ := table.Place(&Need{Service: "app"})
+			grants = append(grants, grant)
+		}
+		for _, grant := range grants {
+			grant.Done(Unreachable, Signals{})
+		}
+		time.Sleep(breakFirst)
+		e := grants[0].Endpoint
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		c.Check(e.health.open(time.Now()), qt.IsFalse)
+	})
+}
+
 // TestAddressOfAnother leaves an endpoint at whose address another one answers, at once and until its entry
 // changes or a single try succeeds.
 func TestAddressOfAnother(t *testing.T) {
