canary: steps are held, slowness is measured against the prompt alone; log the times to the first byte

Change: every step is held for a time, also by a late driver; an answer is slow as a multiple of what its prompt takes to read, measured alike on both versions.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -58,7 +58,7 @@
 	revision uint64    // of the stage's document
 	own      tally
 	peers    map[machine.InstanceID]tally
-	oldFirst average // time to the first byte at the old version, in seconds
+	oldDelay average // of answers of the old version, see Attempt.delay
 	distrust bool    // the evidence says that the version is bad
 }
 
--- a/canary/driver.go
+++ b/canary/driver.go
@@ -26,17 +26,24 @@
 	driverTimeout = time.Second
 )
 
-// step is a share that is reached at an age, as a part of the roll-out's duration.
+// step is a share that is reached at an age, as a part of the roll-out's duration, and held for a while
+// at least, in which the evidence against a bad version comes together. A driver that comes late thus
+// skips no step.
 type step struct {
 	age   float64
 	share float64
+	hold  time.Duration
 }
 
 // schedule leaves all sessions on the old version in the first half of the time: a session may only
 // move in the second, and its requests come to any instance. Then the share grows at intervals in which
 // the evidence against a bad version comes together. The rest of the time is for work that is still under
 // way at the old version.
-var schedule = []step{{0.5, 0.1}, {0.62, 0.4}, {0.72, 1}}
+var schedule = []step{
+	{0.5, 0.1, 1500 * time.Millisecond},
+	{0.62, 0.4, 1200 * time.Millisecond},
+	{0.72, 1, 1500 * time.Millisecond},
+}
 
 // completeAt is the part of a roll-out's duration after which the old version is given up.
 const completeAt = 0.9
@@ -246,17 +253,28 @@
 	elapsed := one.elapsed(now)
 	stage = Stage{Order: one.order.Revision, State: Running, Share: one.stage.Share, ElapsedMS: elapsed.Milliseconds()}
 	age := float64(elapsed) / float64(max(one.order.Duration, 1))
-	for _, step := range schedule {
-		if age >= step.age {
-			stage.Share = max(stage.Share, step.share)
-		}
-	}
-	switch {
+	held := now.Sub(one.stageAt)
+	switch at := position(one.stage.Share); {
 	case one.distrust:
 		stage.State, stage.Share = Reverted, 0
-	case age >= completeAt && one.stage.Share == 1:
-		stage.State = Completed
+	case at == len(schedule):
+		if age >= completeAt && held >= schedule[at-1].hold {
+			stage.State = Completed
+		}
+	case age >= schedule[at].age && (at == 0 || held >= schedule[at-1].hold):
+		stage.Share = schedule[at].share
 	}
 	changed := stage.State != one.stage.State || stage.Share != one.stage.Share
 	return stage, changed
 }
+
+// position is the number of steps that a share has taken.
+func position(share float64) int {
+	taken := 0
+	for _, step := range schedule {
+		if share >= step.share {
+			taken++
+		}
+	}
+	return taken
+}
--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -17,11 +17,15 @@
 	// failureFactor and failureMargin say how much more often than the old version a bad one fails.
 	failureFactor = 2
 	failureMargin = 0.1
-	// slowFactor and slowMin say when an answer of the new version counts as a failure: when its
-	// first byte takes so many times the old version's mean, and at least that long.
-	slowFactor = 4
-	slowMin    = 250 * time.Millisecond
-	// averageWeight is the weight of the newest value in the mean time to the first byte.
+	// slowFactor and slowMin say when an answer counts as a failure: when its first byte, as a multiple
+	// of what its prompt takes to read, takes so many times the old version's mean, and at least that
+	// long. Both versions are measured alike: a new one begins with empty caches. An endpoint's load is
+	// no excuse, since a slow version gathers it.
+	slowFactor = 3
+	slowMin    = 150 * time.Millisecond
+	// expectedSlack is added to what is expected, which says little of short answers.
+	expectedSlack = 50 * time.Millisecond
+	// averageWeight is the weight of the newest value in the old version's mean.
 	averageWeight = 0.05
 )
 
@@ -62,28 +66,47 @@
 }
 
 // Observe takes the outcome of an attempt at a version of a service.
-func (r *Rollouts) Observe(service, version string, failed bool, firstByte time.Duration) {
+func (r *Rollouts) Observe(service, version string, attempt Attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	one := r.byService[service]
 	if one == nil || one.stage.State == Completed || one.stage.State == Reverted {
 		return
 	}
-	if version != one.order.Target {
-		one.own.oldAnswers++
-		if failed {
-			one.own.oldFailures++
-			return
+	bad := attempt.Failed || one.slow(attempt)
+	if version == one.order.Target {
+		one.own.newAnswers++
+		if bad {
+			one.own.newFailures++
 		}
-		one.oldFirst.add(firstByte.Seconds())
+		r.judge(one)
 		return
 	}
-	slow := one.oldFirst.set && firstByte > slowMin && firstByte.Seconds() > slowFactor*one.oldFirst.value
-	one.own.newAnswers++
-	if failed || slow {
-		one.own.newFailures++
+	one.own.oldAnswers++
+	if bad {
+		one.own.oldFailures++
+	}
+	if !attempt.Failed {
+		one.oldDelay.add(attempt.delay())
 	}
-	r.judge(one)
+}
+
+// slow says whether an answer took much longer than its prompt explains.
+func (one *rollout) slow(attempt Attempt) bool {
+	return one.oldDelay.set && attempt.FirstByte >= slowMin && attempt.delay() > slowFactor*one.oldDelay.value
+}
+
+// Attempt is what one attempt showed of a version.
+type Attempt struct {
+	Failed bool
+	// FirstByte is the time to the answer's first byte; Expected is what reading the prompt takes.
+	FirstByte time.Duration
+	Expected  time.Duration
+}
+
+// delay is the time to the first byte as a multiple of what was expected.
+func (a Attempt) delay() float64 {
+	return a.FirstByte.Seconds() / (a.Expected + expectedSlack).Seconds()
 }
 
 // judge stops a version that the evidence of all instances is against. The caller holds the lock.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"plumbarrow.example/plumbarrow/canary"
 	"plumbarrow.example/plumbarrow/catalog"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
@@ -51,8 +52,7 @@
 func (f *flow) attempt(ctx context.Context, grant *upstream.Grant) *failedAttempt {
 	started := time.Now()
 	outcome := upstream.Abandoned
-	signals := upstream.Signals{}
-	defer func() { grant.Done(outcome, signals) }()
+	defer func() { grant.Done(outcome) }()
 	out, model := f.outgoing(grant, started)
 	f.server.Log.LogAttrs(context.Background(), slog.LevelInfo, "attempt",
 		slog.String("request_id", f.id()), slog.String("endpoint", string(grant.Endpoint.ID())), slog.String("service", f.service),
@@ -70,8 +70,9 @@
 	defer func() { _ = answer.Body.Close() }()
 	firstByte := time.Since(started)
 	f.server.Counters.Observe(firstSeconds, firstByte.Seconds())
+	f.answered = append(f.answered, firstByte.Milliseconds())
 	reply := f.server.Endpoints.Reply(answer.Status, answer.Header)
-	signals.ColdFor = reply.ColdFor
+	grant.Cold(reply.ColdFor)
 	failed := f.receive(ctx, grant, answer, reply)
 	outcome = f.outcomeOf(ctx, failed)
 	f.observe(grant, outcome, firstByte)
@@ -240,10 +241,10 @@
 
 // observe tells the roll-out's evidence what an attempt showed of its version.
 func (f *flow) observe(grant *upstream.Grant, outcome upstream.Outcome, firstByte time.Duration) {
-	switch outcome {
-	case upstream.Answered:
-		f.server.Versions.Observe(f.service, grant.Report.Version, false, firstByte)
-	case upstream.Failed:
-		f.server.Versions.Observe(f.service, grant.Report.Version, true, firstByte)
+	if outcome != upstream.Answered && outcome != upstream.Failed {
+		return
 	}
+	f.server.Versions.Observe(f.service, grant.Report.Version, canary.Attempt{
+		Failed: outcome == upstream.Failed, FirstByte: firstByte, Expected: grant.OwnPrefill,
+	})
 }
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -52,7 +52,7 @@
 	refusal  *verdict.Refusal
 	status   int
 	gone     bool
-	placings []any // of the log line
+	answered []int64 // times to the answers' first bytes in milliseconds, for the log
 }
 
 func (f *flow) id() string {
@@ -238,7 +238,6 @@
 		need := f.need()
 		grant, blocked := f.server.Upstreams.Place(need)
 		if blocked == upstream.NotBlocked {
-			f.placings = append(f.placings, slog.String("endpoint", string(grant.Endpoint.ID())))
 			return grant, nil
 		}
 		wait := f.patience(time.Now(), blocked)
@@ -334,6 +333,6 @@
 	if f.stream != nil {
 		attrs = append(attrs, slog.Int("events", f.stream.events), slog.String("last_event", f.stream.lastID), slog.Bool("whole", f.stream.whole))
 	}
-	attrs = append(attrs, slog.String("verdict", f.outcome.String()), slog.Int("tries", f.tries), slog.Group("placed", f.placings...))
+	attrs = append(attrs, slog.String("verdict", f.outcome.String()), slog.Int("tries", f.tries), slog.Any("first_byte_ms", f.answered))
 	f.server.Log.LogAttrs(context.Background(), slog.LevelInfo, "request", attrs...)
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"plumbarrow.example/plumbarrow/canary"
 	"plumbarrow.example/plumbarrow/catalog"
 	"plumbarrow.example/plumbarrow/internal/flights"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
@@ -42,12 +43,13 @@
 	// may be empty.
 	Choose(service, session, request string) (only, without string)
 	// Observe takes the outcome of an attempt.
-	Observe(service, version string, failed bool, firstByte time.Duration)
+	Observe(service, version string, attempt canary.Attempt)
 }
 
 var (
 	_ Upstreams = (*upstream.Table)(nil)
 	_ Sender    = (*link.Wire)(nil)
+	_ Versions  = (*canary.Rollouts)(nil)
 )
 
 // Parts are what a server works with.
--- a/upstream/place.go
+++ b/upstream/place.go
@@ -54,8 +54,10 @@
 	Report   Report
 	// Load is the number of requests at the endpoint when it was chosen, as far as known.
 	Load int
-	// Expected is the time until the answer's first event.
-	Expected time.Duration
+	// Expected is the time until the answer's first event; OwnPrefill is the part of it that the
+	// request's own prompt takes.
+	Expected   time.Duration
+	OwnPrefill time.Duration
 
 	model     string
 	tokens    int           // of the prompt that the endpoint has to read
@@ -265,7 +267,8 @@
 	grant.model = need.Model
 	grant.startedAt = now
 	grant.tokens = need.PromptTokens - e.cache.cached(need.Model, shared, now)
-	grant.prefill = time.Duration(grant.tokens) * t.paces.get(need.Service, need.Model)
+	grant.OwnPrefill = time.Duration(grant.tokens) * t.paces.get(need.Service, need.Model)
+	grant.prefill = grant.OwnPrefill
 	before := e.total(now)
 	waits := before.prefill + time.Duration(before.requests-1)*requestCost
 	grant.alone = float64(waits) <= paceBacklog*float64(grant.prefill)
@@ -273,6 +276,19 @@
 	e.cache.use(need.Model, need.Parts, now)
 }
 
+// Cold takes the endpoint's word that it stays cold for a while; 0 says nothing.
+func (g *Grant) Cold(left time.Duration) {
+	if left <= 0 {
+		return
+	}
+	ends := time.Now().Add(left)
+	g.Endpoint.mu.Lock()
+	defer g.Endpoint.mu.Unlock()
+	if ends.After(g.Endpoint.coldEnds) {
+		g.Endpoint.coldEnds = ends
+	}
+}
+
 // Began notes that the answer's first event has come, so that the prompt is read.
 func (g *Grant) Began() {
 	e := g.Endpoint
@@ -287,17 +303,13 @@
 }
 
 // Done returns the place with what the attempt showed.
-func (g *Grant) Done(outcome Outcome, signals Signals) {
-	now := time.Now()
+func (g *Grant) Done(outcome Outcome) {
 	e := g.Endpoint
 	e.mu.Lock()
 	e.own.requests--
 	e.own.prefill -= g.prefill
-	opened := e.health.observe(outcome, now)
+	opened := e.health.observe(outcome, time.Now())
 	openFor := e.health.openFor
-	if ends := now.Add(signals.ColdFor); signals.ColdFor > 0 && ends.After(e.coldEnds) {
-		e.coldEnds = ends
-	}
 	e.mu.Unlock()
 	if opened {
 		g.table.counters.Inc("plumbarrow_breaker_opened_total")
@@ -306,12 +318,6 @@
 	g.table.Freed(g.Report.Service)
 }
 
-// Signals are what an answer's header says of its endpoint.
-type Signals struct {
-	// ColdFor is how much longer the endpoint is cold.
-	ColdFor time.Duration
-}
-
 // Expect returns the shortest expected time to the first event of a request over the endpoints that
 // have a place; false if none has.
 func (t *Table) Expect(need *Need) (time.Duration, bool) {
