--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -104,7 +104,7 @@
 	}
 	f.fresh = false
 	if f.route.Repeatable() && f.runs+1 < f.route.MaxAttempts {
-		out.FirstByte = firstByteLimit(f.route, left)
+		out.FirstByte = firstByteLimit(f.route.Goal, grant.Expected, left)
 	}
 	if f.route.Kind == catalog.Streaming && f.route.Resumable {
 		out.Progress = max(2*f.route.Pause, streamSilence)
@@ -112,12 +112,6 @@
 	return out, attempt.Model
 }
 
-// firstByteLimit is how long an endpoint may be silent before a request that may be repeated goes
-// elsewhere: half of the time left, but not before its goal is missed.
-func firstByteLimit(route *catalog.Route, left time.Duration) time.Duration {
-	return max(left/2, min(2*route.Goal, left))
-}
-
 // failedSend is an attempt that got no answer.
 func (f *flow) failedSend(grant *upstream.Grant, err error) *failedAttempt {
 	failed := &failedAttempt{endpoint: grant.Endpoint.ID(), reason: verdict.RetryConnection, err: err}
--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -17,6 +17,11 @@
 	// queueShare is the part of the time left that a request may wait for a place; the rest is for
 	// its work.
 	queueShare = 0.5
+	// lateFactor and lateSlack say how long an endpoint may be silent beyond what is expected of it
+	// before a request that may be repeated goes elsewhere: twice the time, and what short answers
+	// vary by.
+	lateFactor = 2
+	lateSlack  = 500 * time.Millisecond
 	// absentWait is how long a request waits for a service without any endpoint: entries lost with
 	// the store are back within about two seconds.
 	absentWait = 300 * time.Millisecond
@@ -63,6 +68,13 @@
 	}
 }
 
+// firstByteLimit is how long an endpoint may be silent before a request that may be repeated goes
+// elsewhere: until the goal is missed or the answer is overdue, whichever is later, but half of the time
+// left stays for the other endpoint.
+func firstByteLimit(goal, expected, left time.Duration) time.Duration {
+	return min(left/2, max(goal, lateFactor*expected+lateSlack))
+}
+
 // retryAfter is the pause asked of a caller that is refused while others wait. It is spread, so that
 // refused callers do not return together.
 func retryAfter(waiting int) time.Duration {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -180,6 +180,21 @@
 	c.Check(requiredTrust(1100*time.Millisecond, time.Second), qt.Equals, 0.0)
 }
 
+// TestSilentEndpoint leaves time for another endpoint, also where the goal is nearly the whole time, and
+// waits longer for an endpoint with a long backlog.
+func TestSilentEndpoint(t *testing.T) {
+	c := qt.New(t)
+	c.Check(firstByteLimit(4*time.Second, 40*time.Millisecond, 4469*time.Millisecond), qt.Equals, 2234500*time.Microsecond)
+	c.Check(firstByteLimit(time.Second, 40*time.Millisecond, 6*time.Second), qt.Equals, time.Second)
+	c.Check(firstByteLimit(time.Second, 1200*time.Millisecond, 6*time.Second), qt.Equals, 2900*time.Millisecond)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFixture(signed(200, "ok"))
+		f.call("read")
+		c.Check(f.sender.sent[0].FirstByte, qt.Equals, time.Second)
+	})
+}
+
 // TestRetryBudget ends repeats once they outnumber what first attempts paid for.
 func TestRetryBudget(t *testing.T) {
 	c := qt.New(t)
