upstream: the time to the first event is a line over tokens, learnt by model

Doubted answers were passed on though the larger model would have been in time. Change: an exponentially weighted least-squares line by model; a running request costs 2 ms.

--- a/upstream/place.go
+++ b/upstream/place.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// requestCost is the delay of a prompt by one running request: about one step of its batch.
-	requestCost = 4 * time.Millisecond
+	// requestCost is the delay of a prompt by one running request: a part of a step of its batch.
+	requestCost = 2 * time.Millisecond
 	// foreignZoneCost is what a path between zones costs. It decides between endpoints that are
 	// otherwise equal.
 	foreignZoneCost = 500 * time.Microsecond
@@ -196,8 +196,12 @@
 func (t *Table) expect(e *Endpoint, need *Need, preferred bool, now time.Time) time.Duration {
 	total := e.total(now)
 	uncached := need.PromptTokens - t.expectCached(e, need, preferred, now)
-	own := time.Duration(uncached) * t.paces.get(need.Service, need.Model)
-	return time.Duration(total.requests)*requestCost + total.prefill + own
+	cost := time.Duration(total.requests)*requestCost + total.prefill
+	if len(need.Parts) == 0 {
+		return cost
+	}
+	base, pace := t.paces.get(need.Service, need.Model)
+	return cost + base + time.Duration(uncached)*pace
 }
 
 // expectCached is the number of the prompt's tokens that the endpoint need not read.
@@ -267,11 +271,11 @@
 	grant.model = need.Model
 	grant.startedAt = now
 	grant.tokens = need.PromptTokens - e.cache.cached(need.Model, shared, now)
-	grant.OwnPrefill = time.Duration(grant.tokens) * t.paces.get(need.Service, need.Model)
-	grant.prefill = grant.OwnPrefill
+	base, pace := t.paces.get(need.Service, need.Model)
+	grant.prefill = time.Duration(grant.tokens) * pace
+	grant.OwnPrefill = base + grant.prefill
 	before := e.total(now)
-	waits := before.prefill + time.Duration(before.requests-1)*requestCost
-	grant.alone = float64(waits) <= paceBacklog*float64(grant.prefill)
+	grant.alone = before.prefill+time.Duration(before.requests-1)*requestCost <= aloneLimit
 	e.own.prefill += grant.prefill
 	e.cache.use(need.Model, need.Parts, now)
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -217,9 +217,7 @@
 		again, _ := other.Place(&second)
 		c.Check(grant.Endpoint.ID(), qt.Equals, again.Endpoint.ID())
 		used[grant.Endpoint.ID()] = true
-		grant.Began()
 		grant.Done(Answered)
-		again.Began()
 		again.Done(Answered)
 	}
 	c.Check(len(used) >= 7, qt.IsTrue, qt.Commentf("%d of 9 endpoints used", len(used)))
@@ -245,21 +243,27 @@
 	c.Check(after-before, qt.Equals, requestCost+5000*firstPace)
 }
 
-// TestPace learns how long a model takes for a token from prompts with nothing before them.
+// TestPace learns what a model takes for an empty prompt and for each token, from prompts with nothing
+// before them.
 func TestPace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		table := newTable(report("x", "chat", "a"))
 		for own := range uint64(60) {
-			need := prompt(100+own, own) // 4,000 tokens of each are new
+			need := prompt(100+own, own) // the first part is cached after the first one
+			need.Parts[2].Tokens = int(100 * own)
+			need.PromptTokens = 4000 + int(100*own)
 			grant, _ := table.Place(&need)
-			tokens := grant.tokens
-			time.Sleep(time.Duration(tokens) * 50 * time.Microsecond)
+			time.Sleep(30*time.Millisecond + time.Duration(grant.tokens)*50*time.Microsecond)
 			grant.Began()
 			grant.Done(Answered)
 		}
-		c.Check(table.paces.get("chat", "large") > 49*time.Microsecond, qt.IsTrue)
-		c.Check(table.paces.get("chat", "small"), qt.Equals, firstPace)
+		base, pace := table.paces.get("chat", "large")
+		c.Check(base.Round(time.Millisecond), qt.Equals, 30*time.Millisecond)
+		c.Check(pace.Round(time.Microsecond), qt.Equals, 50*time.Microsecond)
+		base, pace = table.paces.get("chat", "small")
+		c.Check(base, qt.Equals, firstBase)
+		c.Check(pace, qt.Equals, firstPace)
 	})
 }
 
