Bound idle connections by the endpoints' limit; one copy of waits, stops and address checks; split wire.go

Cause: an endpoint's limit of connections was decoded and not used: instances together could keep more idle connections than it accepts. Change: all instances together keep at most half of the limit idle. Limits of header and idle time, decoded and unused, are gone from the catalogue; the server's own fixed limits hold. Test: TestWireKeepsFew.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -112,9 +112,8 @@
 
 // Limits bound what callers may send.
 type Limits struct {
-	MaxBodyBytes  int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64
 }
 
 // Snapshot is one configuration. It is immutable and safe for concurrent use.
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -129,6 +129,7 @@
 func (g *Gateway) assembleFlow() {
 	endpoints := platform.EndpointHeaders{}
 	g.wire = link.NewWire(endpoints.Answers)
+	g.counters.Gauge("plumbarrow_endpoint_connections_opened", func() float64 { return float64(g.wire.Opened()) })
 	g.server = gateway.New(gateway.Parts{
 		Self:      g.self,
 		Callers:   platform.CallerHeaders{},
@@ -148,18 +149,8 @@
 	var group run.Group
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	stopped := make(chan struct{})
-	group.Add(func() error {
-		select {
-		case <-ctx.Done():
-			g.stop()
-		case <-stopped:
-		}
-		return nil
-	}, func(error) { close(stopped) })
-	for _, part := range g.parts() {
-		group.Add(func() error { return part(background) }, func(error) { cancel() })
-	}
+	addStop(ctx, &group, g.stop)
+	addParts(background, cancel, &group, g.parts())
 	servers := []struct {
 		address string
 		server  *http.Server
--- a/daemon/gatewaysettings.go
+++ b/daemon/gatewaysettings.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"os"
 
 	"plumbarrow.example/plumbarrow/internal/tomlfile"
@@ -99,25 +98,13 @@
 }
 
 func (s GatewaySettings) validateAddresses() error {
-	addresses := []struct{ field, value string }{
+	return checkAddresses([]addressField{
 		{"callers_address", s.CallersAddress},
 		{"ready_address", s.ReadyAddress},
 		{"peers_address", s.PeersAddress},
 		{"metrics_address", s.MetricsAddress},
 		{"store_address", s.StoreAddress},
-	}
-	seen := make(map[string]string)
-	for _, one := range addresses {
-		host, port, err := net.SplitHostPort(one.value)
-		if err != nil || net.ParseIP(host) == nil {
-			return fmt.Errorf("%s: %q is not IP:port", one.field, one.value)
-		}
-		if other := seen[one.value]; other != "" && port != "0" {
-			return fmt.Errorf("%s: %s is %s too", one.field, one.value, other)
-		}
-		seen[one.value] = one.field
-	}
-	return nil
+	})
 }
 
 // level is the least severe level that is logged.
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -25,24 +25,34 @@
 	var group run.Group
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	addStop(ctx, &group, d.stop)
+	addParts(background, cancel, &group, d.parts())
+	d.addServer(&group, d.listeners.Callers, d.entry.Handler())
+	d.addServer(&group, d.listeners.Operators, d.operate.Handler())
+	err := group.Run()
+	d.dispatcher.Close()
+	d.dialer.Close()
+	return err
+}
+
+// addStop makes a planned stop with stop when ctx ends.
+func addStop(ctx context.Context, group *run.Group, stop func()) {
 	stopped := make(chan struct{})
 	group.Add(func() error {
 		select {
 		case <-ctx.Done():
-			d.stop()
+			stop()
 		case <-stopped:
 		}
 		return nil
 	}, func(error) { close(stopped) })
-	for _, part := range d.parts() {
+}
+
+// addParts runs the parts until one of the group ends.
+func addParts(background context.Context, cancel context.CancelFunc, group *run.Group, parts []func(context.Context) error) {
+	for _, part := range parts {
 		group.Add(func() error { return part(background) }, func(error) { cancel() })
 	}
-	d.addServer(&group, d.listeners.Callers, d.entry.Handler())
-	d.addServer(&group, d.listeners.Operators, d.operate.Handler())
-	err := group.Run()
-	d.dispatcher.Close()
-	d.dialer.Close()
-	return err
 }
 
 // parts are the long-running parts; each returns when its context ends.
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -134,13 +134,30 @@
 }
 
 func (s Settings) validateAddresses() error {
-	addresses := []struct{ field, value string }{
+	addresses := []addressField{
 		{"callers_address", s.CallersAddress},
 		{"operators_address", s.OperatorsAddress},
 		{"peers_address", s.PeersAddress},
 		{"store_address", s.StoreAddress},
 		{"list_address", s.ListAddress},
 	}
+	if err := checkAddresses(addresses); err != nil {
+		return err
+	}
+	if s.RaterAddress == "" {
+		return nil
+	}
+	if host, _, err := net.SplitHostPort(s.RaterAddress); err != nil || net.ParseIP(host) == nil {
+		return fmt.Errorf("rater_address: %q is not IP:port", s.RaterAddress)
+	}
+	return nil
+}
+
+// addressField is a setting that holds an address.
+type addressField struct{ field, value string }
+
+// checkAddresses returns the first that is no IP:port or that another one is too.
+func checkAddresses(addresses []addressField) error {
 	seen := make(map[string]string)
 	for _, address := range addresses {
 		host, port, err := net.SplitHostPort(address.value)
@@ -152,12 +169,6 @@
 		}
 		seen[address.value] = address.field
 	}
-	if s.RaterAddress == "" {
-		return nil
-	}
-	if host, _, err := net.SplitHostPort(s.RaterAddress); err != nil || net.ParseIP(host) == nil {
-		return fmt.Errorf("rater_address: %q is not IP:port", s.RaterAddress)
-	}
 	return nil
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -101,6 +101,8 @@
 		Header:  header,
 		Body:    f.body,
 		Fresh:   f.fresh,
+
+		KeepIdle: grant.KeepIdle,
 	}
 	f.fresh = false
 	if f.route.Repeatable() && f.runs+1 < f.route.MaxAttempts {
--- a/link/wire.go
+++ b/link/wire.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -95,9 +94,10 @@
 	reader  *bufio.Reader
 	address string
 	// until is when the connection is too old for reuse.
-	until  time.Time
-	reused bool
-	sent   atomic.Int64 // bytes of the current request handed to the kernel
+	until    time.Time
+	keepIdle int // bound of idle connections to the address; 0 means none
+	reused   bool
+	sent     atomic.Int64 // bytes of the current request handed to the kernel
 }
 
 // Write implements io.Writer. It counts before the write, so that a write that failed halfway is
@@ -118,6 +118,8 @@
 	Body    []byte
 	// Fresh asks for a new connection.
 	Fresh bool
+	// KeepIdle bounds the idle connections to the address; 0 means no limit.
+	KeepIdle int
 	// FirstByte bounds the time to the answer's header; 0 means that only the context does.
 	FirstByte time.Duration
 	// Progress bounds the silence within the answer's body; 0 means that only the context does.
@@ -161,6 +163,7 @@
 		return nil, conn.failure(ctx, err)
 	}
 	_ = conn.SetReadDeadline(time.Time{})
+	conn.keepIdle = out.KeepIdle
 	body := &wireBody{
 		ctx: ctx, wire: w, conn: conn, body: response.Body, response: response, progress: out.Progress, stop: stop, written: written,
 	}
@@ -220,183 +223,3 @@
 	}
 	return failure
 }
-
-// conn returns a live idle connection or a new one.
-func (w *Wire) conn(ctx context.Context, out *Outgoing) (*wireConn, error) {
-	if !out.Fresh {
-		for conn := w.takeIdle(out.Address); conn != nil; conn = w.takeIdle(out.Address) {
-			if conn.quiet() {
-				return conn, nil
-			}
-			_ = conn.Close()
-		}
-	}
-	raw, err := w.dial(ctx, "tcp", out.Address)
-	if err != nil {
-		return nil, err
-	}
-	w.mu.Lock()
-	w.opened++
-	w.mu.Unlock()
-	return &wireConn{Conn: raw, reader: bufio.NewReaderSize(raw, 4<<10), address: out.Address}, nil
-}
-
-// Opened returns the number of connections opened so far.
-func (w *Wire) Opened() uint64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.opened
-}
-
-func (w *Wire) takeIdle(address string) *wireConn {
-	now := time.Now()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for conns := w.idle[address]; len(conns) > 0; conns = w.idle[address] {
-		conn := conns[len(conns)-1]
-		w.idle[address] = conns[:len(conns)-1]
-		if now.Before(conn.until) {
-			conn.reused = true
-			conn.sent.Store(0)
-			return conn
-		}
-		_ = conn.Close()
-	}
-	return nil
-}
-
-// quiet says whether an idle connection is open and holds no unread bytes. A byte that came while no
-// request was under way belongs to no answer.
-func (c *wireConn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	source, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
-}
-
-// keep puts a connection back for reuse.
-func (w *Wire) keep(conn *wireConn, header http.Header) {
-	conn.until = time.Now().Add(keepAlive(header))
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.idle[conn.address] = append(w.idle[conn.address], conn)
-}
-
-// keepAlive is how long a connection may be reused after the answer.
-func keepAlive(header http.Header) time.Duration {
-	for field := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
-		value, found := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
-		if seconds, err := strconv.Atoi(value); found && err == nil {
-			return time.Duration(seconds)*time.Second - keepAliveMargin
-		}
-	}
-	return defaultKeepAlive
-}
-
-// Sweep closes connections that are too old for reuse, and those to addresses that are not live.
-func (w *Wire) Sweep(live func(address string) bool) {
-	now := time.Now()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for address, conns := range w.idle {
-		kept := conns[:0]
-		for _, conn := range conns {
-			if now.Before(conn.until) && live(address) {
-				kept = append(kept, conn)
-				continue
-			}
-			_ = conn.Close()
-		}
-		clear(conns[len(kept):])
-		w.idle[address] = kept
-		if len(kept) == 0 {
-			delete(w.idle, address)
-		}
-	}
-}
-
-// Close closes the idle connections.
-func (w *Wire) Close() { w.Sweep(func(string) bool { return false }) }
-
-// wireBody is an answer's body. Its end puts the connection back for reuse.
-type wireBody struct {
-	ctx      context.Context
-	wire     *Wire
-	conn     *wireConn
-	body     io.ReadCloser
-	response *http.Response
-	progress time.Duration
-	stop     func() bool
-	written  chan error
-	whole    bool
-	closed   bool
-}
-
-// Read implements io.Reader. Errors other than io.EOF are *Failure.
-func (b *wireBody) Read(p []byte) (int, error) {
-	if b.progress > 0 {
-		_ = b.conn.SetReadDeadline(time.Now().Add(b.progress))
-	}
-	n, err := b.body.Read(p)
-	switch {
-	case err == nil:
-		return n, nil
-	case errors.Is(err, io.EOF):
-		b.whole = true
-		return n, io.EOF
-	default:
-		failure := b.conn.failure(b.ctx, err)
-		if failure.Reason != verdict.RetrySilent {
-			failure.Reason = verdict.RetryTruncated
-		}
-		return n, failure
-	}
-}
-
-// Close implements io.Closer. A connection whose answer was not read to its end is closed.
-func (b *wireBody) Close() error {
-	if b.closed {
-		return nil
-	}
-	b.closed = true
-	live := b.stop() // false: ctx has ended and closes the connection
-	if live && b.whole && b.delimited() && b.sent() {
-		_ = b.conn.SetReadDeadline(time.Time{})
-		b.wire.keep(b.conn, b.response.Header)
-		return nil
-	}
-	return b.conn.Close()
-}
-
-// delimited says whether the answer's end was not the connection's.
-func (b *wireBody) delimited() bool {
-	chunked := len(b.response.TransferEncoding) > 0
-	return !b.response.Close && (chunked || b.response.ContentLength >= 0)
-}
-
-// sent says whether the whole request has left.
-func (b *wireBody) sent() bool {
-	timer := time.NewTimer(writeGrace)
-	defer timer.Stop()
-	select {
-	case err := <-b.written:
-		return err == nil
-	case <-timer.C:
-		return false
-	}
-}
--- a/link/wire_test.go
+++ b/link/wire_test.go
@@ -108,6 +108,27 @@
 	})
 }
 
+// TestWireKeepsFew closes connections beyond the bound of idle ones.
+func TestWireKeepsFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		wire, _ := scriptedWire(func(_, id string) string { return okAnswer(id, "done") })
+		defer wire.Close()
+		var answers []*Incoming
+		for _, id := range []string{"a", "b", "c"} {
+			out := outgoing(id, "/")
+			out.KeepIdle = 2
+			answer, err := wire.Send(t.Context(), out)
+			c.Assert(err, qt.IsNil)
+			answers = append(answers, answer)
+		}
+		for _, answer := range answers {
+			readOut(c, answer)
+		}
+		c.Check(wire.idle["10.0.0.1:80"], qt.HasLen, 2)
+	})
+}
+
 // TestWireNeverRepeats sends a request once, whatever becomes of its connection, and says that it may
 // have run.
 func TestWireNeverRepeats(t *testing.T) {
--- a/load/run.go
+++ b/load/run.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"plumbarrow.example/plumbarrow/internal/pause"
 )
 
 // Plan says what to send. Arrivals are open-loop: a slow answer does not delay the next request.
@@ -106,13 +108,4 @@
 	})
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
+func sleepUntil(ctx context.Context, at time.Time) bool { return pause.Sleep(ctx, time.Until(at)) }
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"plumbarrow.example/plumbarrow/internal/pause"
 )
 
 // ErrCompacted means that the store no longer has the history that a watch asked for.
@@ -59,7 +61,7 @@
 // Follow keeps the copy in step with the store until ctx ends.
 func (m *Mirror) Follow(ctx context.Context, store Store) error {
 	position, synced := uint64(0), false
-	pause, wait := firstPause, watchWait
+	delay, wait := firstPause, watchWait
 	for ctx.Err() == nil {
 		var changed int
 		var err error
@@ -76,14 +78,14 @@
 		if err != nil {
 			m.unheard(err)
 			wait = probeWait
-			if !pauseFor(ctx, &pause) {
+			if !pauseFor(ctx, &delay) {
 				return nil
 			}
 			continue
 		}
 		synced = true
-		pause, wait = firstPause, watchWait
-		if changed > 0 && !sleep(ctx, gatherPause) {
+		delay, wait = firstPause, watchWait
+		if changed > 0 && !pause.Sleep(ctx, gatherPause) {
 			return nil
 		}
 	}
@@ -137,21 +139,9 @@
 	return store.Range(ctx, after)
 }
 
-// pauseFor waits with jitter and doubles the pause. It returns false if ctx ended.
-func pauseFor(ctx context.Context, pause *time.Duration) bool {
-	now := time.Duration(float64(*pause) * (0.5 + rand.Float64()))
-	*pause = min(2**pause, longestPause)
-	return sleep(ctx, now)
-}
-
-// sleep waits and returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+// pauseFor waits with jitter and doubles the delay. It returns false if ctx ended.
+func pauseFor(ctx context.Context, delay *time.Duration) bool {
+	now := time.Duration(float64(*delay) * (0.5 + rand.Float64()))
+	*delay = min(2**delay, longestPause)
+	return pause.Sleep(ctx, now)
 }
--- a/mirror/presence.go
+++ b/mirror/presence.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"plumbarrow.example/plumbarrow/infra"
+	"plumbarrow.example/plumbarrow/internal/pause"
 	"plumbarrow.example/plumbarrow/machine"
 )
 
@@ -67,18 +68,18 @@
 // Run keeps the instance announced until ctx ends, then withdraws it.
 func (p *Presence) Run(ctx context.Context) error {
 	var lease uint64
-	pause := firstPause
+	delay := firstPause
 	for {
 		var err error
 		if lease, err = p.announce(ctx, lease); err != nil {
 			p.log.Warn("presence not renewed", "lease", lease, "error", err)
-			if !pauseFor(ctx, &pause) {
+			if !pauseFor(ctx, &delay) {
 				break
 			}
 			continue
 		}
-		pause = firstPause
-		if !sleep(ctx, presenceRenewal) {
+		delay = firstPause
+		if !pause.Sleep(ctx, presenceRenewal) {
 			break
 		}
 	}
--- a/upstream/place.go
+++ b/upstream/place.go
@@ -58,6 +58,9 @@
 	// request's own prompt takes.
 	Expected   time.Duration
 	OwnPrefill time.Duration
+	// KeepIdle is the number of idle connections to the endpoint that this instance may keep; 0 means
+	// no limit.
+	KeepIdle int
 
 	model     string
 	tokens    int           // of the prompt that the endpoint has to read
@@ -256,10 +259,24 @@
 		e.health.trying = true
 	}
 	grant := &Grant{table: t, Endpoint: e, Report: e.report, Load: e.total(now).requests, Expected: t.expect(e, need, false, now)}
+	if service != nil {
+		grant.KeepIdle = t.keepIdle(service)
+	}
 	t.charge(grant, need, now)
 	return grant
 }
 
+// idlePart is the part of an endpoint's connections that all instances together may keep idle; the rest
+// is for requests.
+const idlePart = 0.5
+
+func (t *Table) keepIdle(service *catalog.Service) int {
+	if service.MaxConns == 0 {
+		return 0
+	}
+	return max(1, int(idlePart*float64(service.MaxConns)/float64(max(len(t.members.Live()), 1))))
+}
+
 // charge counts the request into the endpoint's load. The caller holds the endpoint's lock.
 func (t *Table) charge(grant *Grant, need *Need, now time.Time) {
 	e := grant.Endpoint
--- a/zone/exchange.go
+++ b/zone/exchange.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 
+	"plumbarrow.example/plumbarrow/internal/pause"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
@@ -82,7 +83,7 @@
 	defer e.calls.Wait()
 	for {
 		e.round(ctx)
-		if !sleep(ctx, nudgeGap) {
+		if !pause.Sleep(ctx, nudgeGap) {
 			return nil
 		}
 		timer := time.NewTimer(jittered(millis(e.settings.ExchangeIntervalMS)) - nudgeGap)
@@ -209,15 +210,3 @@
 func jittered(interval time.Duration) time.Duration {
 	return time.Duration(float64(interval) * (0.8 + 0.4*rand.Float64()))
 }
-
-// sleep waits and returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
