gateway: the other version where one has no endpoint left; headers up to 64 KiB

Cause, by reading the change: a request that a roll-out sends to the new version was refused when that version had no endpoint left, and the server's bound of headers was that of the present deployments. Test: TestVersionAbsent.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -49,8 +49,8 @@
 	// gatewayIdleTimeout is longer than the operators' limits, so that no kept connection is closed
 	// under a request.
 	gatewayIdleTimeout = 120 * time.Second
-	// maxHeaderBytes bounds a request's header.
-	maxHeaderBytes = 16 << 10
+	// maxHeaderBytes bounds a request's header, well above what operators allow callers.
+	maxHeaderBytes = 64 << 10
 )
 
 // Gateway is one entry instance on the users' platform.
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -132,9 +132,9 @@
 	return 0, &link.Failure{Reason: verdict.RetryTruncated, Err: io.ErrUnexpectedEOF}
 }
 
-type noRollouts struct{}
+type noRollouts struct{ only string }
 
-func (noRollouts) Choose(string, string, string) (only, without string) { return "", "" }
+func (r noRollouts) Choose(string, string, string) (only, without string) { return r.only, "" }
 func (noRollouts) Observe(string, string, canary.Attempt)               {}
 
 // fixture is a server before scripted endpoints.
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -237,6 +237,11 @@
 		}
 		need := f.need()
 		grant, blocked := f.server.Upstreams.Place(need)
+		if blocked == upstream.Absent && need.Version != "" {
+			// Better the other version than none.
+			need.Version = ""
+			grant, blocked = f.server.Upstreams.Place(need)
+		}
 		if blocked == upstream.NotBlocked {
 			return grant, nil
 		}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -288,6 +288,14 @@
 	}
 }
 
+// TestVersionAbsent serves a request with another version where its own has no endpoint left.
+func TestVersionAbsent(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(signed(200, "ok"))
+	f.server.Versions = noRollouts{only: "v2"}
+	c.Check(f.call("read").status, qt.Equals, 200)
+}
+
 // TestQueue serves a request that waited for a place, by the configuration of the moment at which it is
 // sent.
 func TestQueue(t *testing.T) {
--- a/upstream/place.go
+++ b/upstream/place.go
@@ -26,7 +26,6 @@
 	// declines them unrun.
 	overcommitModel = 1.25
 	overcommitPlain = 3
-	// to be cold, as a multiple of its share of the cold rate: endpoints turn cold without notice.
 )
 
 // Need is what a request needs of an endpoint.
