--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -132,10 +132,10 @@
 	return 0, &link.Failure{Reason: verdict.RetryTruncated, Err: io.ErrUnexpectedEOF}
 }
 
-type noRollouts struct{ only string }
+type fixedVersion struct{ only string }
 
-func (r noRollouts) Choose(string, string, string) (only, without string) { return r.only, "" }
-func (noRollouts) Observe(string, string, canary.Attempt)               {}
+func (r fixedVersion) Choose(string, string, string) (only, without string) { return r.only, "" }
+func (fixedVersion) Observe(string, string, canary.Attempt)                 {}
 
 // fixture is a server before scripted endpoints.
 type fixture struct {
@@ -183,7 +183,7 @@
 	f.current.Set(catalog.New(draft(1)))
 	f.server = New(Parts{
 		Callers: plainProtocol{}, Endpoints: plainProtocol{}, Current: f.current, Upstreams: f.table, Sender: f.sender,
-		Versions: noRollouts{}, Retries: NewRetryBudget(), Counters: telemetry.New(), Log: log,
+		Versions: fixedVersion{}, Retries: NewRetryBudget(), Counters: telemetry.New(), Log: log,
 	})
 	return f
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -292,7 +292,7 @@
 func TestVersionAbsent(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(signed(200, "ok"))
-	f.server.Versions = noRollouts{only: "v2"}
+	f.server.Versions = fixedVersion{only: "v2"}
 	c.Check(f.call("read").status, qt.Equals, 200)
 }
 
