--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	requestSeconds = "plumbarrow_request_seconds"   // histogram of whole requests
-	firstSeconds   = "plumbarrow_first_byte_second" // histogram of the time to an answer's first byte
+	requestSeconds = "plumbarrow_request_seconds"    // histogram of whole requests
+	firstSeconds   = "plumbarrow_first_byte_seconds" // histogram of the time to an answer's first byte
 	// defaultWait is how long a caller that states no time is taken to wait.
 	defaultWait = 30 * time.Second
 	// stoppingPause is the pause asked of a caller that reached a stopping instance: other instances
