canary: measure a version against the work before its answers

Ruled out: empty caches (they are in the prompt's own time) and a slow engine (2 to 3 % of the answers took three times the whole expected time, as with the old version).

Change: an answer is slow by the expected time that the placement used, which counts the work before it at the pace of both versions. A version that is slow still shows: its queue takes a multiple of what is expected.

Test: gateway.TestTrafficIsNoFault, failed first with 20.1 ms expected behind three long prompts.

--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -18,9 +18,9 @@
 	failureFactor = 2
 	failureMargin = 0.1
 	// slowFactor and slowMin say when an answer counts as a failure: when its first byte, as a multiple
-	// of what its prompt takes to read, takes so many times the old version's mean, and at least that
-	// long. Both versions are measured alike: a new one begins with empty caches. An endpoint's load is
-	// no excuse, since a slow version gathers it.
+	// of what was expected, takes so many times the old version's mean, and at least that long. What is
+	// expected counts the prompt, without what is cached, and the work that stands before it, at the
+	// pace of both versions: neither a new version's empty caches nor a rise of traffic are its fault.
 	slowFactor = 3
 	slowMin    = 150 * time.Millisecond
 	// expectedSlack is added to what is expected, which says little of short answers.
@@ -99,7 +99,8 @@
 // Attempt is what one attempt showed of a version.
 type Attempt struct {
 	Failed bool
-	// FirstByte is the time to the answer's first byte; Expected is what reading the prompt takes.
+	// FirstByte is the time to the answer's first byte; Expected is what the endpoint's work and the
+	// prompt were expected to take.
 	FirstByte time.Duration
 	Expected  time.Duration
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -241,6 +241,6 @@
 		return
 	}
 	f.server.Versions.Observe(f.service, grant.Report.Version, canary.Attempt{
-		Failed: outcome == upstream.Failed, FirstByte: firstByte, Expected: grant.OwnPrefill,
+		Failed: outcome == upstream.Failed, FirstByte: firstByte, Expected: grant.Expected,
 	})
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"plumbarrow.example/plumbarrow/canary"
 	"plumbarrow.example/plumbarrow/catalog"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/upstream"
@@ -415,3 +416,33 @@
 		c.Check(f.endpoints(), qt.DeepEquals, []string{"e3"})
 	})
 }
+
+// recordedVersions keeps what was told of versions.
+type recordedVersions struct {
+	fixedVersion
+	seen []canary.Attempt
+}
+
+func (r *recordedVersions) Observe(_, _ string, attempt canary.Attempt) {
+	r.seen = append(r.seen, attempt)
+}
+
+// TestTrafficIsNoFault: a version whose endpoints have much to do when the traffic rises is measured
+// against the work that stood before the request, not against the request's own prompt alone.
+func TestTrafficIsNoFault(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		slow := signed(200, "ok")
+		slow.after = 300 * time.Millisecond
+		f := newFixture(slow)
+		versions := &recordedVersions{}
+		f.server.Versions = versions
+		for range 9 { // three at each endpoint
+			_, blocked := f.table.Place(&upstream.Need{Service: "app", Parts: []upstream.Part{{ID: 7, Tokens: 10000}}, PromptTokens: 10000})
+			c.Assert(blocked, qt.Equals, upstream.NotBlocked)
+		}
+		f.call("read")
+		c.Assert(versions.seen, qt.HasLen, 1)
+		c.Check(versions.seen[0].Expected > 200*time.Millisecond, qt.IsTrue, qt.Commentf("%s behind three long prompts", versions.seen[0].Expected))
+	})
+}
--- a/upstream/place.go
+++ b/upstream/place.go
@@ -53,10 +53,8 @@
 	Report   Report
 	// Load is the number of requests at the endpoint when it was chosen, as far as known.
 	Load int
-	// Expected is the time until the answer's first event; OwnPrefill is the part of it that the
-	// request's own prompt takes.
-	Expected   time.Duration
-	OwnPrefill time.Duration
+	// Expected is the time until the answer's first event.
+	Expected time.Duration
 	// KeepIdle is the number of idle connections to the endpoint that this instance may keep; 0 means
 	// no limit.
 	KeepIdle int
@@ -287,9 +285,8 @@
 	grant.model = need.Model
 	grant.startedAt = now
 	grant.tokens = need.PromptTokens - e.cache.cached(need.Model, shared, now)
-	base, pace := t.paces.get(need.Service, need.Model)
+	_, pace := t.paces.get(need.Service, need.Model)
 	grant.prefill = time.Duration(grant.tokens) * pace
-	grant.OwnPrefill = base + grant.prefill
 	before := e.total(now)
 	grant.alone = before.prefill+time.Duration(before.requests-1)*requestCost <= aloneLimit
 	e.own.prefill += grant.prefill
