upstream: wait up to 20 ms before a request leaves its zone

A foreign endpoint was taken for a difference of 0.5 ms, less than the noise of the expected times.

Change: a path between zones counts as 20 ms of waiting.

Test: upstream.TestEvenLoadStaysInZone, failed first.

--- a/upstream/place.go
+++ b/upstream/place.go
@@ -14,9 +14,9 @@
 const (
 	// requestCost is the delay of a prompt by one running request: a part of a step of its batch.
 	requestCost = 2 * time.Millisecond
-	// foreignZoneCost is what a path between zones costs. It decides between endpoints that are
-	// otherwise equal.
-	foreignZoneCost = 500 * time.Microsecond
+	// foreignZoneCost is the wait that a path to another zone is worth: its bytes are paid for, and a
+	// wait of this order is a hundredth of what callers allow.
+	foreignZoneCost = 20 * time.Millisecond
 	// failureCost is what an error rate of 1 costs: more than any prompt that would have to be read
 	// elsewhere.
 	failureCost = 400 * time.Millisecond
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -228,6 +228,22 @@
 	c.Check(len(spread) >= 3, qt.IsTrue, qt.Commentf("a popular prompt at %d endpoints", len(spread)))
 }
 
+// TestEvenLoadStaysInZone: under an even load the differences between endpoints are a few requests, which
+// are no reason to send bodies to another zone; a local burst is.
+func TestEvenLoadStaysInZone(t *testing.T) {
+	for load, want := range map[int]machine.EndpointID{0: "near", 8: "near", 12: "far"} {
+		c := qt.New(t)
+		near, far := report("near", "chat", "a"), report("far", "chat", "b")
+		near.Slots, far.Slots = 64, 64
+		table := newTable(near)
+		for range load {
+			placedAt(table, Need{Service: "chat"})
+		}
+		table.Apply(far)
+		c.Check(placedAt(table, Need{Service: "chat"}), qt.Equals, want, qt.Commentf("%d requests more in the own zone", load))
+	}
+}
+
 // TestFewEndpointsLeft is the load of a service that lost half of its endpoints while the rest holds the
 // backlog: the expected time to the first event grows with the backlog that peers tell of.
 func TestFewEndpointsLeft(t *testing.T) {
