daemon: collect at a quarter of heap growth

The heap was let grow to twice its live size.

Change: the collector runs at 25 % of growth instead of 100 %.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -31,6 +31,9 @@
 	// memoryShare is the part of the machine's memory that the collector may fill; the rest is for
 	// what the kernel holds for the process.
 	memoryShare = 0.6
+	// collectorPercent is the growth of the heap, in percent, at which the collector runs. Instances use
+	// a few hundredths of a core, so that collecting often costs less than the memory it saves.
+	collectorPercent = 25
 	// sweepPeriod is how often idle connections are looked through.
 	sweepPeriod = time.Second
 	// unready is the time after which the balancer has noticed that an instance is not ready: two
@@ -78,6 +81,7 @@
 
 // NewGateway assembles an instance; nothing runs before Run.
 func NewGateway(settings GatewaySettings, log *slog.Logger) (*Gateway, error) {
+	debug.SetGCPercent(collectorPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB<<20)))
 	g := &Gateway{
 		settings: settings,
