gateway: ask the next model up where it is cheaper in expectation

Among the dropped answers a fifth are just below trust; the middle model, at half the cost and a quarter of the time, is trusted with most of those.

Change: gateway.Ladder learns how often a model is trusted after an answer of about one confidence, with a first guess that falls over 30 points, and asks the next model if it is cheaper in expectation than the largest at once, and an attempt is left for that one. The operators' costs of models are decoded.

Tests: gateway.TestLadder, TestLadderForgets, TestMiddleModel.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -108,6 +108,8 @@
 	ColdRate float64
 	// Model says that the endpoints are model engines.
 	Model bool
+	// ModelCosts are the prices of the service's models, in any one unit; empty if unknown.
+	ModelCosts map[string]float64
 }
 
 // Limits bound what callers may send.
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -143,6 +143,7 @@
 		Sender:    g.wire,
 		Versions:  g.rollouts,
 		Retries:   gateway.NewRetryBudget(),
+		Ladder:    gateway.NewLadder(),
 		Counters:  g.counters,
 		Log:       g.log,
 	})
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -183,7 +183,7 @@
 	f.current.Set(catalog.New(draft(1)))
 	f.server = New(Parts{
 		Callers: plainProtocol{}, Endpoints: plainProtocol{}, Current: f.current, Upstreams: f.table, Sender: f.sender,
-		Versions: fixedVersion{}, Retries: NewRetryBudget(), Counters: telemetry.New(), Log: log,
+		Versions: fixedVersion{}, Retries: NewRetryBudget(), Ladder: NewLadder(), Counters: telemetry.New(), Log: log,
 	})
 	return f
 }
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -45,8 +45,9 @@
 	runs     int             // attempts that may have run
 	tries    int             // attempts sent, those included that did not run
 	avoid    []machine.EndpointID
-	fresh    bool // the next attempt needs a new connection
-	model    int  // index of the model for the next attempt
+	fresh    bool    // the next attempt needs a new connection
+	model    int     // index of the model for the next attempt
+	doubted  float64 // confidence of the dropped answer that led to the model
 	stream   *eventStream
 	held     *heldAnswer // an endpoint's failure, delivered if nothing better comes
 	refusal  *verdict.Refusal
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -62,6 +62,7 @@
 	Sender    Sender
 	Versions  Versions
 	Retries   *RetryBudget
+	Ladder    *Ladder
 	Counters  *telemetry.Counters
 	Log       *slog.Logger
 }
