upstream: every sixth free place goes to the oldest request

Change: every sixth place that becomes free goes to the request that arrived first, whatever its priority.

--- a/upstream/queue.go
+++ b/upstream/queue.go
@@ -7,10 +7,24 @@
 	"time"
 )
 
+// oldestEvery is how often a free place goes to the oldest request instead of the most urgent one: a
+// sixth of the places keeps less urgent requests from starving while urgent ones fill all endpoints.
+const oldestEvery = 6
+
 // queue holds the requests that wait for a place at a service's endpoints, the most urgent first.
 type queue struct {
 	mu      sync.Mutex
 	waiters waiters
+	turns   int
+}
+
+// next takes the request out whose turn it is. The caller holds the lock; some request waits.
+func (q *queue) next() *waiter {
+	q.turns++
+	if q.turns%oldestEvery != 0 {
+		return heap.Pop(&q.waiters).(*waiter)
+	}
+	return heap.Remove(&q.waiters, q.waiters.oldest()).(*waiter)
 }
 
 type waiter struct {
@@ -59,6 +73,17 @@
 	return one
 }
 
+// oldest is the index of the request that arrived first.
+func (w waiters) oldest() int {
+	oldest := 0
+	for i, one := range w {
+		if one.arrived.Before(w[oldest].arrived) {
+			oldest = i
+		}
+	}
+	return oldest
+}
+
 func (t *Table) queue(service string) *queue {
 	found, ok := t.queues.Load(service)
 	if !ok {
@@ -114,5 +139,5 @@
 	if len(q.waiters) == 0 {
 		return
 	}
-	heap.Pop(&q.waiters).(*waiter).turn <- struct{}{}
+	q.next().turn <- struct{}{}
 }
