--- a/canary/canary.go
+++ b/canary/canary.go
@@ -4,6 +4,7 @@
 package canary
 
 import (
+	"cmp"
 	"encoding/json"
 	"log/slog"
 	"strings"
@@ -169,35 +170,45 @@
 	if one == nil {
 		return Choice{}
 	}
-	key := session
-	if key == "" {
-		key = request
-	}
+	target := Choice{Only: one.order.Target, Spread: one.spread()}
+	other := Choice{Without: one.order.Target}
 	switch {
 	case one.stage.State == Completed:
-		return Choice{Only: one.order.Target}
+		return target
 	case one.stage.State == Reverted || one.distrust:
-		return Choice{Without: one.order.Target}
-	case one.stage.Share == stressShare && session == "":
-		if time.Since(one.stageAt)%stressPeriod < time.Duration(stressShare*float64(stressPeriod)) {
-			return Choice{Only: one.order.Target, Spread: one.spread()}
+		return other
+	case session == "" && one.underStress():
+		if one.inPiece(time.Now()) {
+			return target
 		}
-		return Choice{Without: one.order.Target}
-	case share(one.order.Revision, key) < one.stage.Share:
-		return Choice{Only: one.order.Target, Spread: one.spread()}
+		return other
+	case share(one.order.Revision, cmp.Or(session, request)) < one.stage.Share:
+		return target
 	default:
-		return Choice{Without: one.order.Target}
+		return other
 	}
 }
 
-// spread is the part of the new version's endpoints that get its requests. The caller holds the lock.
+// underStress says whether the new version has the stage of twice the load.
+func (one *rollout) underStress() bool {
+	return one.stage.State == Running && one.stage.Share == stressShare
+}
+
+// spread is the part of the new version's endpoints that get its requests; 0 means all. The caller holds
+// the lock.
 func (one *rollout) spread() float64 {
-	if one.stage.Share == stressShare {
+	if one.underStress() {
 		return stressShare / 2
 	}
 	return 0
 }
 
+// inPiece says whether requests without a session go to the new version now.
+func (one *rollout) inPiece(now time.Time) bool {
+	piece := time.Duration(stressShare * float64(stressPeriod))
+	return now.Sub(one.stageAt)%stressPeriod < piece
+}
+
 // share maps a session to [0, 1), differently for each roll-out.
 func share(order uint64, key string) float64 {
 	digest := xxhash.New()
--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -124,7 +124,7 @@
 // slow says whether an answer took much longer than expected.
 func (one *rollout) slow(attempt Attempt) bool {
 	factor := slowFactor
-	if one.stage.Share == stressShare {
+	if one.underStress() {
 		factor = stressFactor
 	}
 	return one.oldDelay.set && attempt.FirstByte >= slowMin && attempt.delay() > factor*one.oldDelay.value
