decide, internal/waitheap: one allowance of retries, one heap of waiting requests

Found on reading the change again: gateway.RetryBudget counted like decide.RetryBudget with other figures, and upstream and machine each had a heap of waiting requests of the same shape. decide.Allowance and waitheap.Heap take their places; figures and order are as before.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -142,7 +142,7 @@
 		Upstreams: g.table,
 		Sender:    g.wire,
 		Versions:  g.rollouts,
-		Retries:   gateway.NewRetryBudget(),
+		Retries:   gateway.NewRetries(),
 		Ladder:    gateway.NewLadder(),
 		Counters:  g.counters,
 		Log:       g.log,
--- a/decide/budget.go
+++ b/decide/budget.go
@@ -14,77 +14,91 @@
 	budgetShards = 16
 )
 
-// RetryBudget bounds retries and hedges to a tenth of the first attempts, plus a burst, per customer
-// and per pool. First attempts pay tokens in and retries take them out, as in
-// Finagle's RetryBudget; no clock is involved. Its size grows with the customers and pools in use.
-// Safe for concurrent use.
-type RetryBudget struct {
-	shards [budgetShards]budgetShard
+// Allowance bounds retries to a share of the first attempts, plus a burst, by name. First attempts pay
+// tokens in and retries take them out, as in Finagle's RetryBudget; no clock is involved. Its size grows
+// with the names in use. Safe for concurrent use.
+type Allowance struct {
+	share  float64
+	burst  float64
+	shards [budgetShards]allowanceShard
 }
 
-type budgetShard struct {
+type allowanceShard struct {
 	mu     sync.Mutex
-	tokens map[budgetKey]float64
+	tokens map[string]float64
+}
+
+// NewAllowance returns an allowance with a full burst for every name: share is the number of retries that
+// a first attempt pays for, burst the most that can be saved up.
+func NewAllowance(share, burst float64) *Allowance {
+	allowance := &Allowance{share: share, burst: burst}
+	for i := range allowance.shards {
+		allowance.shards[i].tokens = make(map[string]float64)
+	}
+	return allowance
+}
+
+// Paid counts a first attempt.
+func (a *Allowance) Paid(name string) { a.add(name, a.share) }
+
+// Take reports whether a retry is allowed, and takes it out if so.
+func (a *Allowance) Take(name string) bool {
+	shard := a.shard(name)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	have := a.left(shard, name)
+	if have < 1 {
+		return false
+	}
+	shard.tokens[name] = have - 1
+	return true
+}
+
+func (a *Allowance) add(name string, tokens float64) {
+	shard := a.shard(name)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	shard.tokens[name] = min(a.left(shard, name)+tokens, a.burst)
+}
+
+// left is what a name has. The caller holds the shard's lock.
+func (a *Allowance) left(shard *allowanceShard, name string) float64 {
+	if have, ok := shard.tokens[name]; ok {
+		return have
+	}
+	return a.burst
 }
 
-type budgetKey struct {
-	customer bool
-	name     string
+func (a *Allowance) shard(name string) *allowanceShard {
+	return &a.shards[xxhash.Sum64String(name)%budgetShards]
+}
+
+// RetryBudget bounds retries and hedges to a tenth of the first attempts, plus a burst, per customer
+// and per pool. Safe for concurrent use.
+type RetryBudget struct {
+	customers *Allowance
+	pools     *Allowance
 }
 
 // NewRetryBudget returns a budget with a full burst for everyone.
 func NewRetryBudget() *RetryBudget {
-	budget := &RetryBudget{}
-	for i := range budget.shards {
-		budget.shards[i].tokens = make(map[budgetKey]float64)
-	}
-	return budget
+	return &RetryBudget{customers: NewAllowance(retryShare, retryBurst), pools: NewAllowance(retryShare, retryBurst)}
 }
 
 // Paid counts a first attempt.
 func (b *RetryBudget) Paid(customer, pool string) {
-	b.add(budgetKey{true, customer}, retryShare)
-	b.add(budgetKey{false, pool}, retryShare)
+	b.customers.Paid(customer)
+	b.pools.Paid(pool)
 }
 
 // Take reports whether a retry is within both budgets, and takes it out of them if so.
 func (b *RetryBudget) Take(customer, pool string) bool {
-	if !b.take(budgetKey{true, customer}) {
+	if !b.customers.Take(customer) {
 		return false
 	}
-	if b.take(budgetKey{false, pool}) {
+	if b.pools.Take(pool) {
 		return true
 	}
-	b.add(budgetKey{true, customer}, 1)
+	b.customers.add(customer, 1)
 	return false
 }
-
-func (b *RetryBudget) shard(key budgetKey) *budgetShard {
-	return &b.shards[xxhash.Sum64String(key.name)%budgetShards]
-}
-
-func (b *RetryBudget) add(key budgetKey, tokens float64) {
-	shard := b.shard(key)
-	shard.mu.Lock()
-	defer shard.mu.Unlock()
-	if have, ok := shard.tokens[key]; ok {
-		shard.tokens[key] = min(have+tokens, retryBurst)
-		return
-	}
-	shard.tokens[key] = retryBurst
-}
-
-func (b *RetryBudget) take(key budgetKey) bool {
-	shard := b.shard(key)
-	shard.mu.Lock()
-	defer shard.mu.Unlock()
-	have, ok := shard.tokens[key]
-	if !ok {
-		have = retryBurst
-	}
-	if have < 1 {
-		return false
-	}
-	shard.tokens[key] = have - 1
-	return true
-}
--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"plumbarrow.example/plumbarrow/catalog"
+	"plumbarrow.example/plumbarrow/decide"
 	"plumbarrow.example/plumbarrow/upstream"
 	"plumbarrow.example/plumbarrow/verdict"
 )
@@ -42,7 +43,7 @@
 	runs    int // attempts that may have run, the failed one included
 	tries   int
 	begun   bool // events have been passed on
-	retries *RetryBudget
+	retries *decide.Allowance
 	service string
 }
 
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -185,11 +185,17 @@
 	f.current.Set(catalog.New(draft(1)))
 	f.server = New(Parts{
 		Callers: plainProtocol{}, Endpoints: plainProtocol{}, Current: f.current, Upstreams: f.table, Sender: f.sender,
-		Versions: fixedVersion{}, Retries: NewRetryBudget(), Ladder: NewLadder(), Counters: telemetry.New(), Log: log,
+		Versions: fixedVersion{}, Retries: NewRetries(), Ladder: NewLadder(), Counters: telemetry.New(), Log: log,
 	})
 	return f
 }
 
+// spend leaves no repeat for a service.
+func (f *fixture) spend(service string) {
+	for f.server.Retries.Take(service) {
+	}
+}
+
 // outcome is what a caller sees.
 type outcome struct {
 	status  int
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -213,7 +213,7 @@
 // TestRetryBudget ends repeats once they outnumber what first attempts paid for.
 func TestRetryBudget(t *testing.T) {
 	c := qt.New(t)
-	budget := NewRetryBudget()
+	budget := NewRetries()
 	repeats := 0
 	for range 1000 {
 		budget.Paid("app")
@@ -233,7 +233,7 @@
 	for _, first := range []answer{declined(), {status: http.StatusMisdirectedRequest}, lost()} {
 		c := qt.New(t)
 		f := newFixture(first, signed(200, "ok"))
-		f.server.Retries.tokens["app"] = 0
+		f.spend("app")
 		seen := f.call("read")
 		c.Check(f.sender.sent, qt.HasLen, 1)
 		c.Check(seen.status >= 500, qt.IsTrue)
@@ -244,7 +244,7 @@
 func TestUnsentIsFree(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(unsent(), unsent(), signed(200, "ok"))
-	f.server.Retries.tokens["app"] = 0
+	f.spend("app")
 	c.Check(f.call("book").status, qt.Equals, 200)
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -14,6 +14,7 @@
 
 	"plumbarrow.example/plumbarrow/canary"
 	"plumbarrow.example/plumbarrow/catalog"
+	"plumbarrow.example/plumbarrow/decide"
 	"plumbarrow.example/plumbarrow/internal/flights"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/link"
@@ -60,10 +61,12 @@
 	Upstreams Upstreams
 	Sender    Sender
 	Versions  Versions
-	Retries   *RetryBudget
-	Ladder    *Ladder
-	Counters  *telemetry.Counters
-	Log       *slog.Logger
+	// Retries are the repeats that this instance may send, by service.
+	Retries *decide.Allowance
+	// Ladder is what is known of models that are asked after a smaller one.
+	Ladder   *Ladder
+	Counters *telemetry.Counters
+	Log      *slog.Logger
 }
 
 // Server serves callers.
--- a/machine/poolqueue.go
+++ b/machine/poolqueue.go
@@ -1,10 +1,10 @@
 package machine
 
 import (
-	"container/heap"
 	"sync"
 	"time"
 
+	"plumbarrow.example/plumbarrow/internal/waitheap"
 	"plumbarrow.example/plumbarrow/verdict"
 )
 
@@ -18,7 +18,7 @@
 // poolQueue holds the waiters of one pool.
 type poolQueue struct {
 	mu      sync.Mutex
-	waiters waiters
+	waiters waitheap.Heap[*waiter]
 	arrived uint64
 	kicking bool // a kick is scheduled
 	freedAt time.Time
@@ -40,14 +40,14 @@
 	}
 	if len(p.waiters) >= length {
 		last := p.last()
-		if !one.before(last) {
+		if !one.Before(last) {
 			return verdict.Refuse(verdict.QueueFull, "%d requests wait already", length)
 		}
-		heap.Remove(&p.waiters, last.at)
+		p.waiters.Take(last.at)
 		last.refusal = verdict.Refuse(verdict.ShedOverload, "a more urgent request took the place in the queue")
 		close(last.woken)
 	}
-	heap.Push(&p.waiters, one)
+	p.waiters.Add(one)
 	p.scheduleKick()
 	return nil
 }
@@ -77,8 +77,7 @@
 
 func (p *poolQueue) wake() {
 	if len(p.waiters) > 0 {
-		one := heap.Pop(&p.waiters).(*waiter)
-		close(one.woken)
+		close(p.waiters.Next().woken)
 	}
 }
 
@@ -89,7 +88,7 @@
 	}
 	ahead := 0
 	for _, other := range p.waiters {
-		if other.before(one) {
+		if other.Before(one) {
 			ahead++
 		}
 	}
@@ -100,7 +99,7 @@
 func (p *poolQueue) last() *waiter {
 	last := p.waiters[0]
 	for _, one := range p.waiters {
-		if last.before(one) {
+		if last.Before(one) {
 			last = one
 		}
 	}
@@ -114,7 +113,7 @@
 	if one.at < 0 {
 		return false
 	}
-	heap.Remove(&p.waiters, one.at)
+	p.waiters.Take(one.at)
 	return true
 }
 
--- a/machine/waiter.go
+++ b/machine/waiter.go
@@ -1,9 +1,9 @@
 package machine
 
 import (
-	"container/heap"
 	"time"
 
+	"plumbarrow.example/plumbarrow/internal/waitheap"
 	"plumbarrow.example/plumbarrow/verdict"
 )
 
@@ -17,8 +17,8 @@
 	at       int // position in the heap; -1 once out
 }
 
-// before orders waiters: by priority, then by deadline, then by arrival.
-func (w *waiter) before(other *waiter) bool {
+// Before implements waitheap.Waiter: by priority, then by deadline, then by arrival.
+func (w *waiter) Before(other *waiter) bool {
 	if w.priority != other.priority {
 		return w.priority > other.priority
 	}
@@ -28,34 +28,7 @@
 	return w.arrival < other.arrival
 }
 
-// waiters is a heap with the next one to wake on top.
-type waiters []*waiter
+// Place implements waitheap.Waiter.
+func (w *waiter) Place(index int) { w.at = index }
 
-var _ heap.Interface = (*waiters)(nil)
-
-// Len implements heap.Interface.
-func (w waiters) Len() int { return len(w) }
-
-// Less implements heap.Interface.
-func (w waiters) Less(i, j int) bool { return w[i].before(w[j]) }
-
-// Swap implements heap.Interface.
-func (w waiters) Swap(i, j int) {
-	w[i], w[j] = w[j], w[i]
-	w[i].at, w[j].at = i, j
-}
-
-// Push implements heap.Interface.
-func (w *waiters) Push(x any) {
-	one := x.(*waiter)
-	one.at = len(*w)
-	*w = append(*w, one)
-}
-
-// Pop implements heap.Interface.
-func (w *waiters) Pop() any {
-	last := (*w)[len(*w)-1]
-	*w = (*w)[:len(*w)-1]
-	last.at = -1
-	return last
-}
+var _ waitheap.Waiter[*waiter] = (*waiter)(nil)
--- a/upstream/queue.go
+++ b/upstream/queue.go
@@ -1,10 +1,11 @@
 package upstream
 
 import (
-	"container/heap"
 	"context"
 	"sync"
 	"time"
+
+	"plumbarrow.example/plumbarrow/internal/waitheap"
 )
 
 // oldestEvery is how often a free place goes to the oldest request instead of the most urgent one: a
@@ -14,7 +15,7 @@
 // queue holds the requests that wait for a place at a service's endpoints, the most urgent first.
 type queue struct {
 	mu      sync.Mutex
-	waiters waiters
+	waiters waitheap.Heap[*waiter]
 	turns   int
 }
 
@@ -22,9 +23,9 @@
 func (q *queue) next() *waiter {
 	q.turns++
 	if q.turns%oldestEvery != 0 {
-		return heap.Pop(&q.waiters).(*waiter)
+		return q.waiters.Next()
 	}
-	return heap.Remove(&q.waiters, q.waiters.oldest()).(*waiter)
+	return q.waiters.Take(q.oldest())
 }
 
 type waiter struct {
@@ -34,50 +35,24 @@
 	turn     chan struct{}
 }
 
-// waiters is a heap of waiting requests.
-type waiters []*waiter
-
-var _ heap.Interface = (*waiters)(nil)
+var _ waitheap.Waiter[*waiter] = (*waiter)(nil)
 
-// Len implements heap.Interface.
-func (w waiters) Len() int { return len(w) }
-
-// Less implements heap.Interface.
-func (w waiters) Less(i, j int) bool {
-	if w[i].priority != w[j].priority {
-		return w[i].priority < w[j].priority
+// Before implements waitheap.Waiter.
+func (w *waiter) Before(other *waiter) bool {
+	if w.priority != other.priority {
+		return w.priority < other.priority
 	}
-	return w[i].arrived.Before(w[j].arrived)
-}
-
-// Swap implements heap.Interface.
-func (w waiters) Swap(i, j int) {
-	w[i], w[j] = w[j], w[i]
-	w[i].index, w[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (w *waiters) Push(x any) {
-	one := x.(*waiter)
-	one.index = len(*w)
-	*w = append(*w, one)
+	return w.arrived.Before(other.arrived)
 }
 
-// Pop implements heap.Interface.
-func (w *waiters) Pop() any {
-	last := len(*w) - 1
-	one := (*w)[last]
-	(*w)[last] = nil
-	*w = (*w)[:last]
-	one.index = -1
-	return one
-}
+// Place implements waitheap.Waiter.
+func (w *waiter) Place(index int) { w.index = index }
 
-// oldest is the index of the request that arrived first.
-func (w waiters) oldest() int {
+// oldest is the index of the request that arrived first. The caller holds the lock; some request waits.
+func (q *queue) oldest() int {
 	oldest := 0
-	for i, one := range w {
-		if one.arrived.Before(w[oldest].arrived) {
+	for i, one := range q.waiters {
+		if one.arrived.Before(q.waiters[oldest].arrived) {
 			oldest = i
 		}
 	}
@@ -107,7 +82,7 @@
 	q := t.queue(service)
 	one := &waiter{priority: priority, arrived: arrived, turn: make(chan struct{}, 1)}
 	q.mu.Lock()
-	heap.Push(&q.waiters, one)
+	q.waiters.Add(one)
 	q.mu.Unlock()
 	timer := time.NewTimer(min(wait, retryPlace))
 	defer timer.Stop()
@@ -122,7 +97,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if one.index >= 0 {
-		heap.Remove(&q.waiters, one.index)
+		q.waiters.Take(one.index)
 	}
 	return served
 }
