upstream: only prompts wait for their own zone

Their bytes are few.

Test: upstream.TestEvenLoadStaysInZone now asks both kinds; it failed with the cost of prompts for all.

--- a/upstream/place.go
+++ b/upstream/place.go
@@ -16,9 +16,11 @@
 const (
 	// requestCost is the delay of a prompt by one running request: a part of a step of its batch.
 	requestCost = 2 * time.Millisecond
-	// foreignZoneCost is the wait that a path to another zone is worth: its bytes are paid for, and a
-	// wait of this order is a hundredth of what callers allow.
-	foreignZoneCost = 20 * time.Millisecond
+	// foreignPromptCost and foreignPlainCost are the waits that a path to another zone is worth. The bytes
+	// of prompts are paid for, and their callers allow seconds, of which this is a hundredth; other requests
+	// are short and urgent, so that the path only decides between endpoints that are otherwise equal.
+	foreignPromptCost = 20 * time.Millisecond
+	foreignPlainCost  = 500 * time.Microsecond
 	// failureCost is what an error rate of 1 costs: more than any prompt that would have to be read
 	// elsewhere.
 	failureCost = 400 * time.Millisecond
@@ -201,7 +203,7 @@
 func (t *Table) score(e *Endpoint, need *Need, preferred bool, now time.Time) candidate {
 	cost := t.expect(e, need, preferred, now)
 	if e.report.Zone != t.zone {
-		cost += foreignZoneCost
+		cost += foreignCost(need)
 	}
 	errors := e.health.errorRate(now)
 	cost += time.Duration(errors * float64(failureCost))
@@ -209,6 +211,13 @@
 	return candidate{endpoint: e, cost: cost, reserve: reserve}
 }
 
+func foreignCost(need *Need) time.Duration {
+	if len(need.Parts) > 0 {
+		return foreignPromptCost
+	}
+	return foreignPlainCost
+}
+
 // expect is the expected time to the request's first event. The caller holds the lock.
 func (t *Table) expect(e *Endpoint, need *Need, preferred bool, now time.Time) time.Duration {
 	total := e.total(now)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -229,18 +229,23 @@
 }
 
 // TestEvenLoadStaysInZone: under an even load the differences between endpoints are a few requests, which
-// are no reason to send bodies to another zone; a local burst is.
+// are no reason to send prompts to another zone; a local burst is. Other requests go where they wait less.
 func TestEvenLoadStaysInZone(t *testing.T) {
-	for load, want := range map[int]machine.EndpointID{0: "near", 8: "near", 12: "far"} {
+	prompt := Need{Service: "chat", Parts: []Part{{ID: 1, Tokens: 1}}}
+	for _, one := range []struct {
+		need Need
+		load int // requests more in the own zone
+		want machine.EndpointID
+	}{{prompt, 0, "near"}, {prompt, 8, "near"}, {prompt, 12, "far"}, {Need{Service: "chat"}, 0, "near"}, {Need{Service: "chat"}, 1, "far"}} {
 		c := qt.New(t)
 		near, far := report("near", "chat", "a"), report("far", "chat", "b")
 		near.Slots, far.Slots = 64, 64
 		table := newTable(near)
-		for range load {
+		for range one.load {
 			placedAt(table, Need{Service: "chat"})
 		}
 		table.Apply(far)
-		c.Check(placedAt(table, Need{Service: "chat"}), qt.Equals, want, qt.Commentf("%d requests more in the own zone", load))
+		c.Check(placedAt(table, one.need), qt.Equals, one.want, qt.Commentf("%+v", one))
 	}
 }
 
