--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -351,6 +351,28 @@
 	}
 }
 
+// TestStress gives the new version a fifth of the sessions, and of the other requests all those of a fifth of
+// the time, on a tenth of its endpoints.
+func TestStress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		rollouts := New(exposure, telemetry.New(), slog.New(slog.DiscardHandler))
+		rollouts.Apply(Order{Service: "app", Target: "v2", Duration: duration, Revision: 1})
+		value, err := json.Marshal(Stage{Order: 1, State: Running, Share: stressShare})
+		c.Assert(err, qt.IsNil)
+		rollouts.ApplyStage(mirror.Document{Key: StagePrefix + "app", Value: value, Revision: 4})
+		sessions := use(rollouts)
+		c.Check(sessions > 0.15 && sessions < 0.25, qt.IsTrue, qt.Commentf("%v of the sessions", sessions))
+		var pieces []bool // for each tenth of the period
+		for range 10 {
+			choice := rollouts.Choose("app", "", "r")
+			pieces = append(pieces, choice == Choice{Only: "v2", Spread: stressShare / 2})
+			time.Sleep(stressPeriod / 10)
+		}
+		c.Check(pieces, qt.DeepEquals, []bool{true, true, false, false, false, false, false, false, false, false})
+	})
+}
+
 // TestWorseUnderLoad finds a version that fails only once it has more of the traffic, however much it has
 // answered well before.
 func TestWorseUnderLoad(t *testing.T) {
