infra: TestListTraffic in virtual time

Cause: the list reader's call timeout of 2 s ran out in real time beside load: 24 of 24 copies at once failed at a load of 25. The check is about bytes, not about the speed of the machine.

Change: the test runs in a synctest bubble. Time stands still while requests are in progress on real connections, so the timeout limits the server's own delay only. Bounds and counts are unchanged.

--- a/infra/httplist_test.go
+++ b/infra/httplist_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 
@@ -26,7 +27,14 @@
 // TestListTraffic reads a list of 3,400 instances every second for ten minutes of list time, with one change a
 // minute, which is above the rate of 950 restarts a day. The response bodies may take at most 2,300 bytes a
 // second, a tenth of a daemon's 23 KB a second.
+//
+// It runs in virtual time, which stands still while requests are in progress on real connections: the reader's call
+// timeout limits the server's delay, not the speed of the machine that runs the test.
 func TestListTraffic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) { checkListTraffic(t) })
+}
+
+func checkListTraffic(t *testing.T) {
 	c := qt.New(t)
 	list := instances.New(0)
 	for i := range 3400 {
