link, gateway: bound endless answers, require events as progress, keep plain answers out of resumed streams

Changes: at most 256 KiB up to the end of the request's own head, 256 KiB an event, 64 MiB a plain answer; ProgressTimeout runs from event to event; a rest is read for 50 ms; bytes that have arrived are read after a deadline; a plain answer to a resumption is a failed attempt. The unused field retryState.headerSent is gone.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -21,10 +21,13 @@
 	// maxBufferedBytes is the size in bytes up to which an answer is read completely before it is forwarded, so that a
 	// truncated one can be retried.
 	maxBufferedBytes = 256 << 10
-	// minStreamIdle is the least idle time after which a stream counts as broken. Shorter pauses are normal:
+	// minStreamIdle is the least time without an event after which a stream counts as broken. Shorter pauses are normal:
 	// endpoints may suspend a stream for a more urgent one.
 	minStreamIdle   = 2 * time.Second
 	eventStreamType = "text/event-stream"
+	// discardTimeout bounds the time for reading the rest of an answer that is not delivered. The next attempt
+	// waits for it.
+	discardTimeout = 50 * time.Millisecond
 )
 
 // failedAttempt is an attempt that brought no answer to deliver.
@@ -164,14 +167,22 @@
 	if answer.Status == http.StatusOK && strings.HasPrefix(answer.Header.Get("Content-Type"), eventStreamType) {
 		return f.forwardStream(ctx, grant, answer)
 	}
+	if f.stream != nil && f.stream.headerSent {
+		// Its bytes must not follow the events that the caller already has.
+		failed.verdict, failed.reason, failed.err = verdict.Ran, verdict.RetryServerError, errNotResumed
+		return failed
+	}
 	return f.bufferAnswer(grant, answer, failed)
 }
 
-var errUnsigned = errors.New("the endpoint answered with a success status but without its signature")
+var (
+	errUnsigned   = errors.New("the endpoint answered with a success status but without its signature")
+	errNotResumed = errors.New("the endpoint answered a request to resume a stream with a plain answer")
+)
 
 // discard reads the rest of a short answer, so that its connection can be reused.
 func (f *requestState) discard(answer *link.EndpointAnswer) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxBufferedBytes)); err != nil {
+	if err := answer.Discard(maxBufferedBytes, discardTimeout); err != nil {
 		f.server.Log.Debug("reading the rest of a discarded answer failed", "request_id", f.id(), "error", err)
 	}
 }
--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -42,7 +42,6 @@
 	route       *catalog.Route
 	runs        int // attempts that may have run, including the failed one
 	tries       int
-	headerSent  bool // the stream's header has been sent to the caller
 	retryBudget *decide.RetryBuckets
 	service     string
 }
--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -12,6 +13,12 @@
 	"plumbarrow.example/plumbarrow/verdict"
 )
 
+// maxAnswerBytes is the largest body in bytes of an answer that is not an event stream. It ends answers without a
+// declared length whose endpoint never stops sending.
+const maxAnswerBytes = 64 << 20
+
+var errLongAnswer = fmt.Errorf("the answer is longer than %d bytes", maxAnswerBytes)
+
 // copyHeader copies an answer's end-to-end header fields. It leaves out hop-by-hop fields and Content-Length.
 func copyHeader(to, from http.Header) {
 	named := from["Connection"]
@@ -61,6 +68,10 @@
 		failed.reason = verdict.RetryServerError
 		return failed
 	}
+	if answer.Length > maxAnswerBytes {
+		failed.reason, failed.err = verdict.RetryTruncated, errLongAnswer
+		return failed
+	}
 	copyHeader(f.writer.Header(), answer.Header)
 	if answer.Length >= 0 {
 		f.writer.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
@@ -70,9 +81,14 @@
 	if _, err := f.writer.Write(prefix); err != nil {
 		f.abort("the caller left")
 	}
-	if _, err := io.Copy(f.writer, answer.Body); err != nil {
+	// One byte more than allowed shows that the answer is too long.
+	n, err := io.Copy(f.writer, io.LimitReader(answer.Body, maxAnswerBytes+1-int64(len(prefix))))
+	if err != nil {
 		f.abort("the answer broke off")
 	}
+	if int64(len(prefix))+n > maxAnswerBytes {
+		f.abort(errLongAnswer.Error())
+	}
 	f.verdict = verdict.Ran
 	return nil
 }
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -61,6 +61,7 @@
 	header    string // fields as "Name: value", one per line
 	body      string
 	truncated bool          // reading the body fails after body
+	repeated  int           // how often body is repeated; 0 means once
 	failure   *link.Failure // returned instead of an answer
 	delay     time.Duration
 	onArrival func() // called when the request arrives; may be nil
@@ -120,6 +121,9 @@
 		header.Set(name, value)
 	}
 	var body io.Reader = strings.NewReader(next.body)
+	for range next.repeated - 1 {
+		body = io.MultiReader(body, strings.NewReader(next.body))
+	}
 	if next.truncated {
 		body = io.MultiReader(body, brokenReader{})
 	}
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -208,7 +208,6 @@
 		route:       f.route,
 		runs:        f.runs,
 		tries:       f.tries,
-		headerSent:  f.stream != nil && f.stream.headerSent,
 		retryBudget: f.server.RetryBudget,
 		service:     f.service,
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -150,6 +151,45 @@
 	c.Check(seen.body, qt.Equals, "id: 1\ndata: a\n\n")
 }
 
+// TestResumeGetsPlainAnswer checks that a plain answer to the request that resumes a stream is not appended to the
+// events that the caller has: another endpoint resumes the stream, or the caller's connection is aborted.
+func TestResumeGetsPlainAnswer(t *testing.T) {
+	first := events("id: 1\ndata: a\n\n")
+	first.truncated = true
+	for _, status := range []int{200, 404, 409, 500} {
+		c := qt.New(t)
+		f := newFixture(first, signed(status, "plain"), events("id: 2\ndata: b\n\n"))
+		seen := f.call("stream")
+		c.Check(seen.body, qt.Equals, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", qt.Commentf("status %d", status))
+		c.Check(seen.aborted, qt.IsFalse)
+
+		f = newFixture(first, signed(status, "plain"), signed(status, "plain"))
+		seen = f.call("stream")
+		c.Check(seen.body, qt.Equals, "id: 1\ndata: a\n\n", qt.Commentf("status %d", status))
+		c.Check(seen.aborted, qt.IsTrue)
+	}
+}
+
+// TestEndlessEvent checks that a stream whose event never ends is given up after a bounded number of bytes.
+func TestEndlessEvent(t *testing.T) {
+	c := qt.New(t)
+	endless := events("id: 1\ndata: " + strings.Repeat("x", 4*maxEventBytes))
+	f := newFixture(endless, events("id: 1\ndata: a\n\n"))
+	seen := f.call("stream")
+	c.Check(seen.body, qt.Equals, "id: 1\ndata: a\n\n")
+}
+
+// TestEndlessAnswer checks that an answer without a length that never ends is cut off, and does not look complete.
+func TestEndlessAnswer(t *testing.T) {
+	c := qt.New(t)
+	endless := signed(200, strings.Repeat("x", 1<<20))
+	endless.repeated = maxAnswerBytes>>20 + 2
+	f := newFixture(endless)
+	seen := f.call("book")
+	c.Check(seen.aborted, qt.IsTrue)
+	c.Check(len(seen.body) <= maxAnswerBytes+1, qt.IsTrue)
+}
+
 // TestStreamEndsWithinEvent checks that a stream that ends within an event counts as truncated, though its body ends
 // without an error.
 func TestStreamEndsWithinEvent(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -18,7 +18,7 @@
 	// readChunk is the buffer size in bytes for reading a stream.
 	readChunk = 8 << 10
 	// maxEventBytes is the largest size of one event in bytes.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 256 << 10
 	// writeTimeout bounds one write to the caller, in case the caller stops reading.
 	writeTimeout = 10 * time.Second
 )
@@ -56,7 +56,9 @@
 			if !f.writeEvents(answer, events) {
 				return nil
 			}
-			stream.advance(events)
+			if stream.advance(events) > 0 {
+				answer.RecordProgress()
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF):
@@ -101,8 +103,9 @@
 	return s.buffer[:end+2]
 }
 
-// advance records the count and last id of events that were written, and removes them from the buffer.
-func (s *eventStream) advance(events []byte) {
+// advance records the count and last id of events that were written, and removes them from the buffer. It returns
+// the number of lines with data or an id; events without any, such as comments, are no progress of the answer.
+func (s *eventStream) advance(events []byte) (progress int) {
 	for event := range bytes.SplitSeq(events, []byte("\n\n")) {
 		if len(event) == 0 {
 			continue
@@ -111,10 +114,15 @@
 		for line := range bytes.SplitSeq(event, []byte("\n")) {
 			if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 				s.lastID = string(bytes.TrimSpace(id))
+				progress++
+			}
+			if bytes.HasPrefix(line, []byte("data:")) {
+				progress++
 			}
 		}
 	}
 	s.buffer = append(s.buffer[:0], s.buffer[len(events):]...)
+	return progress
 }
 
 // sendStreamHeader sends the header of the first answer to the caller, once per stream.
--- /dev/null
+++ b/link/answersource.go
@@ -0,0 +1,63 @@
+package link
+
+import (
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"time"
+)
+
+// answerSource reads from a connection to an endpoint. It can bound the bytes read, and it returns bytes that had
+// arrived before a read timed out: while this process was suspended, the deadline passes though the endpoint was
+// not silent.
+type answerSource struct {
+	conn    net.Conn
+	limited bool
+	left    int64 // bytes that may still be read while limited
+}
+
+// limit bounds the bytes read from now on.
+func (s *answerSource) limit(bytes int64) { s.limited, s.left = true, bytes }
+
+func (s *answerSource) unlimit() { s.limited = false }
+
+// Read implements io.Reader.
+func (s *answerSource) Read(p []byte) (int, error) {
+	if s.limited {
+		if s.left <= 0 {
+			return 0, errLongHead
+		}
+		p = p[:min(int64(len(p)), s.left)]
+	}
+	n, err := s.conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if available := s.readAvailable(p); available > 0 {
+			n, err = available, nil
+		}
+	}
+	s.left -= int64(n)
+	return n, err
+}
+
+// readAvailable reads bytes that have already arrived, without blocking. It returns 0 if there are none.
+func (s *answerSource) readAvailable(p []byte) int {
+	source, ok := s.conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	rawConn, err := source.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = s.conn.SetReadDeadline(time.Time{})
+	n := 0
+	err = rawConn.Read(func(fd uintptr) bool {
+		n, _, _ = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT)
+		return true
+	})
+	if err != nil {
+		return 0
+	}
+	return max(n, 0)
+}
--- a/link/endpointclient.go
+++ b/link/endpointclient.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -39,6 +40,9 @@
 	// maxAnswersRead bounds the answers that are read for one request: its own and skipped answers to earlier
 	// requests on the connection.
 	maxAnswersRead = 2
+	// maxHeadBytes bounds the bytes read until the head of the request's own answer is complete. They
+	// include informational answers and answers to earlier requests.
+	maxHeadBytes = 256 << 10
 	// maxInlineBody is the largest body that is written before reading of the answer starts, in
 	// bytes: it fits into the socket's buffer. A larger one is written concurrently.
 	maxInlineBody = 16 << 10
@@ -48,6 +52,7 @@
 var (
 	errOtherAnswer = errors.New("the answer belongs to another request")
 	errNoAnswer    = errors.New("no answer within the time allowed")
+	errLongHead    = fmt.Errorf("no complete head of the answer within %d bytes", maxHeadBytes)
 )
 
 // EndpointClient is an HTTP/1.1 client for endpoints. It never sends a request twice, tracks whether any
@@ -95,7 +100,8 @@
 // endpointConn is one connection to an endpoint. One request uses it at a time.
 type endpointConn struct {
 	net.Conn
-	reader  *bufio.Reader
+	source  answerSource
+	reader  *bufio.Reader // of source
 	address string
 	// expiresAt is when the connection is too old for reuse.
 	expiresAt    time.Time
@@ -104,6 +110,13 @@
 	sent         atomic.Int64 // bytes of the current request handed to the kernel
 }
 
+func newEndpointConn(conn net.Conn, address string) *endpointConn {
+	c := &endpointConn{Conn: conn, address: address}
+	c.source.conn = conn
+	c.reader = bufio.NewReaderSize(&c.source, 4<<10)
+	return c
+}
+
 // Write implements io.Writer. It counts before the write, so that a partly failed write never counts as
 // nothing sent.
 func (c *endpointConn) Write(p []byte) (int, error) {
@@ -126,8 +139,8 @@
 	MaxIdleConns int
 	// FirstByteTimeout bounds the time to the answer's header; 0 means no bound except the context.
 	FirstByteTimeout time.Duration
-	// ProgressTimeout bounds the wait for the next bytes of the answer's body; 0 means no bound except the
-	// context.
+	// ProgressTimeout bounds the time from the answer's header to the first EndpointAnswer.RecordProgress and
+	// between two of them; 0 means no bound except the context.
 	ProgressTimeout time.Duration
 }
 
@@ -140,6 +153,27 @@
 	Length int64 // of the body; -1 if it is not declared
 }
 
+// RecordProgress restarts the request's ProgressTimeout. The receiver calls it for each unit of the answer that is
+// of use to the caller, so that an endpoint which only keeps sending stray bytes counts as stalled.
+func (a *EndpointAnswer) RecordProgress() {
+	if body, ok := a.Body.(*endpointBody); ok {
+		body.progressAt = time.Now()
+	}
+}
+
+// Discard reads the rest of an answer that is not needed, at most maxBytes and for at most the given time, so that
+// its connection can be reused. The receiver still must close Body.
+func (a *EndpointAnswer) Discard(maxBytes int64, limit time.Duration) error {
+	if body, ok := a.Body.(*endpointBody); ok {
+		body.progress, body.progressAt = limit, time.Now()
+	}
+	_, err := io.CopyN(io.Discard, a.Body, maxBytes)
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
 // Send sends the request once and returns as soon as it has the answer's header. Errors are *Failure.
 // The connection is closed when ctx ends.
 func (c *EndpointClient) Send(ctx context.Context, request *EndpointRequest) (*EndpointAnswer, error) {
@@ -171,7 +205,8 @@
 	_ = conn.SetReadDeadline(time.Time{})
 	conn.maxIdleConns = request.MaxIdleConns
 	body := &endpointBody{
-		ctx: ctx, client: c, conn: conn, body: response.Body, response: response, progress: request.ProgressTimeout, detach: stop, written: written,
+		ctx: ctx, client: c, conn: conn, body: response.Body, response: response, progress: request.ProgressTimeout, progressAt: time.Now(),
+		detach: stop, written: written,
 	}
 	return &EndpointAnswer{Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength}, nil
 }
@@ -180,6 +215,8 @@
 // to other requests.
 func (c *EndpointClient) receive(conn *endpointConn, request *EndpointRequest) (*http.Response, error) {
 	httpRequest := &http.Request{Method: request.Method}
+	conn.source.limit(maxHeadBytes)
+	defer conn.source.unlimit()
 	for range maxAnswersRead {
 		response, err := http.ReadResponse(conn.reader, httpRequest)
 		for err == nil && response.StatusCode < http.StatusOK {
--- a/link/endpointclient_test.go
+++ b/link/endpointclient_test.go
@@ -350,7 +350,7 @@
 			far, err := listener.Accept()
 			c.Assert(err, qt.IsNil)
 			defer func() { _ = far.Close() }()
-			conn := &endpointConn{Conn: near, reader: bufio.NewReader(near)}
+			conn := newEndpointConn(near, listener.Addr().String())
 			c.Check(conn.reusable(), qt.IsTrue)
 			c.Assert(disturb(far), qt.IsNil)
 			for conn.reusable() {
--- a/link/endpointclientbody.go
+++ b/link/endpointclientbody.go
@@ -12,22 +12,23 @@
 
 // endpointBody is an answer's body. Closing it after its end keeps the connection for reuse.
 type endpointBody struct {
-	ctx      context.Context
-	client   *EndpointClient
-	conn     *endpointConn
-	body     io.ReadCloser
-	response *http.Response
-	progress time.Duration // longest wait for the next bytes; 0 for no bound
-	detach   func() bool   // detaches the connection from ctx
-	written  chan error    // the result of writing the request
-	ended    bool          // read to its end
-	closed   bool
+	ctx        context.Context
+	client     *EndpointClient
+	conn       *endpointConn
+	body       io.ReadCloser
+	response   *http.Response
+	progress   time.Duration // longest time between two records of progress; 0 for no bound
+	progressAt time.Time     // of the last one, at first the time of the header
+	detach     func() bool   // detaches the connection from ctx
+	written    chan error    // the result of writing the request
+	ended      bool          // read to its end
+	closed     bool
 }
 
 // Read implements io.Reader. Errors other than io.EOF are *Failure.
 func (b *endpointBody) Read(p []byte) (int, error) {
 	if b.progress > 0 {
-		_ = b.conn.SetReadDeadline(time.Now().Add(b.progress))
+		_ = b.conn.SetReadDeadline(b.progressAt.Add(b.progress))
 	}
 	n, err := b.body.Read(p)
 	switch {
--- a/link/endpointclientpool.go
+++ b/link/endpointclientpool.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net/http"
@@ -28,7 +27,7 @@
 	c.mu.Lock()
 	c.opened++
 	c.mu.Unlock()
-	return &endpointConn{Conn: netConn, reader: bufio.NewReaderSize(netConn, 4<<10), address: request.Address}, nil
+	return newEndpointConn(netConn, request.Address), nil
 }
 
 // OpenedCount returns the number of connections opened so far.
