--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -46,6 +47,9 @@
 	// finalDrainTime is the phase before stopMargin in which all new requests are refused and requests in
 	// progress finish. It is several times the duration of a request that is not a stream.
 	finalDrainTime = time.Second
+	// shutdownGrace is the time for the answers to requests that were read just before the end of a stop. It is a
+	// part of stopMargin.
+	shutdownGrace = 100 * time.Millisecond
 	// drainQuietTime is the time without any request in progress after which a drain ends.
 	drainQuietTime = 300 * time.Millisecond
 	// gatewayHeaderTimeout is the limit for reading a request's header. It is longer than the operators'
@@ -68,6 +72,7 @@
 	store          *platform.Store
 	mirror         *mirror.Mirror
 	mirrorTopic    *mirror.Topic
+	watchers       *mirror.Watchers
 	presence       *mirror.Presence
 	membership     *zone.Membership
 	exchange       *zone.Exchange
@@ -123,7 +128,9 @@
 	g.presence = mirror.NewPresence(g.mirror, g.store, g.self, g.log)
 	g.membership = zone.NewMembership(g.settings.Exchange, g.self, g.presence, g.log)
 	g.exchange = zone.NewExchange(g.settings.Exchange, g.membership, g.dialer, g.counters, g.log)
-	g.mirrorTopic = mirror.NewTopic(g.mirror, g.dialer)
+	g.watchers = mirror.NewWatchers(g.membership)
+	g.mirrorTopic = mirror.NewTopic(g.mirror, g.dialer, g.watchers)
+	g.counters.Gauge("plumbarrow_mirror_age_seconds", g.mirrorAge)
 	g.table = upstream.NewTable(g.self.ID, g.settings.Zone, g.current, g.membership, g.counters, g.log)
 	g.rollouts = canary.New(g.settings.CanaryShare, g.counters, g.log)
 	g.driver = canary.NewDriver(g.rollouts, g.mirror, g.store, platform.Publisher{}, g.self.ID, g.log)
@@ -170,7 +177,7 @@
 		{g.settings.MetricsAddress, g.httpServer(g.metricsHandler())},
 	}
 	for _, s := range servers {
-		if err := addServer(&group, s.address, s.server); err != nil {
+		if err := addServer(&group, s.address, s.server, shutdownGrace); err != nil {
 			return err
 		}
 	}
@@ -183,8 +190,9 @@
 // tasks returns the background tasks; each runs until its context ends.
 func (g *Gateway) tasks() []func(context.Context) error {
 	return []func(context.Context) error{
-		func(ctx context.Context) error { return g.mirror.Follow(ctx, g.store) },
+		func(ctx context.Context) error { return g.mirror.Follow(ctx, g.store, g.watchers.Watching) },
 		g.mirrorTopic.Run,
+		g.mirrorTopic.Poll,
 		g.presence.Run,
 		g.membership.Run,
 		g.exchange.Run,
@@ -194,6 +202,16 @@
 	}
 }
 
+// mirrorAge returns how old the state of the store is that the copy is known to include, in seconds; infinite
+// before the first confirmation.
+func (g *Gateway) mirrorAge() float64 {
+	age, ok := g.mirror.ConfirmedAge()
+	if !ok {
+		return math.Inf(1)
+	}
+	return age.Seconds()
+}
+
 func (g *Gateway) servePeers(ctx context.Context) error {
 	listener, err := net.Listen("tcp", g.settings.PeersAddress)
 	if err != nil {
@@ -226,7 +244,9 @@
 	}
 }
 
-func addServer(group *run.Group, address string, server *http.Server) error {
+// addServer adds a server to the group. At the end it closes the listener and waits up to grace for the answers
+// to requests that have been read.
+func addServer(group *run.Group, address string, server *http.Server, grace time.Duration) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return eris.Wrap(err, address)
@@ -236,7 +256,13 @@
 			return err
 		}
 		return nil
-	}, func(error) { _ = server.Close() })
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), grace)
+		defer cancel()
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
+	})
 	return nil
 }
 
--- a/machine/holder.go
+++ b/machine/holder.go
@@ -126,7 +126,7 @@
 // refreshRing rebuilds the ring if the live members of this zone or the number of listed instances
 // changed.
 func (p *SharedPermits) refreshRing(now time.Time) {
-	members := slices.DeleteFunc(p.Members.Live(), func(m Member) bool { return m.Zone != p.self.Zone })
+	members := slices.DeleteFunc(slices.Clone(p.Members.Live()), func(m Member) bool { return m.Zone != p.self.Zone })
 	listedInstances := p.ListedInstances()
 	if p.ring.Load() != nil && listedInstances == p.listedInstances && slices.Equal(members, p.members) {
 		return
--- a/machine/types.go
+++ b/machine/types.go
@@ -58,7 +58,8 @@
 }
 
 // Members gives the entry instances that this instance considers live, itself included, in the
-// order of their ids. Two instances may see different members at the same moment.
+// order of their ids. Two instances may see different members at the same moment. Callers of Live must not
+// modify the result.
 type Members interface {
 	Self() Member
 	Live() []Member
--- /dev/null
+++ b/mirror/fleet_test.go
@@ -0,0 +1,383 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/standin/peers"
+)
+
+// maxChangeDelay is the shortest time within which an acknowledged change must be in force at all instances that
+// reach the store: config_apply_ms and drain_ms of the users' smallest sites.
+const maxChangeDelay = 2 * time.Second
+
+// storeLink is one instance's path to the store. It counts the calls and can lose them.
+type storeLink struct {
+	store *fakeStore
+
+	mu     sync.Mutex
+	calls  int
+	broken error // returned by every call
+	silent bool  // calls, also waiting ones, get no answer
+	cut    chan struct{}
+}
+
+func (l *storeLink) call(ctx context.Context) (error, <-chan struct{}) {
+	l.mu.Lock()
+	l.calls++
+	broken, silent, cut := l.broken, l.silent, l.cut
+	l.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err(), cut
+	}
+	return broken, cut
+}
+
+// set changes the path. It takes the waiting calls with it.
+func (l *storeLink) set(broken error, silent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.broken, l.silent = broken, silent
+	close(l.cut)
+	l.cut = make(chan struct{})
+}
+
+func (l *storeLink) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.calls
+}
+
+// Range implements Store.
+func (l *storeLink) Range(ctx context.Context, after string) (Page, error) {
+	if err, _ := l.call(ctx); err != nil {
+		return Page{}, err
+	}
+	return l.store.Range(ctx, after)
+}
+
+// Watch implements Store.
+func (l *storeLink) Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error) {
+	err, cut := l.call(ctx)
+	if err != nil {
+		return Changes{}, err
+	}
+	type result struct {
+		changes Changes
+		err     error
+	}
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan result, 1)
+	go func() {
+		changes, err := l.store.Watch(watchCtx, after, wait)
+		done <- result{changes, err}
+	}()
+	select {
+	case answer := <-done:
+		return answer.changes, answer.err
+	case <-cut:
+	}
+	l.mu.Lock()
+	broken, silent := l.broken, l.silent
+	l.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return Changes{}, ctx.Err()
+	}
+	return Changes{}, errors.Join(errors.New("watch cut"), broken)
+}
+
+// fleetMembers are the members that an instance regards as live.
+type fleetMembers struct {
+	self machine.Member
+	live *[]machine.Member
+}
+
+func (m fleetMembers) Self() machine.Member   { return m.self }
+func (m fleetMembers) Live() []machine.Member { return *m.live }
+
+// fleetInstance is one instance of a fleet in memory.
+type fleetInstance struct {
+	member machine.Member
+	link   *storeLink
+	mirror *Mirror
+	topic  *Topic
+	stop   context.CancelFunc
+}
+
+func (i *fleetInstance) watching() bool { return i.topic.watchers.Watching() }
+
+// fleet is a fleet of mirrors of one store, without the exchange: changes and confirmations travel by watches and
+// polls only.
+type fleet struct {
+	store     *fakeStore
+	network   *peers.Network
+	members   []machine.Member
+	instances []*fleetInstance
+}
+
+func startFleet(t *testing.T, size int) *fleet {
+	f := &fleet{store: newFakeStore(), network: peers.New(time.Millisecond)}
+	f.store.pageSize = 500
+	f.store.put("op/config", "1")
+	for i := range size {
+		id := fmt.Sprintf("entry-%03d", i)
+		f.members = append(f.members, machine.Member{ID: machine.InstanceID(id), Address: id})
+	}
+	for _, member := range f.members {
+		f.instances = append(f.instances, f.start(t, member))
+	}
+	return f
+}
+
+func (f *fleet) start(t *testing.T, member machine.Member) *fleetInstance {
+	node := f.network.Node(member.Address)
+	m := New(slog.New(slog.DiscardHandler), func([]Document, time.Time) {})
+	topic := NewTopic(m, node, NewWatchers(fleetMembers{self: member, live: &f.members}))
+	if err := topic.Register(node); err != nil {
+		t.Fatal(err)
+	}
+	link := &storeLink{store: f.store, cut: make(chan struct{})}
+	ctx, cancel := context.WithCancel(t.Context())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { _ = m.Follow(ctx, link, topic.watchers.Watching) })
+	tasks.Go(func() { _ = topic.Run(ctx) })
+	tasks.Go(func() { _ = topic.Poll(ctx) })
+	t.Cleanup(func() { cancel(); tasks.Wait() })
+	return &fleetInstance{member: member, link: link, mirror: m, topic: topic, stop: cancel}
+}
+
+func (f *fleet) watchers() []*fleetInstance {
+	var watchers []*fleetInstance
+	for _, instance := range f.instances {
+		if instance.watching() {
+			watchers = append(watchers, instance)
+		}
+	}
+	return watchers
+}
+
+func (f *fleet) calls() int {
+	total := 0
+	for _, instance := range f.instances {
+		total += instance.link.count()
+	}
+	return total
+}
+
+// awaitValue returns how long it takes until all instances but the excepted ones have the value, at most limit.
+func (f *fleet) awaitValue(key, want string, limit time.Duration, except ...*fleetInstance) time.Duration {
+	started := time.Now()
+	for time.Since(started) < limit {
+		synctest.Wait()
+		if f.behind(key, want, except) == 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(started)
+}
+
+func (f *fleet) behind(key, want string, except []*fleetInstance) int {
+	behind := 0
+	for _, instance := range f.instances {
+		excepted := false
+		for _, other := range except {
+			excepted = excepted || other == instance
+		}
+		if !excepted && value(instance.mirror, key) != want {
+			behind++
+		}
+	}
+	return behind
+}
+
+var fleetSizes = []int{12, 60, 300}
+
+// TestFleetCalls checks that the calls of a calm fleet to the store grow with its watchers, not with its instances:
+// under 10 a second up to 300 instances, plus what changes cause.
+func TestFleetCalls(t *testing.T) {
+	for _, size := range fleetSizes {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := startFleet(t, size)
+				time.Sleep(3 * time.Second)
+				before := f.calls()
+				const seconds = 10
+				time.Sleep(seconds * time.Second)
+				rate := float64(f.calls()-before) / seconds
+				c.Logf("%d instances, %d watchers: %.1f calls a second", size, len(f.watchers()), rate)
+				c.Check(rate < 10, qt.IsTrue, qt.Commentf("%.1f calls a second", rate))
+				before = f.calls()
+				f.store.put("op/config", "2")
+				time.Sleep(time.Second)
+				c.Check(f.calls()-before <= 10+3*len(f.watchers()), qt.IsTrue, qt.Commentf("%d calls", f.calls()-before))
+			})
+		})
+	}
+}
+
+// TestFleetWatcherFaults puts a fault on one watcher, then changes a document: a leaving endpoint, an evacuation
+// or a withdrawn key. All other instances must have the change within maxChangeDelay.
+func TestFleetWatcherFaults(t *testing.T) {
+	refused := errors.New("refused")
+	faults := map[string]func(f *fleet, watcher *fleetInstance){
+		"none": func(*fleet, *fleetInstance) {},
+		"killed": func(f *fleet, watcher *fleetInstance) {
+			watcher.stop()
+			f.network.Remove(watcher.member.Address)
+		},
+		"frozen": func(f *fleet, watcher *fleetInstance) {
+			watcher.link.set(nil, true)
+			f.network.SetSilent(watcher.member.Address, true)
+		},
+		"store turns it away": func(_ *fleet, watcher *fleetInstance) { watcher.link.set(refused, false) },
+		"store silent":        func(_ *fleet, watcher *fleetInstance) { watcher.link.set(nil, true) },
+		"cut from peers":      func(f *fleet, watcher *fleetInstance) { f.network.SetSilent(watcher.member.Address, true) },
+	}
+	for name, fault := range faults {
+		for _, size := range fleetSizes {
+			t.Run(fmt.Sprintf("%s/%d", name, size), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := qt.New(t)
+					f := startFleet(t, size)
+					time.Sleep(3 * time.Second)
+					watcher := f.watchers()[0]
+					fault(f, watcher)
+					time.Sleep(time.Millisecond)
+					f.store.put("op/config", "2")
+					took := f.awaitValue("op/config", "2", 2*maxChangeDelay, watcher)
+					c.Logf("in force after %d ms", took.Milliseconds())
+					c.Check(took <= maxChangeDelay, qt.IsTrue, qt.Commentf("in force after %d ms", took.Milliseconds()))
+				})
+			})
+		}
+	}
+}
+
+// TestFleetAllWatchersFail checks that a change is in force within maxChangeDelay though all watchers fail at once,
+// at the moment at which their copies had just been confirmed.
+func TestFleetAllWatchersFail(t *testing.T) {
+	for _, size := range fleetSizes {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := startFleet(t, size)
+				time.Sleep(3 * time.Second)
+				failed := f.watchers()
+				for _, watcher := range failed {
+					watcher.link.set(nil, true)
+				}
+				f.store.put("op/config", "2")
+				took := f.awaitValue("op/config", "2", 2*maxChangeDelay, failed...)
+				c.Logf("in force after %d ms", took.Milliseconds())
+				c.Check(took <= maxChangeDelay, qt.IsTrue, qt.Commentf("in force after %d ms", took.Milliseconds()))
+			})
+		})
+	}
+}
+
+// TestFleetTurnedAway checks that instances which the store turns away follow those that it serves, and do not call
+// the store more than a few times a second meanwhile.
+func TestFleetTurnedAway(t *testing.T) {
+	for _, size := range fleetSizes {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := startFleet(t, size)
+				time.Sleep(3 * time.Second)
+				served := f.watchers()[0]
+				for _, instance := range f.instances {
+					if instance != served {
+						instance.link.set(errors.New("refused"), false)
+					}
+				}
+				time.Sleep(3 * time.Second)
+				before := f.calls()
+				f.store.put("op/config", "2")
+				took := f.awaitValue("op/config", "2", 2*maxChangeDelay)
+				c.Logf("in force after %d ms", took.Milliseconds())
+				c.Check(took <= maxChangeDelay, qt.IsTrue, qt.Commentf("in force after %d ms", took.Milliseconds()))
+				time.Sleep(10*time.Second - took)
+				rate := float64(f.calls()-before) / 10
+				c.Logf("%.1f calls a second", rate)
+				c.Check(rate < 10+float64(size)/4, qt.IsTrue, qt.Commentf("%.1f calls a second", rate))
+			})
+		})
+	}
+}
+
+// TestFleetOldCopy checks that an instance whose copy is old cannot confirm the copies of others, whatever it
+// answers, and that its documents do not replace newer ones.
+func TestFleetOldCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := startFleet(t, 12)
+		time.Sleep(3 * time.Second)
+		old := f.watchers()[0]
+		old.link.set(nil, true)
+		f.store.put("op/config", "2")
+		took := f.awaitValue("op/config", "2", 2*maxChangeDelay, old)
+		c.Check(took <= maxChangeDelay, qt.IsTrue, qt.Commentf("in force after %d ms", took.Milliseconds()))
+		f.store.remove("op/config")
+		time.Sleep(maxChangeDelay)
+		for _, instance := range f.instances {
+			_, _, _ = instance.topic.fetch(t.Context(), old.member, 0, time.Second)
+			c.Check(value(instance.mirror, "op/config"), qt.Equals, "none", qt.Commentf("%s", instance.member.ID))
+		}
+	})
+}
+
+// TestConfirmedAfterDelay checks that a reply that was delayed confirms the copy only for the time for which
+// the sender's copy was known to be complete.
+func TestConfirmedAfterDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := peers.New(100 * time.Millisecond)
+		source, target := network.Node("source"), network.Node("target")
+		sourceMirror := New(slog.New(slog.DiscardHandler), func([]Document, time.Time) {})
+		sourceMirror.apply([]Document{{Key: "k", Revision: 3}}, 3)
+		sourceMirror.confirm(time.Now())
+		time.Sleep(500 * time.Millisecond)
+		c.Assert(NewTopic(sourceMirror, source, nil).Register(source), qt.IsNil)
+		targetMirror := New(slog.New(slog.DiscardHandler), func([]Document, time.Time) {})
+		topic := NewTopic(targetMirror, target, nil)
+		_, _, err := topic.fetch(t.Context(), machine.Member{ID: "source", Address: "source"}, 0, time.Second)
+		c.Assert(err, qt.IsNil)
+		age, ok := targetMirror.ConfirmedAge()
+		c.Assert(ok, qt.IsTrue)
+		c.Check(age >= 700*time.Millisecond, qt.IsTrue, qt.Commentf("%d ms", age.Milliseconds()))
+	})
+}
+
+// TestWatchersBalanced checks that the watchers of a fleet are few and share the polls about evenly.
+func TestWatchersBalanced(t *testing.T) {
+	c := qt.New(t)
+	var members []machine.Member
+	for i := range 300 {
+		members = append(members, machine.Member{ID: machine.InstanceID(fmt.Sprintf("entry-%03d", i))})
+	}
+	polls := make(map[machine.InstanceID]int)
+	for _, member := range members {
+		watchers := NewWatchers(fleetMembers{self: member, live: &members})
+		if !watchers.Watching() {
+			polls[watchers.Sources()[0].ID]++
+		}
+	}
+	c.Check(len(polls), qt.Equals, minWatchers+300/membersPerWatcher)
+	for id, count := range polls {
+		c.Check(count <= 2*300/len(polls), qt.IsTrue, qt.Commentf("%s serves %d polls", id, count))
+	}
+}
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -37,12 +37,11 @@
 }
 
 const (
-	// watchWait is the long-poll timeout of one watch. The store can lose the watches of all instances
-	// while their connections stay open, which nothing shows before the timeout. Changes made
-	// meanwhile must be in force about three seconds after the store has recovered.
-	watchWait = 2 * time.Second
-	// probeWait is the long-poll timeout of the first watch after a failure, so that its answer
-	// shows at once that the store is back.
+	// watchWait bounds the long poll of one watch and with it the age of a watcher's copy. The store can
+	// lose the watches of all instances while their connections stay open, which nothing shows before the
+	// timeout.
+	watchWait = 600 * time.Millisecond
+	// probeWait is the long-poll timeout of a watch that is to be answered at once.
 	probeWait = time.Millisecond
 	// batchDelay is how long changes are gathered after some have arrived, so that a series of them
 	// takes fewer calls. It is a small part of the time within which a change must be in force.
@@ -50,43 +49,63 @@
 	// watchGrace is how much longer than its wait a watch may take: two round trips to a store that
 	// is a hundred times slower than usual.
 	watchGrace = 800 * time.Millisecond
+	// maxUnconfirmed is the age of the copy from which an instance calls the store itself. It exceeds the
+	// age that polls of a watcher usually lead to. Together with a round trip to the store it stays below
+	// the shortest time within which a change must be in force, 2 s.
+	maxUnconfirmed = 1300 * time.Millisecond
+	// roleInterval is the time between checks whether this instance has become a watcher.
+	roleInterval = 200 * time.Millisecond
 	// readTimeout bounds the read of one page.
 	readTimeout = 2 * time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call. It doubles with each failure.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
+	// maxFollowerBackoff is maxBackoff of an instance that is not a watcher. The watchers notice the end of
+	// an outage for it.
+	maxFollowerBackoff = 1500 * time.Millisecond
 	// maxTombstones bounds the tombstones kept. It is more than the deletions in a fleet while an
 	// instance is disconnected.
 	maxTombstones = 2000
 )
 
-// Follow keeps the copy in step with the store until ctx ends.
-func (m *Mirror) Follow(ctx context.Context, store Store) error {
-	revision, synced := uint64(0), false
-	delay, wait := minBackoff, watchWait
+// Follow keeps the copy in step with the store until ctx ends. While watching returns false, it calls the
+// store only if the copy has not been confirmed for maxUnconfirmed.
+func (m *Mirror) Follow(ctx context.Context, store Store, watching func() bool) error {
+	synced := false
+	delay := minBackoff
 	for ctx.Err() == nil {
+		watcher := watching()
+		if synced && !watcher && m.confirmed(maxUnconfirmed) {
+			if !pause.Sleep(ctx, m.untilDue()) {
+				return nil
+			}
+			continue
+		}
 		var changed int
 		var err error
 		if synced {
-			revision, changed, err = m.watch(ctx, store, revision, wait)
+			changed, err = m.watch(ctx, store)
 		} else {
-			revision, err = m.readAll(ctx, store)
+			err = m.readAll(ctx, store)
 		}
 		if errors.Is(err, ErrCompacted) {
-			m.log.Warn("store history compacted; reading all documents again", "revision", revision)
+			m.log.Warn("store history compacted; reading all documents again", "revision", m.Revision())
 			synced = false
 			continue
 		}
 		if err != nil {
 			m.recordFailure(err)
-			wait = probeWait
-			if !backoff(ctx, &delay) {
+			limit := maxFollowerBackoff
+			if watcher || !synced {
+				limit = maxBackoff
+			}
+			if !backoff(ctx, &delay, limit) {
 				return nil
 			}
 			continue
 		}
 		synced = true
-		delay, wait = minBackoff, watchWait
+		delay = minBackoff
 		if changed > 0 && !pause.Sleep(ctx, batchDelay) {
 			return nil
 		}
@@ -94,33 +113,52 @@
 	return nil
 }
 
-// watch waits for the next changes and applies them. It returns the revision to watch from next and the
-// number of changes.
-func (m *Mirror) watch(ctx context.Context, store Store, revision uint64, wait time.Duration) (uint64, int, error) {
+// untilDue returns the time until an instance that is not a watcher has to check again whether it must call
+// the store.
+func (m *Mirror) untilDue() time.Duration {
+	age, _ := m.ConfirmedAge()
+	return min(max(maxUnconfirmed-age, time.Millisecond), roleInterval)
+}
+
+// watch waits for the next changes and applies them. It returns their number. The older the copy's last
+// confirmation, the shorter it waits, since only the end of the wait confirms that there is no change.
+func (m *Mirror) watch(ctx context.Context, store Store) (int, error) {
+	age, ok := m.ConfirmedAge()
+	if !ok {
+		age = watchWait
+	}
+	wait := min(max(watchWait-age, probeWait), watchWait)
+	started := time.Now()
 	watchCtx, cancel := context.WithTimeout(ctx, wait+watchGrace)
 	defer cancel()
-	changes, err := store.Watch(watchCtx, revision, wait)
+	after := m.Revision()
+	changes, err := store.Watch(watchCtx, after, wait)
 	if err != nil {
 		if ctx.Err() != nil {
-			return revision, 0, nil // this instance stops
+			return 0, nil // this instance stops
 		}
-		return revision, 0, err
+		return 0, err
 	}
 	m.recordContact()
-	revision = max(revision, changes.Revision)
-	m.apply(changes.Documents, revision)
+	m.apply(changes.Documents, max(after, changes.Revision))
 	m.pruneTombstones(maxTombstones)
-	return revision, len(changes.Documents), nil
+	if len(changes.Documents) == 0 && time.Since(started) >= wait {
+		m.confirm(started.Add(wait)) // the store answers an empty watch no earlier
+	} else {
+		m.confirm(started)
+	}
+	return len(changes.Documents), nil
 }
 
-// readAll takes over the whole state and returns the revision from which the watch continues.
-func (m *Mirror) readAll(ctx context.Context, store Store) (uint64, error) {
+// readAll takes over the whole state.
+func (m *Mirror) readAll(ctx context.Context, store Store) error {
+	started := time.Now()
 	var documents []Document
 	var from uint64
 	for after := ""; ; {
 		page, err := readPage(ctx, store, after)
 		if err != nil {
-			return 0, err
+			return err
 		}
 		if from == 0 {
 			from = page.Revision // of the first page: the watch repeats later changes
@@ -133,7 +171,8 @@
 	}
 	m.recordContact()
 	m.replace(documents, from)
-	return from, nil
+	m.confirm(started)
+	return nil
 }
 
 func readPage(ctx context.Context, store Store, after string) (Page, error) {
@@ -142,10 +181,10 @@
 	return store.Range(ctx, after)
 }
 
-// backoff sleeps for the delay with jitter and then doubles the delay. It returns false if ctx
-// ended.
-func backoff(ctx context.Context, delay *time.Duration) bool {
+// backoff sleeps for the delay with jitter and then doubles the delay up to limit. It returns false if
+// ctx ended.
+func backoff(ctx context.Context, delay *time.Duration, limit time.Duration) bool {
 	jittered := time.Duration(float64(*delay) * (0.5 + rand.Float64()))
-	*delay = min(2**delay, maxBackoff)
+	*delay = min(2**delay, limit)
 	return pause.Sleep(ctx, jittered)
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -1,11 +1,13 @@
 // Package mirror keeps a copy of the documents that instances share through the platform's store. A
-// copy follows the store's watch and also fetches changes from instances whose copies are ahead, so
-// that it stays current while the store cannot be reached. Documents carry the store's revision of
+// few instances watch the store; the others poll them for changes and call the store only if no poll
+// has confirmed their copy for a while. Copies also fetch changes from instances that are ahead, so
+// that they stay current while the store cannot be reached. Documents carry the store's revision of
 // their last change, and a copy never replaces a document by an older one.
 package mirror
 
 import (
 	"cmp"
+	"context"
 	"log/slog"
 	"maps"
 	"slices"
@@ -58,11 +60,15 @@
 	lastUnreachable time.Time // last failure of the store or, once it answers again, end of the outage
 	unreachable     bool      // the last call to the store failed
 	lastPeerSteady  time.Time // last report of a peer that the store had no outage
+	// confirmedAt is the latest time for which the copy is known to include every change acknowledged by
+	// then; zero if unknown. It is a lower bound that allows for delays of messages.
+	confirmedAt time.Time
+	advanced    chan struct{} // closed and replaced when revision grows
 }
 
 // New returns an empty copy.
 func New(log *slog.Logger, listener Listener) *Mirror {
-	return &Mirror{log: log, documents: make(map[string]Document), listener: listener}
+	return &Mirror{log: log, documents: make(map[string]Document), listener: listener, advanced: make(chan struct{})}
 }
 
 // Revision returns the store revision up to which the copy is complete; 0 before the first read.
@@ -72,8 +78,78 @@
 	return m.revision
 }
 
-// steady reports whether the store has been reached without a gap for steadyAfter.
+// ConfirmedAge returns how old the state of the store is that the copy is known to include; ok is false
+// before the first confirmation.
+func (m *Mirror) ConfirmedAge() (age time.Duration, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return ageOf(m.confirmedAt), !m.confirmedAt.IsZero()
+}
+
+// ageOf returns the time since at by the steady clock or by the time of day, whichever is longer: the
+// steady clock does not count the time for which the machine was suspended.
+func ageOf(at time.Time) time.Duration {
+	now := time.Now()
+	return max(now.Sub(at), now.Round(0).Sub(at.Round(0)))
+}
+
+// confirm records that the copy includes every change acknowledged until at. It also ends an outage
+// that this instance has seen.
+func (m *Mirror) confirm(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if at.After(m.confirmedAt) {
+		m.confirmedAt = at
+	}
+	if m.unreachable && at.After(m.lastUnreachable) {
+		m.unreachable = false
+		m.lastUnreachable = time.Now()
+		m.log.Info("copy confirmed again", "revision", m.revision)
+	}
+}
+
+// confirmed reports whether the copy is known to include the state of the store of that long ago.
+func (m *Mirror) confirmed(within time.Duration) bool {
+	age, ok := m.ConfirmedAge()
+	return ok && age <= within
+}
+
+// awaitAfter waits until the copy's revision exceeds after, at most for wait.
+func (m *Mirror) awaitAfter(ctx context.Context, after uint64, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		m.mu.Lock()
+		revision, advanced := m.revision, m.advanced
+		m.mu.Unlock()
+		if revision > after {
+			return
+		}
+		select {
+		case <-advanced:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// setRevision raises the revision. The caller holds the lock.
+func (m *Mirror) setRevision(revision uint64) {
+	if revision <= m.revision {
+		return
+	}
+	m.revision = revision
+	close(m.advanced)
+	m.advanced = make(chan struct{})
+}
+
+// steady reports whether the copy has been up to date without a gap for steadyAfter.
 func (m *Mirror) steady() bool {
+	if !m.confirmed(maxUnconfirmed) {
+		return false
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.revision > 0 && !m.unreachable && time.Since(m.lastUnreachable) >= steadyAfter
@@ -129,7 +205,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.merge(changed)
-	m.revision = max(m.revision, revision)
+	m.setRevision(revision)
 }
 
 // replace merges a full state whose first page was read at revision from. Documents that it lacks
@@ -154,7 +230,7 @@
 		}
 	}
 	m.merge(changed)
-	m.revision = max(m.revision, from)
+	m.setRevision(from)
 	m.tombstoneFloor = max(m.tombstoneFloor, from)
 }
 
@@ -176,18 +252,35 @@
 	m.listener(changed, m.provisionalUntil())
 }
 
-// changesAfter returns the documents that changed after a revision. If tombstones above it have
-// been dropped, full is true and the result is all documents that exist.
-func (m *Mirror) changesAfter(after uint64) (documents []Document, revision uint64, full bool) {
+// changeSet is what changed after a revision.
+type changeSet struct {
+	documents   []Document // if full, all documents that exist
+	revision    uint64
+	full        bool      // tombstones above the revision asked for have been dropped
+	confirmedAt time.Time // see Mirror.confirmedAt
+}
+
+// changesAfter returns what changed after a revision.
+func (m *Mirror) changesAfter(after uint64) changeSet {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	full = after < m.tombstoneFloor
+	changes := changeSet{revision: m.revision, full: after < m.tombstoneFloor, confirmedAt: m.confirmedAt}
+	if !changes.full && after >= m.revision {
+		return changes
+	}
 	for _, document := range m.documents {
-		if full && !document.Deleted || !full && document.Revision > after {
-			documents = append(documents, document)
+		if changes.full && !document.Deleted || !changes.full && document.Revision > after {
+			changes.documents = append(changes.documents, document)
 		}
 	}
-	return documents, m.revision, full
+	return changes
+}
+
+// storeReachable reports whether the last call to the store or a later confirmation succeeded.
+func (m *Mirror) storeReachable() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.unreachable
 }
 
 // recordContact records an answer of the store.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -166,7 +166,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = m.Follow(ctx, store)
+		_ = m.Follow(ctx, store, func() bool { return true })
 	}()
 	t.Cleanup(func() { cancel(); <-done })
 	return m, rec
@@ -329,8 +329,8 @@
 			ahead, _ := startMirror(t, store)
 			behind := New(slog.New(slog.DiscardHandler), func([]Document, time.Time) {})
 			synctest.Wait()
-			documents, revision, _ := ahead.changesAfter(0)
-			behind.apply(documents, revision)
+			changes := ahead.changesAfter(0)
+			behind.apply(changes.documents, changes.revision)
 			store.remove("d/a")
 			store.put("d/b", "2")
 			synctest.Wait()
@@ -338,9 +338,9 @@
 				ahead.pruneTombstones(0)
 			}
 			source, target := network.Node("source"), network.Node("target")
-			sourceTopic := NewTopic(ahead, source)
+			sourceTopic := NewTopic(ahead, source, nil)
 			c.Assert(sourceTopic.Register(source), qt.IsNil)
-			targetTopic := NewTopic(behind, target)
+			targetTopic := NewTopic(behind, target, nil)
 			peer := machine.Member{ID: "source", Address: "source"}
 			targetTopic.Receive(peer, sourceTopic.Message(machine.Member{}))
 			c.Assert(targetTopic.catchUp(t.Context(), <-targetTopic.ahead), qt.IsNil)
--- a/mirror/peers.go
+++ b/mirror/peers.go
@@ -2,25 +2,43 @@
 
 import (
 	"context"
+	"maps"
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 
+	"plumbarrow.example/plumbarrow/internal/pause"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/mirror/mirrorpb"
 )
 
-// catchUpTimeout bounds one fetch from a peer. After a timeout, the next peer that reports a higher
-// revision is asked.
-const catchUpTimeout = 800 * time.Millisecond
+const (
+	// catchUpTimeout bounds one fetch from a peer that is ahead. After a timeout, the next peer that
+	// reports a higher revision is asked.
+	catchUpTimeout = 800 * time.Millisecond
+	// pollWait is the long-poll timeout of a poll. maxPollWait bounds what a peer may ask for.
+	pollWait    = 300 * time.Millisecond
+	maxPollWait = 2 * time.Second
+	// pollGrace is how much longer than its wait a poll may take: several round trips between data
+	// centres.
+	pollGrace = 300 * time.Millisecond
+	// maxSourceAge is the age of a source's copy from which another source is polled. A watcher that
+	// reaches the store stays below it.
+	maxSourceAge = watchWait + 3*batchDelay
+	// sourceRetry is how long a source that did not answer, or whose copy is too old, is not polled.
+	sourceRetry = 5 * time.Second
+)
 
-// Topic reports the copy's revision to peers and fetches changes from peers that are ahead.
+// Topic reports the copy's revision to peers, fetches changes from peers that are ahead, and polls the
+// fleet's watchers.
 type Topic struct {
-	mirror *Mirror
-	peers  link.Peers
-	ahead  chan machine.Member // a peer that is ahead of this copy; capacity 1
+	mirror   *Mirror
+	peers    link.Peers
+	watchers *Watchers
+	ahead    chan machine.Member // a peer that is ahead of this copy; capacity 1
 }
 
 var (
@@ -28,9 +46,9 @@
 	_ mirrorpb.DRPCMirrorServer = (*Topic)(nil)
 )
 
-// NewTopic returns the topic of a mirror. It fetches changes only while Run is running.
-func NewTopic(mirror *Mirror, peers link.Peers) *Topic {
-	return &Topic{mirror: mirror, peers: peers, ahead: make(chan machine.Member, 1)}
+// NewTopic returns the topic of a mirror. It fetches changes only while Run and Poll are running.
+func NewTopic(mirror *Mirror, peers link.Peers, watchers *Watchers) *Topic {
+	return &Topic{mirror: mirror, peers: peers, watchers: watchers, ahead: make(chan machine.Member, 1)}
 }
 
 // Register serves the copy to peers.
@@ -82,42 +100,121 @@
 	}
 }
 
-// catchUp fetches from a peer what has changed after this copy's revision.
+// Poll keeps polling one of the fleet's watchers until ctx ends. It pauses while this instance is a watcher
+// that reaches the store.
+func (t *Topic) Poll(ctx context.Context) error {
+	avoided := make(map[machine.InstanceID]time.Time)
+	var current machine.InstanceID
+	for ctx.Err() == nil {
+		source, ok := t.source(avoided)
+		if !ok {
+			if !pause.Sleep(ctx, roleInterval) {
+				return nil
+			}
+			continue
+		}
+		wait := pollWait
+		if source.ID != current {
+			wait = 0 // whether its copy is fresh is to be known at once
+		}
+		changed, confirmedAt, err := t.fetch(ctx, source, wait, wait+pollGrace)
+		current = source.ID
+		if err != nil || ageOf(confirmedAt) > maxSourceAge {
+			avoided[source.ID] = time.Now().Add(sourceRetry)
+			current = ""
+			t.mirror.log.Debug("source of changes avoided", "peer", source.ID, "age_ms", ageOf(confirmedAt).Milliseconds(), "error", err)
+		}
+		if changed > 0 && !pause.Sleep(ctx, batchDelay/2) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// source returns the watcher to poll next; ok is false if none is to be polled now. It drops outdated entries
+// of avoided.
+func (t *Topic) source(avoided map[machine.InstanceID]time.Time) (source machine.Member, ok bool) {
+	if t.watchers.Watching() && t.mirror.storeReachable() {
+		return machine.Member{}, false
+	}
+	now := time.Now()
+	maps.DeleteFunc(avoided, func(_ machine.InstanceID, until time.Time) bool { return !now.Before(until) })
+	for _, member := range t.watchers.Sources() {
+		if _, skip := avoided[member.ID]; !skip {
+			return member, true
+		}
+	}
+	return machine.Member{}, false
+}
+
+// catchUp fetches from a peer that is ahead what has changed after this copy's revision.
 func (t *Topic) catchUp(ctx context.Context, peer machine.Member) error {
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	_, _, err := t.fetch(ctx, peer, 0, catchUpTimeout)
+	return err
+}
+
+// fetch asks a peer for what has changed after this copy's revision and applies it. The peer waits for a
+// change for at most wait. confirmedAt is the time for which the answer confirms the copy; zero if the
+// peer's copy is not confirmed.
+func (t *Topic) fetch(ctx context.Context, peer machine.Member, wait, timeout time.Duration) (changed int, confirmedAt time.Time, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := t.peers.Conn(ctx, peer)
 	if err != nil {
-		return err
+		return 0, time.Time{}, err
 	}
-	after := t.mirror.Revision()
-	reply, err := mirrorpb.NewDRPCMirrorClient(conn).Changes(ctx, &mirrorpb.ChangesRequest{After: after})
+	after, asked := t.mirror.Revision(), time.Now()
+	reply, err := mirrorpb.NewDRPCMirrorClient(conn).Changes(ctx, &mirrorpb.ChangesRequest{After: after, WaitMs: uint32(wait.Milliseconds())})
 	if err != nil {
-		return err
+		return 0, time.Time{}, err
 	}
-	documents := make([]Document, 0, len(reply.GetDocuments()))
-	for _, document := range reply.GetDocuments() {
-		documents = append(documents, Document{
-			Key: document.GetKey(), Value: document.GetValue(), Revision: document.GetRevision(), Deleted: document.GetDeleted(),
-		})
+	documents := documentsOf(reply.GetDocuments())
+	if reply.GetSteady() {
+		t.mirror.recordPeerSteady()
 	}
 	if reply.GetFull() {
 		t.mirror.replace(documents, reply.GetRevision())
 	} else {
 		t.mirror.apply(documents, reply.GetRevision())
 	}
+	if reply.ConfirmedAgeMs != nil {
+		// The reply left the peer no earlier than the time waited after the question left this instance.
+		confirmedAt = asked.Add(milliseconds(reply.GetWaitedMs()) - milliseconds(reply.GetConfirmedAgeMs()))
+		t.mirror.confirm(confirmedAt)
+	}
 	if len(documents) > 0 {
 		t.mirror.log.Info("documents fetched from a peer", "peer", peer.ID, "after", after,
 			"revision", reply.GetRevision(), "documents", len(documents), "full", reply.GetFull())
 	}
-	return nil
+	return len(documents), confirmedAt, nil
+}
+
+func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func documentsOf(messages []*mirrorpb.Document) []Document {
+	documents := make([]Document, 0, len(messages))
+	for _, message := range messages {
+		documents = append(documents, Document{
+			Key: message.GetKey(), Value: message.GetValue(), Revision: message.GetRevision(), Deleted: message.GetDeleted(),
+		})
+	}
+	return documents
 }
 
 // Changes implements mirrorpb.DRPCMirrorServer.
-func (t *Topic) Changes(_ context.Context, request *mirrorpb.ChangesRequest) (*mirrorpb.ChangesReply, error) {
-	documents, revision, full := t.mirror.changesAfter(request.GetAfter())
-	reply := &mirrorpb.ChangesReply{Revision: revision, Full: full}
-	for _, document := range documents {
+func (t *Topic) Changes(ctx context.Context, request *mirrorpb.ChangesRequest) (*mirrorpb.ChangesReply, error) {
+	arrived := time.Now()
+	t.mirror.awaitAfter(ctx, request.GetAfter(), min(milliseconds(request.GetWaitMs()), maxPollWait))
+	waited := time.Since(arrived)
+	changes := t.mirror.changesAfter(request.GetAfter())
+	reply := &mirrorpb.ChangesReply{
+		Revision: changes.revision, Full: changes.full, Steady: t.mirror.steady(), WaitedMs: uint32(waited.Milliseconds()),
+	}
+	if !changes.confirmedAt.IsZero() {
+		age := min((ageOf(changes.confirmedAt) + time.Millisecond - 1).Milliseconds(), math.MaxUint32)
+		reply.ConfirmedAgeMs = proto.Uint32(uint32(age))
+	}
+	for _, document := range changes.documents {
 		reply.Documents = append(reply.Documents, &mirrorpb.Document{
 			Key: document.Key, Value: document.Value, Revision: document.Revision, Deleted: document.Deleted,
 		})
--- a/mirror/presence.go
+++ b/mirror/presence.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"strings"
+	"sync"
 	"time"
 
 	"plumbarrow.example/plumbarrow/infra"
@@ -18,10 +19,10 @@
 
 const (
 	// presenceTTL is the TTL of the lease: how long a crashed instance stays listed. Peers detect
-	// sooner that it does not answer.
-	presenceTTL = 12 * time.Second
+	// sooner that it does not answer, so the TTL only bounds the entries of lost instances.
+	presenceTTL = 30 * time.Second
 	// presenceRenewInterval leaves two more attempts before the lease ends.
-	presenceRenewInterval = 4 * time.Second
+	presenceRenewInterval = 10 * time.Second
 	// presenceTimeout bounds one call.
 	presenceTimeout = 2 * time.Second
 )
@@ -39,6 +40,10 @@
 	writer Writer
 	self   machine.Member
 	log    *slog.Logger
+
+	mu        sync.Mutex
+	revision  uint64           // of the copy that instances was decoded from
+	instances []infra.Instance // nil before the first call
 }
 
 var _ infra.InstanceList = (*Presence)(nil)
@@ -48,8 +53,20 @@
 	return &Presence{mirror: mirror, writer: writer, self: self, log: log}
 }
 
-// Instances implements infra.InstanceList from the copy, without a call to the store.
+// Instances implements infra.InstanceList from the copy, without a call to the store. It returns the same slice
+// as long as the copy has not changed; callers must not modify it.
 func (p *Presence) Instances(context.Context) ([]infra.Instance, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	revision := p.mirror.Revision()
+	if p.instances == nil || revision != p.revision {
+		p.revision, p.instances = revision, p.decode()
+	}
+	return p.instances, nil
+}
+
+// decode returns the registered instances.
+func (p *Presence) decode() []infra.Instance {
 	var instances []infra.Instance
 	for _, document := range p.mirror.List(MembersPrefix) {
 		var member memberDocument
@@ -62,7 +79,7 @@
 			Zone: member.Group, Address: member.Address, State: infra.StateLive,
 		})
 	}
-	return instances, nil
+	return instances
 }
 
 // Run keeps the instance registered until ctx ends, then deregisters it.
@@ -73,7 +90,7 @@
 		var err error
 		if lease, err = p.register(ctx, lease); err != nil {
 			p.log.Warn("registering in the store or renewing the lease failed; retrying", "lease", lease, "error", err)
-			if !backoff(ctx, &delay) {
+			if !backoff(ctx, &delay, maxBackoff) {
 				break
 			}
 			continue
--- /dev/null
+++ b/mirror/watchers.go
@@ -0,0 +1,91 @@
+package mirror
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"plumbarrow.example/plumbarrow/machine"
+)
+
+const (
+	// minWatchers is the number of watchers of a small fleet. With two, one can fail without the others
+	// having to call the store.
+	minWatchers = 2
+	// membersPerWatcher is the number of members for which one more watcher is added. It bounds the polls
+	// that a watcher serves.
+	membersPerWatcher = 80
+)
+
+// Watchers selects the few instances of a fleet that watch the store. Each other instance polls one of them
+// for changes. The selection needs no coordination: instances that disagree on the members only choose
+// sources that are less fresh, which they detect. Safe for concurrent use.
+type Watchers struct {
+	members machine.Members
+
+	mu       sync.Mutex
+	live     []machine.Member // for which the fields below were computed
+	watching bool
+	sources  []machine.Member
+}
+
+// NewWatchers returns the selection among the live members.
+func NewWatchers(members machine.Members) *Watchers { return &Watchers{members: members} }
+
+// Watching reports whether this instance is one of the watchers.
+func (w *Watchers) Watching() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.update()
+	return w.watching
+}
+
+// Sources returns the other watchers in the order in which this instance prefers them. The orders of
+// different instances differ, so that watchers share the polls evenly. Callers must not modify the result.
+func (w *Watchers) Sources() []machine.Member {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.update()
+	return w.sources
+}
+
+// update selects again if the live members have changed. The caller holds the lock.
+func (w *Watchers) update() {
+	live := w.members.Live()
+	if len(live) == len(w.live) && len(live) > 0 && &live[0] == &w.live[0] {
+		return
+	}
+	self := w.members.Self().ID
+	watchers := selectWatchers(live)
+	isSelf := func(m machine.Member) bool { return m.ID == self }
+	w.live = live
+	w.watching = slices.ContainsFunc(watchers, isSelf)
+	w.sources = rankMembers(slices.DeleteFunc(watchers, isSelf), string(self)+"/")
+}
+
+// selectWatchers returns the watchers among the members by rendezvous hashing.
+func selectWatchers(members []machine.Member) []machine.Member {
+	count := minWatchers + len(members)/membersPerWatcher
+	ranked := rankMembers(members, "watcher/")
+	return ranked[:min(count, len(ranked))]
+}
+
+// rankMembers returns the members by descending hash of key and id.
+func rankMembers(members []machine.Member, key string) []machine.Member {
+	type weighted struct {
+		member machine.Member
+		weight uint64
+	}
+	weights := make([]weighted, len(members))
+	for i, member := range members {
+		weights[i] = weighted{member, xxhash.Sum64String(key + string(member.ID))}
+	}
+	slices.SortFunc(weights, func(a, b weighted) int { return cmp.Compare(b.weight, a.weight) })
+	ranked := make([]machine.Member, len(members))
+	for i, w := range weights {
+		ranked[i] = w.member
+	}
+	return ranked
+}
--- a/upstream/cold.go
+++ b/upstream/cold.go
@@ -1,8 +1,8 @@
 package upstream
 
 import (
+	"encoding/binary"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -66,14 +66,23 @@
 // rendezvousWeight returns the weight of an instance for an endpoint in rendezvous hashing (Thaler and
 // Ravishankar, "Using name-based mappings to increase hit rates", 1998).
 func rendezvousWeight(endpoint uint64, member machine.InstanceID) uint64 {
-	key := slices.Concat(littleEndian(endpoint), []byte(member))
-	return xxhash.Sum64(key)
+	buffer := make([]byte, 0, 64) // on the stack
+	return xxhash.Sum64(append(binary.LittleEndian.AppendUint64(buffer, endpoint), member...))
 }
 
-func littleEndian(n uint64) []byte {
-	b := make([]byte, 8)
-	for i := range b {
-		b[i] = byte(n >> (8 * i))
+// coldShare is the result of instanceColdRate for the members and the rate that it was computed from.
+type coldShare struct {
+	members []machine.Member
+	rate    float64
+	share   float64
+}
+
+// of returns the instance's rate at the endpoint. It computes it again only if the members or the rate have
+// changed.
+func (c *coldShare) of(endpoint uint64, rate float64, self machine.InstanceID, members []machine.Member) float64 {
+	same := len(members) == len(c.members) && (len(members) == 0 || &members[0] == &c.members[0])
+	if !same || rate != c.rate || c.members == nil {
+		*c = coldShare{members: members, rate: rate, share: instanceColdRate(endpoint, rate, self, members)}
 	}
-	return b
+	return c.share
 }
--- a/upstream/endpoint.go
+++ b/upstream/endpoint.go
@@ -44,8 +44,11 @@
 	usableUntil time.Time // end of use after removal from discovery; zero while discovered
 	coldUntil   time.Time
 	slowStart   tokenBucket // limits the request rate until coldUntil
+	coldShare   coldShare
 	ownLoad     load
 	peers       map[machine.InstanceID]peerLoad
+	peerTotal   load      // sum over peers
+	oldestPeer  time.Time // no entry of peers was received earlier
 	health      health
 	prefixes    prefixCache
 }
@@ -105,17 +108,40 @@
 	return (e.discovered || now.Before(e.usableUntil)) && !e.report.Draining
 }
 
-// total returns the load that all instances put on the endpoint, and drops outdated loads of peers. The
-// caller holds the lock.
+// total returns the load that all instances put on the endpoint. The caller holds the lock.
 func (e *Endpoint) total(now time.Time) load {
-	sum := e.ownLoad
+	if len(e.peers) > 0 && now.Sub(e.oldestPeer) > peerLoadTTL {
+		e.dropOutdatedPeers(now)
+	}
+	return load{requests: e.ownLoad.requests + e.peerTotal.requests, prefill: e.ownLoad.prefill + e.peerTotal.prefill}
+}
+
+// setPeer replaces a peer's load; an empty one removes it. The caller holds the lock.
+func (e *Endpoint) setPeer(id machine.InstanceID, received load, now time.Time) {
+	previous, known := e.peers[id]
+	if !known && received.requests == 0 {
+		return
+	}
+	e.peerTotal.requests += received.requests - previous.requests
+	e.peerTotal.prefill += received.prefill - previous.prefill
+	if received.requests == 0 {
+		delete(e.peers, id)
+		return
+	}
+	if len(e.peers) == 0 {
+		e.oldestPeer = now
+	}
+	e.peers[id] = peerLoad{load: received, receivedAt: now}
+}
+
+// dropOutdatedPeers removes the loads that are older than peerLoadTTL. The caller holds the lock.
+func (e *Endpoint) dropOutdatedPeers(now time.Time) {
+	e.oldestPeer = now
 	for id, peer := range e.peers {
 		if now.Sub(peer.receivedAt) > peerLoadTTL {
-			delete(e.peers, id)
-			continue
+			e.setPeer(id, load{}, now)
+		} else if peer.receivedAt.Before(e.oldestPeer) {
+			e.oldestPeer = peer.receivedAt
 		}
-		sum.requests += peer.requests
-		sum.prefill += peer.prefill
 	}
-	return sum
 }
--- a/upstream/loads.go
+++ b/upstream/loads.go
@@ -64,11 +64,7 @@
 	}
 	for hash, endpoint := range l.table.view.Load().byHash {
 		endpoint.mu.Lock()
-		if load, ok := received[hash]; ok {
-			endpoint.peers[from.ID] = peerLoad{load: load, receivedAt: now}
-		} else {
-			delete(endpoint.peers, from.ID)
-		}
+		endpoint.setPeer(from.ID, received[hash], now)
 		endpoint.mu.Unlock()
 	}
 }
--- a/upstream/place.go
+++ b/upstream/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -184,8 +185,9 @@
 	return e.slowStart.refill(t.ownColdRate(e, service), now)
 }
 
+// ownColdRate returns the rate at which this instance may use a cold endpoint. The caller holds the lock.
 func (t *Table) ownColdRate(e *Endpoint, service *catalog.Service) float64 {
-	return instanceColdRate(e.hash, service.ColdRate, t.self, t.members.Live())
+	return e.coldShare.of(e.hash, service.ColdRate, t.self, t.members.Live())
 }
 
 // preferredEndpoint returns the usable endpoint that rendezvous hashing selects for the shared parts of
@@ -195,11 +197,12 @@
 	if len(need.PromptParts) < 2 {
 		return nil
 	}
-	shared := append(littleEndian(need.PromptParts[len(need.PromptParts)-2].ID), need.Model...)
+	buffer := make([]byte, 0, 64) // on the stack
+	shared := append(binary.LittleEndian.AppendUint64(buffer, need.PromptParts[len(need.PromptParts)-2].ID), need.Model...)
 	var best *Endpoint
 	var highest uint64
 	for _, endpoint := range endpoints {
-		rank := xxhash.Sum64(slices.Concat(shared, littleEndian(endpoint.hash)))
+		rank := xxhash.Sum64(binary.LittleEndian.AppendUint64(shared, endpoint.hash))
 		if (best == nil || rank > highest) && usable(endpoint) {
 			best, highest = endpoint, rank
 		}
--- a/zone/memberrecords.go
+++ b/zone/memberrecords.go
@@ -1,8 +1,8 @@
 package zone
 
 import (
+	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"plumbarrow.example/plumbarrow/infra"
@@ -10,9 +10,13 @@
 	"plumbarrow.example/plumbarrow/zone/zonepb"
 )
 
-// maxPassedOn bounds the members passed on in one message, and the failing members contacted in one
-// round.
-const maxPassedOn = 32
+const (
+	// maxPassedOn bounds the members passed on in one message.
+	maxPassedOn = 32
+	// maxFailingContacts bounds the failing members contacted in one round. Each may cost a timeout, and after
+	// the loss of a data centre a large fleet has many.
+	maxFailingContacts = 4
+)
 
 // merge records a member's announcement unless a newer one is held. direct means that the member
 // itself sent it, which also ends its failure; otherwise another member passed it on.
@@ -62,8 +66,8 @@
 	}
 }
 
-// failing returns the listed live members of this zone that do not answer, at most maxPassedOn.
-// Every round contacts them, so that both a crash and a recovery are detected quickly.
+// failing returns the listed live members of this zone that do not answer, at most maxFailingContacts
+// random ones. Every round contacts them, so that both a crash and a recovery are detected quickly.
 func (m *Membership) failing() []machine.Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -74,22 +78,27 @@
 			members = append(members, m.resolve(id, listed.member))
 		}
 	}
-	slices.SortFunc(members, func(a, b machine.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	return members[:min(len(members), maxPassedOn)]
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members[:min(len(members), maxFailingContacts)]
 }
 
-// known returns the live members and the listed ones that do not answer.
-func (m *Membership) known() []machine.Member {
+// knownElsewhere returns the members of other zones that are live or listed but do not answer.
+func (m *Membership) knownElsewhere() []machine.Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.rebuild(time.Now())
-	members := slices.Clone(m.live)
+	var members []machine.Member
+	for _, member := range m.live {
+		if member.Zone != m.self.Zone {
+			members = append(members, member)
+		}
+	}
 	for id, listed := range m.listed {
 		record := m.records[id]
-		if listed.state != infra.StateLive || record == nil || record.leaving || record.failingSince.IsZero() {
+		if listed.member.Zone == m.self.Zone || listed.state != infra.StateLive || record == nil || record.leaving || record.failingSince.IsZero() {
 			continue
 		}
-		if !slices.ContainsFunc(m.live, func(other machine.Member) bool { return other.ID == id }) {
+		if _, isLive := slices.BinarySearchFunc(m.live, listed.member, byID); !isLive {
 			members = append(members, m.resolve(id, listed.member))
 		}
 	}
--- a/zone/membership.go
+++ b/zone/membership.go
@@ -26,10 +26,14 @@
 	mu      sync.Mutex
 	leaving bool
 	listed  map[machine.InstanceID]listedMember
+	order   []machine.InstanceID           // of listed, sorted
 	records map[machine.InstanceID]*record // of other members
-	live    []machine.Member
-	builtAt time.Time // when live was computed; zero if it is out of date
+	live    []machine.Member               // sorted by id; replaced, never modified
+	scratch []machine.Member               // for the next computation of live
+	builtAt time.Time                      // when live was computed; zero if it is out of date
 	onList  []func([]infra.Instance)
+	// lastList is the list that listed was built from.
+	lastList []infra.Instance
 }
 
 // listedMember is an entry instance in the platform's last list.
@@ -72,7 +76,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.rebuild(time.Now())
-	return slices.Clone(m.live)
+	return m.live
 }
 
 // Leave marks this instance as shutting down. Peers remove it from their live members at their next
@@ -112,15 +116,10 @@
 		m.log.Warn("instance list read failed; the last list stays in use", "error", err)
 		return
 	}
-	listed := make(map[machine.InstanceID]listedMember)
-	for _, instance := range instances {
-		if instance.Kind == infra.KindEntry {
-			listed[machine.InstanceID(instance.ID)] = listedMember{member: memberOf(instance), state: instance.State}
-		}
-	}
 	m.mu.Lock()
-	m.listed = listed
-	m.builtAt = time.Time{}
+	if !sameList(instances, m.lastList) {
+		m.setListed(instances)
+	}
 	onList := slices.Clone(m.onList)
 	m.mu.Unlock()
 	for _, f := range onList {
@@ -128,6 +127,28 @@
 	}
 }
 
+// sameList reports whether a and b are the same slice, as returned by a list that has not changed.
+func sameList(a, b []infra.Instance) bool {
+	return len(a) > 0 && len(a) == len(b) && &a[0] == &b[0]
+}
+
+// setListed replaces the listed members. The caller holds mu.
+func (m *Membership) setListed(instances []infra.Instance) {
+	m.lastList = instances
+	m.listed = make(map[machine.InstanceID]listedMember)
+	m.order = m.order[:0]
+	for _, instance := range instances {
+		if instance.Kind == infra.KindEntry {
+			m.listed[machine.InstanceID(instance.ID)] = listedMember{member: memberOf(instance), state: instance.State}
+		}
+	}
+	for id := range m.listed {
+		m.order = append(m.order, id)
+	}
+	slices.Sort(m.order)
+	m.builtAt = time.Time{}
+}
+
 func memberOf(instance infra.Instance) machine.Member {
 	return machine.Member{
 		ID:          machine.InstanceID(instance.ID),
@@ -155,35 +176,47 @@
 // passage of time alone, without any message.
 const maxLiveAge = 100 * time.Millisecond
 
-// rebuild recomputes the live members, sorted by id, if they are out of date. The caller holds mu.
+// rebuild recomputes the live members if they are out of date. It keeps the slice if they are the same. The
+// caller holds mu.
 func (m *Membership) rebuild(now time.Time) {
 	if now.Sub(m.builtAt) < maxLiveAge {
 		return
 	}
 	m.builtAt = now
-	m.live = m.live[:0]
-	if !m.leaving {
-		m.live = append(m.live, m.self)
-	}
-	for id, listed := range m.listed {
-		if id != m.self.ID && m.listedLive(id, listed, now) {
-			m.live = append(m.live, m.resolve(id, listed.member))
+	live := m.scratch[:0]
+	for _, id := range m.order {
+		if listed := m.listed[id]; id != m.self.ID && m.listedLive(id, listed, now) {
+			live = append(live, m.resolve(id, listed.member))
 		}
 	}
+	sorted := len(live)
 	for id, record := range m.records {
-		_, isListed := m.listed[id]
 		age := now.Sub(record.lastHeardAt)
+		if _, isListed := m.listed[id]; isListed {
+			continue
+		}
 		switch {
-		case isListed:
 		case age > recordTTL:
 			delete(m.records, id)
 		case age <= milliseconds(m.settings.HeardForMS) && !record.leaving:
-			m.live = append(m.live, record.member)
+			live = append(live, record.member)
 		}
 	}
-	slices.SortFunc(m.live, func(a, b machine.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	if len(live) > sorted {
+		slices.SortFunc(live, byID)
+	}
+	if !m.leaving {
+		at, _ := slices.BinarySearchFunc(live, m.self, byID)
+		live = slices.Insert(live, at, m.self)
+	}
+	m.scratch = live
+	if !slices.Equal(live, m.live) {
+		m.live = slices.Clone(live)
+	}
 }
 
+func byID(a, b machine.Member) int { return strings.Compare(string(a.ID), string(b.ID)) }
+
 // listedLive reports whether a listed member is live: the list shows it as live, it has not
 // announced that it is leaving, and it has not failed to answer for SuspectAfterMS.
 func (m *Membership) listedLive(id machine.InstanceID, listed listedMember, now time.Time) bool {
--- a/zone/targets.go
+++ b/zone/targets.go
@@ -15,29 +15,47 @@
 // ones of a larger one, the members of the zone that do not answer, one member of each zone that
 // this instance is the relay for, and one seed that is not a live member.
 func (e *Exchange) targets() []machine.Member {
+	live := e.membership.Live()
+	targets := e.zonePeers(live)
+	targets = append(targets, e.remoteTargets(live)...)
+	targets = append(targets, e.membership.failing()...)
+	targets = append(targets, e.seedTarget(live)...)
+	return dedupeByAddress(targets)
+}
+
+// remoteTargets returns one member of each other zone that this instance is the relay for.
+func (e *Exchange) remoteTargets(live []machine.Member) []machine.Member {
 	self := e.membership.Self()
-	byZone := groupByZone(e.membership.Live())
-	ring := machine.NewRing(byZone[self.Zone])
-	zonePeers := slices.DeleteFunc(byZone[self.Zone], func(m machine.Member) bool { return m.ID == self.ID })
-	targets := e.zonePeers(zonePeers)
-	for zone, listed := range groupByZone(e.membership.known()) {
-		if zone != self.Zone && e.isRelayFor(ring, zone) {
-			targets = append(targets, remoteTarget(byZone[zone], listed))
+	known := groupByZone(e.membership.knownElsewhere(), self.Zone)
+	if len(known) == 0 {
+		return nil
+	}
+	var targets []machine.Member
+	byZone := groupByZone(live, self.Zone)
+	ring := machine.NewRing(inZone(live, self.Zone))
+	for zone, members := range known {
+		if e.isRelayFor(ring, zone) {
+			targets = append(targets, remoteTarget(byZone[zone], members))
 		}
 	}
-	targets = append(targets, e.membership.failing()...)
-	targets = append(targets, e.seedTarget(byZone)...)
-	return dedupeByAddress(targets)
+	return targets
 }
 
-func groupByZone(members []machine.Member) map[string][]machine.Member {
+// groupByZone groups the members of all zones but one.
+func groupByZone(members []machine.Member, except string) map[string][]machine.Member {
 	byZone := make(map[string][]machine.Member)
 	for _, member := range members {
-		byZone[member.Zone] = append(byZone[member.Zone], member)
+		if member.Zone != except {
+			byZone[member.Zone] = append(byZone[member.Zone], member)
+		}
 	}
 	return byZone
 }
 
+func inZone(members []machine.Member, zone string) []machine.Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m machine.Member) bool { return m.Zone != zone })
+}
+
 // remoteTarget returns a random live member of another zone. If none is live, and one time in
 // anyMemberOneIn otherwise, it returns any known member, so that the end of a network partition is
 // detected.
@@ -48,13 +66,32 @@
 	return live[rand.IntN(len(live))]
 }
 
-// zonePeers returns the members of this zone that one round contacts. It may reorder members.
-func (e *Exchange) zonePeers(members []machine.Member) []machine.Member {
-	if len(members) <= e.settings.FewMembers {
-		return members
+// zonePeers returns the other live members of this zone that one round contacts.
+func (e *Exchange) zonePeers(live []machine.Member) []machine.Member {
+	self := e.membership.Self()
+	isPeer := func(m machine.Member) bool { return m.Zone == self.Zone && m.ID != self.ID }
+	count := 0
+	for _, member := range live {
+		if isPeer(member) {
+			count++
+		}
+	}
+	wanted := count
+	if count > e.settings.FewMembers {
+		wanted = min(count, e.settings.Fanout)
+	}
+	// Selection sampling (Knuth, The Art of Computer Programming, volume 2, algorithm 3.4.2 S).
+	peers := make([]machine.Member, 0, wanted)
+	for _, member := range live {
+		if !isPeer(member) {
+			continue
+		}
+		if rand.IntN(count) < wanted-len(peers) {
+			peers = append(peers, member)
+		}
+		count--
 	}
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	return members[:min(len(members), e.settings.Fanout)]
+	return peers
 }
 
 // isRelayFor reports whether this instance exchanges state with the other zone on behalf of its own
@@ -66,14 +103,14 @@
 }
 
 // seedTarget returns a random seed address that belongs to no live member, or nothing.
-func (e *Exchange) seedTarget(byZone map[string][]machine.Member) []machine.Member {
-	unknown := slices.Clone(e.settings.Seeds)
-	for _, members := range byZone {
-		for _, member := range members {
-			unknown = slices.DeleteFunc(unknown, func(address string) bool { return address == member.Address })
-		}
+func (e *Exchange) seedTarget(live []machine.Member) []machine.Member {
+	if len(e.settings.Seeds) == 0 {
+		return nil
 	}
-	unknown = slices.DeleteFunc(unknown, func(address string) bool { return address == e.membership.Self().Address })
+	unknown := slices.DeleteFunc(slices.Clone(e.settings.Seeds), func(address string) bool {
+		return address == e.membership.Self().Address ||
+			slices.ContainsFunc(live, func(m machine.Member) bool { return m.Address == address })
+	})
 	if len(unknown) == 0 {
 		return nil
 	}
