canary: overdue answers count as evidence; rejections spread; one instance after the other asks for the driver's lease

In a large fleet an instance knows a small part of the tallies: with 300 instances a failing version got 69 failures before it was out of service. Every instance tried to take the driver's lease with each order: two writes an instance.

Changes: canary.Trial counts an attempt as slow as soon as its answer is overdue, and at its first byte, not at the end; a roll-out completes once half of the attempts of its last stage have been answered, or 15 % after its duration; tallies carry the rejection, so it spreads by gossip; instances try for the lease in rendezvous order, 300 ms apart.

TestOverdueAnswers and TestSlowVersionNotCompleted are new.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -154,6 +154,9 @@
 	return time.Duration(ro.stage.ElapsedMS)*time.Millisecond + now.Sub(ro.stageAt)
 }
 
+// ended reports whether the roll-out has completed or was rolled back.
+func (ro *rollout) ended() bool { return ro.stage.State == Completed || ro.stage.State == Reverted }
+
 // Choice restricts the versions of a service that a request may use.
 type Choice struct {
 	// RequiredVersion is the version that the request must use, ExcludedVersion one that it must not use. Either may
--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -35,6 +35,7 @@
 	ttl         map[uint64]time.Duration // by lease
 	leaseOf     map[string]uint64        // by key
 	instances   []*instance
+	members     []machine.Member
 	down        bool // calls fail
 	loseReplies bool // writes take effect, but their replies are lost
 }
@@ -179,14 +180,24 @@
 	defer s.mu.Unlock()
 	log := slog.New(slog.DiscardHandler)
 	i := &instance{rollouts: New(exposure, telemetry.New(), log), documents: make(map[string]mirror.Document)}
-	i.driver = NewDriver(i.rollouts, i, s, fakePublisher{}, machine.InstanceID(name), log)
+	i.driver = NewDriver(i.rollouts, i, s, fakePublisher{}, storeMembers{store: s, self: machine.InstanceID(name)}, log)
 	s.instances = append(s.instances, i)
+	s.members = append(s.members, machine.Member{ID: machine.InstanceID(name)})
 	for _, document := range s.documents {
 		i.onDocument(document)
 	}
 	return i
 }
 
+// storeMembers are the instances of a store, as one of them sees them.
+type storeMembers struct {
+	store *fakeStore
+	self  machine.InstanceID
+}
+
+func (m storeMembers) Self() machine.Member   { return machine.Member{ID: m.self} }
+func (m storeMembers) Live() []machine.Member { return m.store.members }
+
 // order commits an order and applies it at the instances.
 func (s *fakeStore) order(instances ...*instance) Order {
 	s.mu.Lock()
@@ -423,6 +434,67 @@
 	}
 }
 
+// TestOverdueAnswers checks that attempts whose answers are overdue count as evidence before they arrive: a version that
+// does not answer for a long time is rejected while its first requests are still waiting. Attempts that were answered in
+// time or cancelled count once at most.
+func TestOverdueAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		rollouts := New(exposure, telemetry.New(), slog.New(slog.DiscardHandler))
+		rollouts.Apply(Order{Service: "app", Target: "v2", Duration: duration, Revision: 1})
+		usual := 80 * time.Millisecond
+		for range 20 {
+			rollouts.Observe("app", "v1", Attempt{FirstByte: usual, Expected: usual})
+		}
+		for range minFailures {
+			answered := rollouts.Begin("app", "v2", usual)
+			answered.RecordFirstByte(usual)
+			answered.End(false)
+			rollouts.Begin("app", "v2", usual).Cancel()
+		}
+		time.Sleep(time.Minute)
+		c.Check(rollouts.byService["app"].local.newAnswers, qt.Equals, uint32(minFailures))
+		c.Check(rollouts.byService["app"].local.newFailures, qt.Equals, uint32(0))
+		started := time.Now()
+		var waiting []*Trial
+		for !rollouts.byService["app"].rejected {
+			c.Assert(time.Since(started) < 2*time.Second, qt.IsTrue)
+			waiting = append(waiting, rollouts.Begin("app", "v2", usual))
+			time.Sleep(20 * time.Millisecond)
+		}
+		counted := rollouts.byService["app"].local.newAnswers
+		for _, trial := range waiting[:minFailures] {
+			trial.RecordFirstByte(time.Since(started))
+			trial.End(false)
+		}
+		c.Check(rollouts.byService["app"].local.newAnswers, qt.Equals, counted)
+		for _, trial := range waiting[minFailures:] {
+			trial.Cancel()
+		}
+	})
+}
+
+// TestSlowVersionNotCompleted checks that a version that answers nothing in the last stage is not completed by its
+// deadline: its attempts are still waiting, so that there is no evidence against it yet.
+func TestSlowVersionNotCompleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := newFakeStore()
+		driver := store.addInstance("a")
+		order := store.order(driver)
+		run(t, store, time.Duration(0.95*float64(order.Duration)), []*instance{driver}, func() {
+			if targetShare(driver.rollouts) == 1 {
+				driver.rollouts.Begin("app", "v2", time.Second)
+			}
+		})
+		c.Check(targetShare(driver.rollouts), qt.Equals, 1.0)
+		run(t, store, time.Duration(0.15*float64(order.Duration)), []*instance{driver}, nil)
+		c.Check(store.status(), qt.Not(qt.Equals), string(Completed))
+		run(t, store, time.Duration(0.1*float64(order.Duration)), []*instance{driver}, nil)
+		c.Check(store.status(), qt.Equals, string(Completed))
+	})
+}
+
 // TestDriverLost checks that another instance continues a roll-out, at its age, after the driver has stopped, and that
 // writes of the former driver are rejected.
 func TestDriverLost(t *testing.T) {
--- a/canary/driver.go
+++ b/canary/driver.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/mirror"
 )
@@ -26,6 +28,12 @@
 	driverPeriod = 200 * time.Millisecond
 	// driverTimeout bounds one call to the store.
 	driverTimeout = time.Second
+	// acquireInterval is the time between the attempts of two instances to take the free lease: a write, and the
+	// time until the other instances know of it. Instances of a higher rank than maxAcquireRank try at random times, over
+	// acquireSpread for each of them.
+	acquireInterval = 300 * time.Millisecond
+	maxAcquireRank  = 5
+	acquireSpread   = 20 * time.Millisecond
 )
 
 // A roll-out leaves all requests on the old version for the first half of its duration: a session may only move in
@@ -56,6 +64,9 @@
 	// completeAt is the earliest age at which the roll-out completes and the old version is no longer used. The
 	// remaining time allows for a store that is slow or briefly unavailable.
 	completeAt = 0.9
+	// overdueAt is the age at which the roll-out completes though many attempts at the new version still wait for
+	// their answers, for example those of instances that have stopped.
+	overdueAt = 1.15
 )
 
 // Minimum times for which a share is held, also by a driver that is behind schedule. In these times a service with
@@ -101,7 +112,7 @@
 	documents Documents
 	writer    mirror.Writer
 	publisher Publisher
-	self      machine.InstanceID
+	members   machine.Members
 	log       *slog.Logger
 
 	lease              uint64    // id of the lease
@@ -112,8 +123,8 @@
 }
 
 // NewDriver returns the driver of an instance. It does nothing until Run is called.
-func NewDriver(rollouts *Rollouts, documents Documents, writer mirror.Writer, publisher Publisher, self machine.InstanceID, log *slog.Logger) *Driver {
-	return &Driver{rollouts: rollouts, documents: documents, writer: writer, publisher: publisher, self: self, log: log}
+func NewDriver(rollouts *Rollouts, documents Documents, writer mirror.Writer, publisher Publisher, members machine.Members, log *slog.Logger) *Driver {
+	return &Driver{rollouts: rollouts, documents: documents, writer: writer, publisher: publisher, members: members, log: log}
 }
 
 // Run advances roll-outs until ctx ends, then releases the lease.
@@ -160,12 +171,12 @@
 // acquire takes the lease unless another instance holds it. The first call only schedules the attempt.
 func (d *Driver) acquire(ctx context.Context, now time.Time) {
 	if _, held := d.documents.Get(DriverKey); held {
+		d.acquireScheduledAt = time.Time{}
 		return
 	}
 	if d.acquireScheduledAt.IsZero() {
-		// Jitter: all instances receive an order at about the same time.
 		d.acquireScheduledAt = now
-		d.backoffUntil = now.Add(time.Duration(rand.Int64N(int64(driverPeriod))))
+		d.backoffUntil = now.Add(d.acquireDelay())
 		return
 	}
 	d.acquireScheduledAt = time.Time{}
@@ -176,7 +187,7 @@
 	}
 	revision, err := d.writer.Write(ctx, &mirror.Write{
 		Conditions: []mirror.Condition{{Key: DriverKey}},
-		Puts:       []mirror.Put{{Key: DriverKey, Value: []byte(d.self), Lease: lease}},
+		Puts:       []mirror.Put{{Key: DriverKey, Value: []byte(d.members.Self().ID), Lease: lease}},
 	})
 	if err != nil {
 		d.backOff("writing the driver's lease document failed", err)
@@ -186,6 +197,21 @@
 	d.log.Info("driver's lease acquired", "lease", lease, "revision", revision)
 }
 
+// acquireDelay returns how long this instance waits before it tries to take the free lease. All instances receive an
+// order at about the same time, so they try one after the other, in an order that they agree on.
+func (d *Driver) acquireDelay() time.Duration {
+	rank := 0
+	weight := xxhash.Sum64String(DriverKey + string(d.members.Self().ID))
+	for _, member := range d.members.Live() {
+		if xxhash.Sum64String(DriverKey+string(member.ID)) > weight {
+			rank++
+		}
+	}
+	turn := min(rank, maxAcquireRank)
+	jitter := driverPeriod + time.Duration(rank-turn)*acquireSpread
+	return time.Duration(turn)*acquireInterval + time.Duration(rand.Int64N(int64(jitter)))
+}
+
 // renew extends the lease. A failed renewal gives up the lease only if the store no longer has it or its TTL has
 // passed.
 func (d *Driver) renew(ctx context.Context, now time.Time) {
@@ -269,7 +295,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, ro := range r.byService {
-		if ro.stage.State != Completed && ro.stage.State != Reverted {
+		if !ro.ended() {
 			return false
 		}
 	}
@@ -279,7 +305,7 @@
 // next returns the stage that the roll-out's age and evidence call for under an allowed exposure. ok is false if
 // the stage does not change.
 func (ro *rollout) next(now time.Time, exposure float64) (stage Stage, ok bool) {
-	if ro.stage.State == Completed || ro.stage.State == Reverted {
+	if ro.ended() {
 		return Stage{}, false
 	}
 	elapsed := ro.elapsed(now)
@@ -301,7 +327,7 @@
 		if age >= fullAt(exposure) && held >= minStressHold {
 			stage.Share = 1
 		}
-	case age >= completeAt && held >= minFullHold:
+	case age >= completeAt && held >= minFullHold && (ro.keepsUp() || age >= overdueAt):
 		stage.State = Completed
 	}
 	changed := stage.State != ro.stage.State || stage.Share != ro.stage.Share
--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -44,26 +44,38 @@
 type tally struct {
 	newAnswers, newFailures uint32
 	oldAnswers, oldFailures uint32
+	// attempts at the new version, and those that no longer wait for their answer
+	newStarted, newResponded uint32
 }
 
 func (t tally) plus(o tally) tally {
 	return tally{
 		newAnswers: t.newAnswers + o.newAnswers, newFailures: t.newFailures + o.newFailures,
 		oldAnswers: t.oldAnswers + o.oldAnswers, oldFailures: t.oldFailures + o.oldFailures,
+		newStarted: t.newStarted + o.newStarted, newResponded: t.newResponded + o.newResponded,
 	}
 }
 
 // newSince subtracts the new version's counts of an earlier tally; the old version's counts stay. If a count has
 // decreased, because an instance restarted and lost its counts, the result is empty.
 func (t tally) newSince(earlier tally) tally {
-	if t.newAnswers < earlier.newAnswers || t.newFailures < earlier.newFailures {
+	if t.newAnswers < earlier.newAnswers || t.newFailures < earlier.newFailures || t.newStarted < earlier.newStarted || t.newResponded < earlier.newResponded {
 		return tally{}
 	}
 	t.newAnswers -= earlier.newAnswers
 	t.newFailures -= earlier.newFailures
+	t.newStarted -= earlier.newStarted
+	t.newResponded -= earlier.newResponded
 	return t
 }
 
+// keepsUp reports whether most attempts at the new version in the present stage have been answered. A version that is many
+// times slower than the old one gets requests faster than it answers them, so that evidence is still to come.
+func (ro *rollout) keepsUp() bool {
+	stage := ro.sum().newSince(ro.atStageStart)
+	return stage.newResponded >= stage.newStarted/2
+}
+
 // isWorse reports whether the new version fails more often than the old one, either since the start of the roll-out
 // or in the present stage alone. The latter keeps good answers under little load from outweighing failures under
 // more load.
@@ -103,7 +115,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ro := r.byService[service]
-	if ro == nil || ro.stage.State == Completed || ro.stage.State == Reverted {
+	if ro == nil || ro.ended() {
 		return
 	}
 	bad := attempt.Failed || ro.slow(attempt)
@@ -127,11 +139,16 @@
 // slow reports whether an answer's relative latency is much higher than the old version's mean. It is false until
 // the old version has answered.
 func (ro *rollout) slow(attempt Attempt) bool {
+	return ro.oldLatency.set && attempt.FirstByte > ro.slowAfter(attempt.Expected)
+}
+
+// slowAfter returns the time to the first byte from which an answer counts as slow. oldLatency must be set.
+func (ro *rollout) slowAfter(expected time.Duration) time.Duration {
 	factor := slowFactor
 	if ro.underStress() {
 		factor = stressFactor
 	}
-	return ro.oldLatency.set && attempt.FirstByte >= slowMin && attempt.relativeLatency() > factor*ro.oldLatency.value
+	return max(slowMin, time.Duration(factor*ro.oldLatency.value*float64(expected+expectedSlack)))
 }
 
 // Attempt is the outcome of one attempt at a version.
@@ -179,13 +196,14 @@
 	message := &canarypb.Tallies{}
 	r.mu.Lock()
 	for service, ro := range r.byService {
-		if ro.local == (tally{}) {
+		if ro.local == (tally{}) && !ro.rejected {
 			continue
 		}
 		message.Tallies = append(message.Tallies, &canarypb.Tally{
 			Service: service, Order: ro.order.Revision,
 			NewAnswers: ro.local.newAnswers, NewFailures: ro.local.newFailures,
-			OldAnswers: ro.local.oldAnswers, OldFailures: ro.local.oldFailures,
+			OldAnswers: ro.local.oldAnswers, OldFailures: ro.local.oldFailures, Rejected: ro.rejected,
+			NewStarted: ro.local.newStarted, NewResponded: ro.local.newResponded,
 		})
 	}
 	r.mu.Unlock()
@@ -217,6 +235,13 @@
 		ro.peers[from.ID] = tally{
 			newAnswers: received.GetNewAnswers(), newFailures: received.GetNewFailures(),
 			oldAnswers: received.GetOldAnswers(), oldFailures: received.GetOldFailures(),
+			newStarted: received.GetNewStarted(), newResponded: received.GetNewResponded(),
+		}
+		if received.GetRejected() && !ro.rejected {
+			// A large fleet exchanges tallies with a few members at a time, so that most instances know only a
+			// part of the evidence.
+			ro.rejected = true
+			r.log.Warn("new version rejected by a peer", "service", ro.order.Service, "target", ro.order.Target, "peer", from.ID)
 		}
 		r.evaluate(ro)
 	}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -133,7 +133,7 @@
 	g.counters.Gauge("plumbarrow_mirror_age_seconds", g.mirrorAge)
 	g.table = upstream.NewTable(g.self.ID, g.settings.Zone, g.current, g.membership, g.counters, g.log)
 	g.rollouts = canary.New(g.settings.CanaryShare, g.counters, g.log)
-	g.driver = canary.NewDriver(g.rollouts, g.mirror, g.store, platform.Publisher{}, g.self.ID, g.log)
+	g.driver = canary.NewDriver(g.rollouts, g.mirror, g.store, platform.Publisher{}, g.membership, g.log)
 	decoder.Endpoints = g.table
 	decoder.Rollouts = g.rollouts
 	g.exchange.Add(g.mirrorTopic)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,7 +9,6 @@
 	"strings"
 	"time"
 
-	"plumbarrow.example/plumbarrow/canary"
 	"plumbarrow.example/plumbarrow/catalog"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
@@ -63,22 +62,26 @@
 		slog.Int("load", grant.Load), slog.Int64("expected_ms", grant.Expected.Milliseconds()),
 		slog.Int64("left_ms", f.deadline.Sub(started).Milliseconds()))
 	f.tries++
+	trial := f.server.Versions.Begin(f.service, grant.Report.Version, grant.Expected)
+	defer trial.Cancel()
 	answer, err := f.server.Sender.Send(ctx, out)
 	if err != nil {
 		failed := f.failedSend(grant, err)
 		outcome = f.outcomeOf(ctx, failed)
-		f.observe(grant, outcome, failed, time.Since(started))
 		return failed
 	}
 	defer func() { _ = answer.Body.Close() }()
 	firstByte := time.Since(started)
+	trial.RecordFirstByte(firstByte)
 	f.server.Counters.Observe(firstByteSeconds, firstByte.Seconds())
 	f.firstByteMS = append(f.firstByteMS, firstByte.Milliseconds())
 	reply := f.server.EndpointProtocol.Reply(answer.Status, answer.Header)
 	grant.ExtendCold(reply.ColdFor)
 	failed := f.receive(ctx, grant, answer, reply)
 	outcome = f.outcomeOf(ctx, failed)
-	f.observe(grant, outcome, failed, firstByte)
+	if isEvidence(outcome, failed) {
+		trial.End(outcome == upstream.Failed)
+	}
 	return failed
 }
 
@@ -250,15 +253,10 @@
 	}
 }
 
-// observe records the outcome of an attempt for the roll-out of its version: a complete answer, or a failure
-// that the endpoint answered. Other outcomes are not recorded. A truncated answer, for one, shows that the
-// endpoint stopped, not that its version is faulty.
-func (f *requestState) observe(grant *upstream.Grant, outcome upstream.Outcome, failed *failedAttempt, firstByte time.Duration) {
+// isEvidence reports whether the outcome of an attempt counts for the roll-out of its version: a complete answer, or a
+// failure that the endpoint answered. A truncated answer, for one, shows that the endpoint stopped, not that its
+// version is faulty.
+func isEvidence(outcome upstream.Outcome, failed *failedAttempt) bool {
 	broken := outcome == upstream.Failed && failed.reason != verdict.RetryServerError
-	if broken || outcome != upstream.Answered && outcome != upstream.Failed {
-		return
-	}
-	f.server.Versions.Observe(f.service, grant.Report.Version, canary.Attempt{
-		Failed: outcome == upstream.Failed, FirstByte: firstByte, Expected: grant.Expected,
-	})
+	return !broken && (outcome == upstream.Answered || outcome == upstream.Failed)
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -470,6 +470,10 @@
 	attempts []canary.Attempt
 }
 
+func (r *recordedVersions) Begin(service, version string, expected time.Duration) *canary.Trial {
+	return canary.NewTrial(r, service, version, expected)
+}
+
 func (r *recordedVersions) Observe(_, _ string, attempt canary.Attempt) {
 	r.attempts = append(r.attempts, attempt)
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -48,8 +48,8 @@
 type Versions interface {
 	// Choose returns the version that the request may use.
 	Choose(service, session, request string) canary.Choice
-	// Observe records the outcome of an attempt.
-	Observe(service, version string, attempt canary.Attempt)
+	// Begin records the start of an attempt at a version. expected is the time to its first byte.
+	Begin(service, version string, expected time.Duration) *canary.Trial
 }
 
 var (
