mirror: gather changes for up to 250 ms

Change: after changes have arrived a watcher gathers further ones for 250 ms, less if its copy would get older than 700 ms meanwhile. The first change after a pause is still taken at once.

Result: TestFleetStorm (20 changes a second): at most 5 calls a second of each watcher. TestFleetWatcherFaults as before.

--- a/mirror/fleet_test.go
+++ b/mirror/fleet_test.go
@@ -31,16 +31,17 @@
 	cut    chan struct{}
 }
 
-func (l *storeLink) call(ctx context.Context) (error, <-chan struct{}) {
+// call counts a call and returns its error, and a channel that is closed when the path changes.
+func (l *storeLink) call(ctx context.Context) (<-chan struct{}, error) {
 	l.mu.Lock()
 	l.calls++
 	broken, silent, cut := l.broken, l.silent, l.cut
 	l.mu.Unlock()
 	if silent {
 		<-ctx.Done()
-		return ctx.Err(), cut
+		return cut, ctx.Err()
 	}
-	return broken, cut
+	return cut, broken
 }
 
 // set changes the path. It takes the waiting calls with it.
@@ -60,7 +61,7 @@
 
 // Range implements Store.
 func (l *storeLink) Range(ctx context.Context, after string) (Page, error) {
-	if err, _ := l.call(ctx); err != nil {
+	if _, err := l.call(ctx); err != nil {
 		return Page{}, err
 	}
 	return l.store.Range(ctx, after)
@@ -68,7 +69,7 @@
 
 // Watch implements Store.
 func (l *storeLink) Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error) {
-	err, cut := l.call(ctx)
+	cut, err := l.call(ctx)
 	if err != nil {
 		return Changes{}, err
 	}
@@ -229,6 +230,29 @@
 	}
 }
 
+// TestFleetStorm checks that a series of changes, as instances that restart one after the other cause, takes a few
+// calls a second of each watcher and none of the others.
+func TestFleetStorm(t *testing.T) {
+	for _, size := range fleetSizes {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := startFleet(t, size)
+				time.Sleep(3 * time.Second)
+				before := f.calls()
+				const seconds, perSecond = 5, 20
+				for i := range seconds * perSecond {
+					f.store.put("plumbarrow/members/entry", fmt.Sprint(i))
+					time.Sleep(time.Second / perSecond)
+				}
+				rate := float64(f.calls()-before) / seconds
+				c.Logf("%d instances: %.1f calls a second", size, rate)
+				c.Check(rate <= 5*float64(len(f.watchers())), qt.IsTrue, qt.Commentf("%.1f calls a second", rate))
+			})
+		})
+	}
+}
+
 // TestFleetWatcherFaults puts a fault on one watcher, then changes a document: a leaving endpoint, an evacuation
 // or a withdrawn key. All other instances must have the change within maxChangeDelay.
 func TestFleetWatcherFaults(t *testing.T) {
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -45,7 +45,9 @@
 	probeWait = time.Millisecond
 	// batchDelay is how long changes are gathered after some have arrived, so that a series of them
 	// takes fewer calls. It is a small part of the time within which a change must be in force.
-	batchDelay = 100 * time.Millisecond
+	// minBatchDelay applies if the copy would get too old meanwhile.
+	batchDelay    = 250 * time.Millisecond
+	minBatchDelay = 100 * time.Millisecond
 	// watchGrace is how much longer than its wait a watch may take: two round trips to a store that
 	// is a hundred times slower than usual.
 	watchGrace = 800 * time.Millisecond
@@ -106,13 +108,19 @@
 		}
 		synced = true
 		delay = minBackoff
-		if changed > 0 && !pause.Sleep(ctx, batchDelay) {
+		if changed > 0 && !pause.Sleep(ctx, m.gatherTime()) {
 			return nil
 		}
 	}
 	return nil
 }
 
+// gatherTime returns how long changes are gathered before the next watch.
+func (m *Mirror) gatherTime() time.Duration {
+	age, _ := m.ConfirmedAge()
+	return min(max(watchWait+minBatchDelay-age, minBatchDelay), batchDelay)
+}
+
 // untilDue returns the time until an instance that is not a watcher has to check again whether it must call
 // the store.
 func (m *Mirror) untilDue() time.Duration {
--- a/mirror/peers.go
+++ b/mirror/peers.go
@@ -27,7 +27,7 @@
 	pollGrace = 300 * time.Millisecond
 	// maxSourceAge is the age of a source's copy from which another source is polled. A watcher that
 	// reaches the store stays below it.
-	maxSourceAge = watchWait + 3*batchDelay
+	maxSourceAge = watchWait + 3*minBatchDelay
 	// sourceRetry is how long a source that did not answer, or whose copy is too old, is not polled.
 	sourceRetry = 5 * time.Second
 )
@@ -124,7 +124,7 @@
 			current = ""
 			t.mirror.log.Debug("source of changes avoided", "peer", source.ID, "age_ms", ageOf(confirmedAt).Milliseconds(), "error", err)
 		}
-		if changed > 0 && !pause.Sleep(ctx, batchDelay/2) {
+		if changed > 0 && !pause.Sleep(ctx, minBatchDelay/2) {
 			return nil
 		}
 	}
