mirror: try all sources again after a second if each one is avoided

Cause: TestFleetStorm failed at 60 instances (10.8 calls a second, bound 10): instances that start before their watchers listen avoided all of them for 5 s and called the store meanwhile. A calm fleet of 60 made 6.8 calls a second.

Change: if every source is avoided, all are tried again after 1 s, each without a wait first.

--- a/mirror/peers.go
+++ b/mirror/peers.go
@@ -30,6 +30,9 @@
 	maxSourceAge = watchWait + 3*minBatchDelay
 	// sourceRetry is how long a source that did not answer, or whose copy is too old, is not polled.
 	sourceRetry = 5 * time.Second
+	// allAvoidedRetry is the time after which all sources are tried again if each one is avoided, as at the
+	// start of a fleet or while the store is down.
+	allAvoidedRetry = time.Second
 )
 
 // Topic reports the copy's revision to peers, fetches changes from peers that are ahead, and polls the
@@ -108,7 +111,12 @@
 	for ctx.Err() == nil {
 		source, ok := t.source(avoided)
 		if !ok {
-			if !pause.Sleep(ctx, roleInterval) {
+			interval := roleInterval
+			if len(avoided) > 0 {
+				interval = allAvoidedRetry
+				clear(avoided)
+			}
+			if !pause.Sleep(ctx, interval) {
 				return nil
 			}
 			continue
