--- a/mirror/presence.go
+++ b/mirror/presence.go
@@ -25,6 +25,9 @@
 	presenceRenewInterval = 10 * time.Second
 	// presenceTimeout bounds one call.
 	presenceTimeout = 2 * time.Second
+	// presenceMaxBackoff bounds the pause after a failed call. A lease outlasts several of them, and an
+	// instance serves without it.
+	presenceMaxBackoff = 2 * time.Second
 )
 
 // memberDocument is the value that an entry instance registers.
@@ -90,7 +93,7 @@
 		var err error
 		if lease, err = p.register(ctx, lease); err != nil {
 			p.log.Warn("registering in the store or renewing the lease failed; retrying", "lease", lease, "error", err)
-			if !backoff(ctx, &delay, maxBackoff) {
+			if !backoff(ctx, &delay, presenceMaxBackoff) {
 				break
 			}
 			continue
