upstream: prompts that a peer reported long ago count less

Cause: in a fleet of 59 two instances exchange loads every 1.8 s, and a report counts for 2 s. A prompt is read in a tenth of that, so endpoints looked busy that had long finished, and work went to others.

Change: a peer's reported prefill counts in full for 300 ms, an exchange interval, then less by the time that the endpoint has had to work on it. The sum over the peers is computed again after 50 ms or a new report.

TestPeerBacklogDrains.

--- a/upstream/endpoint.go
+++ b/upstream/endpoint.go
@@ -47,8 +47,8 @@
 	coldShare   coldShare
 	ownLoad     load
 	peers       map[machine.InstanceID]peerLoad
-	peerTotal   load      // sum over peers
-	oldestPeer  time.Time // no entry of peers was received earlier
+	peerTotal   load      // of all peers, computed at peerTotalAt
+	peerTotalAt time.Time // zero if a peer's load has changed since
 	health      health
 	prefixes    prefixCache
 }
@@ -110,38 +110,39 @@
 
 // total returns the load that all instances put on the endpoint. The caller holds the lock.
 func (e *Endpoint) total(now time.Time) load {
-	if len(e.peers) > 0 && now.Sub(e.oldestPeer) > peerLoadTTL {
-		e.dropOutdatedPeers(now)
+	if len(e.peers) > 0 && now.Sub(e.peerTotalAt) > peerTotalAge {
+		e.addUpPeers(now)
 	}
 	return load{requests: e.ownLoad.requests + e.peerTotal.requests, prefill: e.ownLoad.prefill + e.peerTotal.prefill}
 }
 
 // setPeer replaces a peer's load; an empty one removes it. The caller holds the lock.
 func (e *Endpoint) setPeer(id machine.InstanceID, received load, now time.Time) {
-	previous, known := e.peers[id]
-	if !known && received.requests == 0 {
+	if _, known := e.peers[id]; !known && received.requests == 0 {
 		return
 	}
-	e.peerTotal.requests += received.requests - previous.requests
-	e.peerTotal.prefill += received.prefill - previous.prefill
-	if received.requests == 0 {
-		delete(e.peers, id)
+	e.peerTotalAt = time.Time{}
+	if received.requests > 0 {
+		e.peers[id] = peerLoad{load: received, receivedAt: now}
 		return
 	}
+	delete(e.peers, id)
 	if len(e.peers) == 0 {
-		e.oldestPeer = now
+		e.peerTotal = load{}
 	}
-	e.peers[id] = peerLoad{load: received, receivedAt: now}
 }
 
-// dropOutdatedPeers removes the loads that are older than peerLoadTTL. The caller holds the lock.
-func (e *Endpoint) dropOutdatedPeers(now time.Time) {
-	e.oldestPeer = now
+// addUpPeers computes the peers' total load. It drops the loads that are older than peerLoadTTL. Of an older report
+// the prefill that the endpoint has had time for since is left out. The caller holds the lock.
+func (e *Endpoint) addUpPeers(now time.Time) {
+	e.peerTotal, e.peerTotalAt = load{}, now
 	for id, peer := range e.peers {
-		if now.Sub(peer.receivedAt) > peerLoadTTL {
-			e.setPeer(id, load{}, now)
-		} else if peer.receivedAt.Before(e.oldestPeer) {
-			e.oldestPeer = peer.receivedAt
+		age := now.Sub(peer.receivedAt)
+		if age > peerLoadTTL {
+			delete(e.peers, id)
+			continue
 		}
+		e.peerTotal.requests += peer.requests
+		e.peerTotal.prefill += max(peer.prefill-max(age-peerLoadFresh, 0), 0)
 	}
 }
--- a/upstream/loads.go
+++ b/upstream/loads.go
@@ -10,8 +10,16 @@
 	"plumbarrow.example/plumbarrow/upstream/upstreampb"
 )
 
-// peerLoadTTL is how long a peer's reported load is counted: several exchange intervals.
-const peerLoadTTL = 2 * time.Second
+const (
+	// peerLoadTTL is how long a peer's reported load is counted: several exchange intervals.
+	peerLoadTTL = 2 * time.Second
+	// peerLoadFresh is the age up to which a peer's report counts in full: an exchange interval. Small fleets report
+	// more often; in large ones two instances exchange loads only every few seconds, and the endpoint works on the
+	// reported prompts meanwhile.
+	peerLoadFresh = 300 * time.Millisecond
+	// peerTotalAge is the age up to which the sum of the peers' loads is used again.
+	peerTotalAge = 50 * time.Millisecond
+)
 
 // LoadTopic exchanges with peers the load that each instance puts on endpoints.
 type LoadTopic struct {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -272,16 +272,50 @@
 // TestFewEndpointsLeft checks that the expected time to the first event includes the backlog reported by
 // peers, as after the loss of many endpoints, when the remaining ones hold the backlog.
 func TestFewEndpointsLeft(t *testing.T) {
-	c := qt.New(t)
-	table, peer := newTable(report("x", "chat", "a")), newTable(report("x", "chat", "a"))
-	need := prompt(7, 8)
-	before, ok := table.Expect(&need)
-	c.Assert(ok, qt.IsTrue)
-	other := prompt(9, 10)
-	c.Assert(place(peer, other), qt.Equals, machine.EndpointID("x"))
-	NewLoadTopic(table).Receive(machine.Member{ID: "entry-01"}, NewLoadTopic(peer).Message(machine.Member{}))
-	after, _ := table.Expect(&need)
-	c.Check(after-before, qt.Equals, perRequestDelay+5000*defaultPerToken)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table, peer := newTable(report("x", "chat", "a")), newTable(report("x", "chat", "a"))
+		need := prompt(7, 8)
+		before, ok := table.Expect(&need)
+		c.Assert(ok, qt.IsTrue)
+		other := prompt(9, 10)
+		c.Assert(place(peer, other), qt.Equals, machine.EndpointID("x"))
+		NewLoadTopic(table).Receive(machine.Member{ID: "entry-01"}, NewLoadTopic(peer).Message(machine.Member{}))
+		after, _ := table.Expect(&need)
+		c.Check(after-before, qt.Equals, perRequestDelay+5000*defaultPerToken)
+	})
+}
+
+// TestPeerBacklogDrains checks the load that instances of a large fleet assume, which exchange loads only every few
+// seconds: prompts that a peer has reported count in full for an exchange interval, then less by the time that the
+// endpoint has had to read them, and repeated reports of the same prompts count once.
+func TestPeerBacklogDrains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table, peer := newTable(report("x", "chat", "a")), newTable(report("x", "chat", "a"))
+		need := prompt(7, 8)
+		idle, _ := table.Expect(&need)
+		c.Assert(place(peer, prompt(9, 10)), qt.Equals, machine.EndpointID("x"))
+		prefill := 5000 * defaultPerToken
+		receive := func() {
+			NewLoadTopic(table).Receive(machine.Member{ID: "entry-01"}, NewLoadTopic(peer).Message(machine.Member{}))
+		}
+		backlog := func() time.Duration {
+			expected, _ := table.Expect(&need)
+			return expected - idle - perRequestDelay
+		}
+		receive()
+		c.Check(backlog(), qt.Equals, prefill)
+		time.Sleep(peerLoadFresh)
+		c.Check(backlog(), qt.Equals, prefill)
+		time.Sleep(prefill / 2)
+		c.Check(backlog() <= prefill/2+peerTotalAge, qt.IsTrue, qt.Commentf("%s", backlog()))
+		time.Sleep(prefill + peerTotalAge)
+		c.Check(backlog(), qt.Equals, time.Duration(0))
+		receive()
+		receive()
+		c.Check(backlog(), qt.Equals, prefill)
+	})
 }
 
 // TestPace checks that the prefill times of an empty prompt and of each token are learned from requests
