mirror: large documents don't travel in replies to polls

Change: a reply to a poll carries at most 16 KiB of documents. For more the follower reads the store at once; an instance that the store turns away asks without the limit.

--- a/mirror/fleet_test.go
+++ b/mirror/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/mirror/mirrorpb"
 	"plumbarrow.example/plumbarrow/standin/peers"
 )
 
@@ -253,6 +255,46 @@
 	}
 }
 
+// TestFleetLargeDocument changes a document of half a megabyte, as a configuration of many routes is. Replies to polls
+// must not carry it: the watchers' links would be busy for seconds with the copies for all followers. Each follower
+// reads it from the store instead, unless the store turns it away.
+func TestFleetLargeDocument(t *testing.T) {
+	for _, size := range fleetSizes {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := startFleet(t, size)
+				time.Sleep(3 * time.Second)
+				var follower *fleetInstance
+				for _, instance := range f.instances {
+					if !instance.watching() {
+						follower = instance
+					}
+				}
+				before := f.calls()
+				large := strings.Repeat("x", 500_000)
+				f.store.put("op/config", large)
+				reply, err := f.watchers()[0].topic.Changes(t.Context(), &mirrorpb.ChangesRequest{
+					After: follower.mirror.Revision(), WaitMs: 100, MaxBytes: maxPollBytes,
+				})
+				c.Assert(err, qt.IsNil)
+				c.Check(reply.GetTooLarge(), qt.IsTrue)
+				c.Check(reply.GetDocuments(), qt.HasLen, 0)
+				took := f.awaitValue("op/config", large, maxChangeDelay)
+				c.Logf("in force after %d ms, %d calls", took.Milliseconds(), f.calls()-before)
+				c.Check(took <= maxChangeDelay/2, qt.IsTrue, qt.Commentf("in force after %d ms", took.Milliseconds()))
+				c.Check(f.calls()-before <= 2*size, qt.IsTrue, qt.Commentf("%d calls", f.calls()-before))
+
+				follower.link.set(errors.New("refused"), false)
+				f.store.put("op/config", large+"y")
+				took = f.awaitValue("op/config", large+"y", 2*maxChangeDelay)
+				c.Logf("in force after %d ms where the store turns an instance away", took.Milliseconds())
+				c.Check(took <= maxChangeDelay, qt.IsTrue, qt.Commentf("in force after %d ms", took.Milliseconds()))
+			})
+		})
+	}
+}
+
 // TestFleetWatcherFaults puts a fault on one watcher, then changes a document: a leaving endpoint, an evacuation
 // or a withdrawn key. All other instances must have the change within maxChangeDelay.
 func TestFleetWatcherFaults(t *testing.T) {
@@ -358,7 +400,7 @@
 		f.store.remove("op/config")
 		time.Sleep(maxChangeDelay)
 		for _, instance := range f.instances {
-			_, _, _ = instance.topic.fetch(t.Context(), old.member, 0, time.Second)
+			_, _, _ = instance.topic.fetch(t.Context(), old.member, 0, time.Second, 0)
 			c.Check(value(instance.mirror, "op/config"), qt.Equals, "none", qt.Commentf("%s", instance.member.ID))
 		}
 	})
@@ -378,7 +420,7 @@
 		c.Assert(NewTopic(sourceMirror, source, nil).Register(source), qt.IsNil)
 		targetMirror := New(slog.New(slog.DiscardHandler), func([]Document, time.Time) {})
 		topic := NewTopic(targetMirror, target, nil)
-		_, _, err := topic.fetch(t.Context(), machine.Member{ID: "source", Address: "source"}, 0, time.Second)
+		_, _, err := topic.fetch(t.Context(), machine.Member{ID: "source", Address: "source"}, 0, time.Second, 0)
 		c.Assert(err, qt.IsNil)
 		age, ok := targetMirror.ConfirmedAge()
 		c.Assert(ok, qt.IsTrue)
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -71,16 +71,13 @@
 )
 
 // Follow keeps the copy in step with the store until ctx ends. While watching returns false, it calls the
-// store only if the copy has not been confirmed for maxUnconfirmed.
+// store only if the copy has not been confirmed for maxUnconfirmed, or for changes that are too large for a poll.
 func (m *Mirror) Follow(ctx context.Context, store Store, watching func() bool) error {
 	synced := false
 	delay := minBackoff
 	for ctx.Err() == nil {
 		watcher := watching()
-		if synced && !watcher && m.confirmed(maxUnconfirmed) {
-			if !pause.Sleep(ctx, m.untilDue()) {
-				return nil
-			}
+		if synced && !watcher && m.confirmed(maxUnconfirmed) && !m.awaitStoreCall(ctx, m.untilDue()) {
 			continue
 		}
 		var changed int
@@ -121,6 +118,20 @@
 	return min(max(watchWait+minBatchDelay-age, minBatchDelay), batchDelay)
 }
 
+// awaitStoreCall waits for callStore, at most for wait. It returns false if there was no call.
+func (m *Mirror) awaitStoreCall(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-m.storeCall:
+		return true
+	case <-timer.C:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // untilDue returns the time until an instance that is not a watcher has to check again whether it must call
 // the store.
 func (m *Mirror) untilDue() time.Duration {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -64,11 +64,13 @@
 	// then; zero if unknown. It is a lower bound that allows for delays of messages.
 	confirmedAt time.Time
 	advanced    chan struct{} // closed and replaced when revision grows
+
+	storeCall chan struct{} // see callStore; capacity 1
 }
 
 // New returns an empty copy.
 func New(log *slog.Logger, listener Listener) *Mirror {
-	return &Mirror{log: log, documents: make(map[string]Document), listener: listener, advanced: make(chan struct{})}
+	return &Mirror{log: log, documents: make(map[string]Document), listener: listener, advanced: make(chan struct{}), storeCall: make(chan struct{}, 1)}
 }
 
 // Revision returns the store revision up to which the copy is complete; 0 before the first read.
@@ -114,6 +116,14 @@
 	return ok && age <= within
 }
 
+// callStore makes Follow call the store at once, also if the copy is confirmed. It never blocks.
+func (m *Mirror) callStore() {
+	select {
+	case m.storeCall <- struct{}{}:
+	default: // a call is already due
+	}
+}
+
 // awaitAfter waits until the copy's revision exceeds after, at most for wait.
 func (m *Mirror) awaitAfter(ctx context.Context, after uint64, wait time.Duration) {
 	timer := time.NewTimer(wait)
--- a/mirror/peers.go
+++ b/mirror/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math"
 	"time"
@@ -25,6 +26,9 @@
 	// pollGrace is how much longer than its wait a poll may take: several round trips between data
 	// centres.
 	pollGrace = 300 * time.Millisecond
+	// maxPollBytes bounds the documents in the reply to a poll. Some instances have links of 10 Mbit/s, and a
+	// watcher sends its replies to up to membersPerWatcher instances at the same time.
+	maxPollBytes = 16 << 10
 	// maxSourceAge is the age of a source's copy from which another source is polled. A watcher that
 	// reaches the store stays below it.
 	maxSourceAge = watchWait + 3*minBatchDelay
@@ -125,8 +129,15 @@
 		if source.ID != current {
 			wait = 0 // whether its copy is fresh is to be known at once
 		}
-		changed, confirmedAt, err := t.fetch(ctx, source, wait, wait+pollGrace)
+		changed, confirmedAt, err := t.fetch(ctx, source, wait, wait+pollGrace, t.pollLimit())
 		current = source.ID
+		if errors.Is(err, errTooLarge) {
+			t.mirror.callStore()
+			if !pause.Sleep(ctx, minBatchDelay) {
+				return nil
+			}
+			continue
+		}
 		if err != nil || ageOf(confirmedAt) > maxSourceAge {
 			avoided[source.ID] = time.Now().Add(sourceRetry)
 			current = ""
@@ -139,6 +150,15 @@
 	return nil
 }
 
+// pollLimit returns the most bytes of documents in the reply to a poll; 0 means no limit. An instance that does
+// not reach the store can get large documents from its peers only.
+func (t *Topic) pollLimit() uint32 {
+	if !t.mirror.storeReachable() {
+		return 0
+	}
+	return maxPollBytes
+}
+
 // source returns the watcher to poll next; ok is false if none is to be polled now. It drops outdated entries
 // of avoided.
 func (t *Topic) source(avoided map[machine.InstanceID]time.Time) (source machine.Member, ok bool) {
@@ -157,14 +177,14 @@
 
 // catchUp fetches from a peer that is ahead what has changed after this copy's revision.
 func (t *Topic) catchUp(ctx context.Context, peer machine.Member) error {
-	_, _, err := t.fetch(ctx, peer, 0, catchUpTimeout)
+	_, _, err := t.fetch(ctx, peer, 0, catchUpTimeout, 0)
 	return err
 }
 
 // fetch asks a peer for what has changed after this copy's revision and applies it. The peer waits for a
 // change for at most wait. confirmedAt is the time for which the answer confirms the copy; zero if the
-// peer's copy is not confirmed.
-func (t *Topic) fetch(ctx context.Context, peer machine.Member, wait, timeout time.Duration) (changed int, confirmedAt time.Time, err error) {
+// peer's copy is not confirmed. If the changes exceed maxBytes, the error is errTooLarge and nothing is applied.
+func (t *Topic) fetch(ctx context.Context, peer machine.Member, wait, timeout time.Duration, maxBytes uint32) (changed int, confirmedAt time.Time, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := t.peers.Conn(ctx, peer)
@@ -172,10 +192,15 @@
 		return 0, time.Time{}, err
 	}
 	after, asked := t.mirror.Revision(), time.Now()
-	reply, err := mirrorpb.NewDRPCMirrorClient(conn).Changes(ctx, &mirrorpb.ChangesRequest{After: after, WaitMs: uint32(wait.Milliseconds())})
+	reply, err := mirrorpb.NewDRPCMirrorClient(conn).Changes(ctx, &mirrorpb.ChangesRequest{
+		After: after, WaitMs: uint32(wait.Milliseconds()), MaxBytes: maxBytes,
+	})
 	if err != nil {
 		return 0, time.Time{}, err
 	}
+	if reply.GetTooLarge() {
+		return 0, time.Time{}, errTooLarge
+	}
 	documents := documentsOf(reply.GetDocuments())
 	if reply.GetSteady() {
 		t.mirror.recordPeerSteady()
@@ -197,6 +222,9 @@
 	return len(documents), confirmedAt, nil
 }
 
+// errTooLarge means that the changes exceed the size asked for.
+var errTooLarge = errors.New("changes too large for a poll")
+
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func documentsOf(messages []*mirrorpb.Document) []Document {
@@ -215,6 +243,9 @@
 	t.mirror.awaitAfter(ctx, request.GetAfter(), min(milliseconds(request.GetWaitMs()), maxPollWait))
 	waited := time.Since(arrived)
 	changes := t.mirror.changesAfter(request.GetAfter())
+	if limit := int(request.GetMaxBytes()); limit > 0 && sizeOf(changes.documents) > limit {
+		return &mirrorpb.ChangesReply{TooLarge: true}, nil
+	}
 	reply := &mirrorpb.ChangesReply{
 		Revision: changes.revision, Full: changes.full, Steady: t.mirror.steady(), WaitedMs: uint32(waited.Milliseconds()),
 	}
@@ -229,3 +260,11 @@
 	}
 	return reply, nil
 }
+
+func sizeOf(documents []Document) int {
+	size := 0
+	for _, document := range documents {
+		size += len(document.Key) + len(document.Value)
+	}
+	return size
+}
