--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -37,6 +37,7 @@
 	status        int  // HTTP status of the endpoint's answer; 0 if there was none
 	newConnection bool // the next attempt must use a new connection
 	err           error
+	events        int // events that the attempt delivered to the caller
 	// charged reports that the retry budget has already been charged for the next attempt.
 	charged bool
 }
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"time"
 
 	"plumbarrow.example/plumbarrow/catalog"
@@ -214,7 +215,8 @@
 	decision := decideRetry(&state)
 	f.server.Log.Info("attempt failed", "request_id", f.id(), "endpoint", failed.endpoint, "verdict", failed.verdict.String(),
 		"reason", string(failed.reason), "status", failed.status, "error", errorText(failed.err), "runs", f.runs, "tries", f.tries,
-		"again", decision == nil)
+		"again", decision == nil, "events", failed.events, "shared_parts", partNames(f.call.SharedParts()))
+	f.countBroken(failed)
 	if decision != nil {
 		return decision
 	}
@@ -317,6 +319,28 @@
 	f.refuse(refusal)
 }
 
+// countBroken counts an attempt whose connection broke after the request had been sent, by whether the endpoint had produced
+// any of its answer before.
+func (f *requestState) countBroken(failed *failedAttempt) {
+	if failed.reason != verdict.RetryConnection && failed.reason != verdict.RetryTruncated {
+		return
+	}
+	stage := "before_output"
+	if failed.events > 0 {
+		stage = "after_output"
+	}
+	f.server.Counters.Add("plumbarrow_broken_answers_total", "stage", stage)
+}
+
+// partNames returns the ids of prompt parts in hexadecimal, for the log.
+func partNames(parts []upstream.PromptPart) []string {
+	names := make([]string, 0, len(parts))
+	for _, part := range parts {
+		names = append(names, strconv.FormatUint(part.ID, 16))
+	}
+	return names
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -37,6 +37,14 @@
 	Header http.Header
 }
 
+// SharedParts returns the parts of the prompt that other requests may share: all but the last one.
+func (c *Call) SharedParts() []upstream.PromptPart {
+	if len(c.PromptParts) < 2 {
+		return nil
+	}
+	return c.PromptParts[:len(c.PromptParts)-1]
+}
+
 // CallerProtocol is the protocol that callers speak. Implementations must be safe for concurrent use.
 type CallerProtocol interface {
 	// Read decodes a request's line and header. The refusal is nil if the request is valid. The Call of a
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -43,6 +43,8 @@
 	stream := f.stream
 	stream.buffer = stream.buffer[:0]
 	failed := &failedAttempt{endpoint: grant.Endpoint.ID(), status: answer.Status}
+	eventsBefore := stream.events
+	defer func() { failed.events = stream.events - eventsBefore }()
 	chunk := make([]byte, readChunk)
 	first := true
 	for {
