quarantine: keep requests with a prompt part that crashes endpoints from being sent

Cause: each instance treated the end of an endpoint as a fault of the endpoint alone. Nothing related it to the requests that the endpoint was working on, so requests with the crashing part, and each of their retries and escalations, went to the next endpoint. A health check or breaker cannot help: the endpoints are sound until they get such a request.

Evidence: the histories show endpoints that end 0.1 s after they begin to answer, also where the router had dropped their answer 2 ms after its start; TestFleetCrashingPart repeats it with endpoints that have no other fault.

Change: each shared part is a circuit breaker. A crash counts for the parts of all requests that the endpoint was answering or had begun to answer up to 0.5 s before; it is confirmed by a refused connection, as a broken one alone may be the network's. Only successive crashes count, those under a request sent after the crash before, and an endpoint that survives an answer clears its parts. Of several suspect parts the one with most crashes is blocked, which explains the crashes of the others. Instances exchange crashes and answers in their usual rounds; instances with the same knowledge exchange a digest. Requests with a blocked part are refused as not run, before the first attempt and before each further one.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -24,6 +24,7 @@
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/mirror"
 	"plumbarrow.example/plumbarrow/platform"
+	"plumbarrow.example/plumbarrow/quarantine"
 	"plumbarrow.example/plumbarrow/upstream"
 	"plumbarrow.example/plumbarrow/zone"
 )
@@ -79,6 +80,7 @@
 	current        *catalog.Current
 	table          *upstream.Table
 	rollouts       *canary.Rollouts
+	quarantine     *quarantine.Quarantine
 	driver         *canary.Driver
 	endpointClient *link.EndpointClient
 	dialer         *link.PeerDialer
@@ -136,24 +138,26 @@
 	g.driver = canary.NewDriver(g.rollouts, g.mirror, g.store, platform.Publisher{}, g.membership, g.log)
 	decoder.Endpoints = g.table
 	decoder.Rollouts = g.rollouts
+	g.endpointClient = link.NewEndpointClient(platform.EndpointHeaders{}.Answers)
+	g.quarantine = quarantine.New(g.endpointClient, g.exchange.TriggerRound, g.counters, g.log)
 	g.exchange.Add(g.mirrorTopic)
 	g.exchange.Add(upstream.NewLoadTopic(g.table))
 	g.exchange.Add(g.rollouts)
+	g.exchange.Add(g.quarantine)
 }
 
 // assembleServing creates the server that routes callers' requests to endpoints.
 func (g *Gateway) assembleServing() {
-	endpoints := platform.EndpointHeaders{}
-	g.endpointClient = link.NewEndpointClient(endpoints.Answers)
 	g.counters.Gauge("plumbarrow_endpoint_connections_opened", func() float64 { return float64(g.endpointClient.OpenedCount()) })
 	g.server = gateway.New(gateway.Parts{
 		Self:             g.self,
 		CallerProtocol:   platform.CallerHeaders{},
-		EndpointProtocol: endpoints,
+		EndpointProtocol: platform.EndpointHeaders{},
 		Current:          g.current,
 		Upstreams:        g.table,
 		Sender:           g.endpointClient,
 		Versions:         g.rollouts,
+		Quarantine:       g.quarantine,
 		RetryBudget:      gateway.NewRetryBudget(),
 		EscalationPolicy: gateway.NewEscalationPolicy(),
 		Counters:         g.counters,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"plumbarrow.example/plumbarrow/catalog"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/quarantine"
 	"plumbarrow.example/plumbarrow/upstream"
 	"plumbarrow.example/plumbarrow/verdict"
 )
@@ -37,7 +38,8 @@
 	status        int  // HTTP status of the endpoint's answer; 0 if there was none
 	newConnection bool // the next attempt must use a new connection
 	err           error
-	events        int // events that the attempt delivered to the caller
+	refused       bool // the endpoint's address refused the connection
+	events        int  // events that the attempt delivered to the caller
 	// charged reports that the retry budget has already been charged for the next attempt.
 	charged bool
 }
@@ -65,12 +67,16 @@
 	f.tries++
 	trial := f.server.Versions.Begin(f.service, grant.Report.Version, grant.Expected)
 	defer trial.Cancel()
+	exposure := f.server.Quarantine.Begin(grant.Endpoint.ID(), grant.Report.Address, f.service, f.call.SharedParts())
+	ending := quarantine.Closed
+	defer func() { exposure.End(ending) }()
 	answer, err := f.server.Sender.Send(ctx, out)
 	if err != nil {
 		failed := f.failedSend(grant, err)
-		outcome = f.outcomeOf(ctx, failed)
+		outcome, ending = f.outcomeOf(ctx, failed), endingOf(ctx, failed)
 		return failed
 	}
+	exposure.RecordAnswer()
 	defer func() { _ = answer.Body.Close() }()
 	firstByte := time.Since(started)
 	trial.RecordFirstByte(firstByte)
@@ -79,7 +85,7 @@
 	reply := f.server.EndpointProtocol.Reply(answer.Status, answer.Header)
 	grant.ExtendCold(reply.ColdFor)
 	failed := f.receive(ctx, grant, answer, reply)
-	outcome = f.outcomeOf(ctx, failed)
+	outcome, ending = f.outcomeOf(ctx, failed), endingOf(ctx, failed)
 	if isEvidence(outcome, failed) {
 		trial.End(outcome == upstream.Failed)
 	}
@@ -131,7 +137,7 @@
 		failed.verdict = failure.Verdict
 		failed.reason = failure.Reason
 		failed.newConnection = !failure.OnNewConnection
-		failed.err = failure.Err
+		failed.err, failed.refused = failure.Err, failure.Refused
 	}
 	f.recordVerdict(failed.verdict)
 	return failed
@@ -254,6 +260,23 @@
 	}
 }
 
+// endingOf returns how an attempt ended, as far as it tells whether the endpoint's process has ended. failed is nil if the
+// attempt succeeded.
+func endingOf(ctx context.Context, failed *failedAttempt) quarantine.Ending {
+	switch {
+	case failed == nil || ctx.Err() != nil:
+		return quarantine.Closed
+	case failed.refused:
+		return quarantine.Refused
+	case failed.verdict == verdict.NotRun:
+		return quarantine.NotRun
+	case failed.reason == verdict.RetryConnection || failed.reason == verdict.RetryTruncated:
+		return quarantine.Broken
+	default:
+		return quarantine.Closed
+	}
+}
+
 // isEvidence reports whether the outcome of an attempt counts for the roll-out of its version: a complete answer, or a
 // failure that the endpoint answered. A truncated answer, for one, shows that the endpoint stopped, not that its
 // version is faulty.
--- a/gateway/crashfleet_test.go
+++ b/gateway/crashfleet_test.go
@@ -23,6 +23,7 @@
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/quarantine"
 	"plumbarrow.example/plumbarrow/upstream"
 	"plumbarrow.example/plumbarrow/verdict"
 )
@@ -143,16 +144,17 @@
 	log := slog.New(slog.DiscardHandler)
 	members := fleetMembers{i.fleet, i.index}
 	table := upstream.NewTable(members.Self().ID, "a", current, members, telemetry.New(), log)
+	suspects := quarantine.New(i, func() {}, telemetry.New(), log)
 	server := New(Parts{
 		CallerProtocol: partsProtocol{}, EndpointProtocol: partsProtocol{}, Current: current, Upstreams: table, Sender: i,
-		Versions: fixedVersion{}, RetryBudget: NewRetryBudget(), EscalationPolicy: NewEscalationPolicy(), Counters: telemetry.New(), Log: log,
+		Versions: fixedVersion{}, Quarantine: suspects, RetryBudget: NewRetryBudget(), EscalationPolicy: NewEscalationPolicy(), Counters: telemetry.New(), Log: log,
 	})
 	i.fleet.mu.Lock()
 	defer i.fleet.mu.Unlock()
 	for _, endpoint := range i.fleet.byAddress {
 		table.Apply(endpoint.report())
 	}
-	i.process.Store(&crashProcess{server: server, table: table, topics: []link.Topic{upstream.NewLoadTopic(table)}})
+	i.process.Store(&crashProcess{server: server, table: table, topics: []link.Topic{upstream.NewLoadTopic(table), suspects}})
 	i.disturbedNanos.Store(time.Now().UnixNano())
 }
 
@@ -203,7 +205,7 @@
 	}
 }
 
-// Refuses reports whether no process listens at the address.
+// Refuses implements quarantine.Prober: it reports whether no process listens at the address.
 func (i *crashInstance) Refuses(_ context.Context, address string) bool {
 	return !i.disconnected.Load() && i.fleet.running(address) == nil
 }
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -18,6 +18,7 @@
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/quarantine"
 	"plumbarrow.example/plumbarrow/upstream"
 	"plumbarrow.example/plumbarrow/verdict"
 )
@@ -154,6 +155,11 @@
 	log     *bytes.Buffer
 }
 
+// openAddresses is a quarantine.Prober whose addresses all accept connections.
+type openAddresses struct{}
+
+func (openAddresses) Refuses(context.Context, string) bool { return false }
+
 // noMembers is a cluster without other instances.
 type noMembers struct{}
 
@@ -192,7 +198,7 @@
 	f.current.Set(catalog.New(draft(1)))
 	f.server = New(Parts{
 		CallerProtocol: plainProtocol{}, EndpointProtocol: plainProtocol{}, Current: f.current, Upstreams: f.table, Sender: f.sender,
-		Versions: fixedVersion{}, RetryBudget: NewRetryBudget(), EscalationPolicy: NewEscalationPolicy(), Counters: telemetry.New(), Log: log,
+		Versions: fixedVersion{}, Quarantine: quarantine.New(openAddresses{}, func() {}, telemetry.New(), log), RetryBudget: NewRetryBudget(), EscalationPolicy: NewEscalationPolicy(), Counters: telemetry.New(), Log: log,
 	})
 	return f
 }
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -239,6 +239,9 @@
 		if refusal := f.refresh(); refusal != nil {
 			return nil, refusal
 		}
+		if refusal := f.quarantined(); refusal != nil {
+			return nil, refusal
+		}
 		need := f.need()
 		grant, blocked := f.server.Upstreams.Place(need)
 		if blocked == upstream.NoneEligible && need.Version != "" {
@@ -263,6 +266,17 @@
 	}
 }
 
+// quarantined returns the refusal of a request with a prompt part that crashes the service's endpoints, else nil.
+func (f *requestState) quarantined() *verdict.Refusal {
+	remaining, blocked := f.server.Quarantine.Blocked(f.service, f.call.SharedParts())
+	if !blocked {
+		return nil
+	}
+	refusal := verdict.Refuse(verdict.PromptQuarantined, "a part of the prompt crashes the endpoints of service %s", f.service)
+	refusal.RetryAfter = remaining
+	return refusal
+}
+
 // need returns the requirements that an endpoint must meet for the next attempt.
 func (f *requestState) need() *upstream.Need {
 	f.chooseModel()
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -21,6 +21,7 @@
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/quarantine"
 	"plumbarrow.example/plumbarrow/upstream"
 	"plumbarrow.example/plumbarrow/verdict"
 )
@@ -67,6 +68,8 @@
 	Upstreams        Upstreams
 	Sender           Sender
 	Versions         Versions
+	// Quarantine knows the prompt parts that crash endpoints.
+	Quarantine *quarantine.Quarantine
 	// RetryBudget is this instance's retry budget, kept per service.
 	RetryBudget *decide.RetryBuckets
 	// EscalationPolicy chooses the model to ask after a smaller model's answer was rejected.
--- a/link/endpointclient.go
+++ b/link/endpointclient.go
@@ -211,6 +211,17 @@
 	return &EndpointAnswer{Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength}, nil
 }
 
+// Refuses opens a connection to the address (IP:port) and closes it. It reports whether the address refused the connection:
+// nothing listens there.
+func (c *EndpointClient) Refuses(ctx context.Context, address string) bool {
+	conn, err := c.dial(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 // receive reads the answer's header. It skips informational answers and up to maxAnswersRead-1 answers
 // to other requests.
 func (c *EndpointClient) receive(conn *endpointConn, request *EndpointRequest) (*http.Response, error) {
--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,381 @@
+// Package quarantine finds prompt parts that crash endpoints, and keeps further requests with them from being sent. Each
+// part is a circuit breaker of its own: it opens after successive crashes of endpoints that worked on the part, if
+// none survived an answer in between. Instances exchange the crashes that they have seen.
+package quarantine
+
+import (
+	"context"
+	"encoding/binary"
+	"log/slog"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"plumbarrow.example/plumbarrow/internal/telemetry"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/upstream"
+)
+
+const (
+	// settleTime is how long an endpoint must survive after the first byte of an answer for the answer's parts to count as
+	// sound. An endpoint may end only after it has produced a first piece.
+	settleTime = 500 * time.Millisecond
+	// maxSound is the number of parts whose last sound answer is remembered.
+	maxSound = 4096
+	// evaluationInterval is the time between evaluations without news.
+	evaluationInterval = 100 * time.Millisecond
+	// probeTimeout bounds a probe. probePause is the time before the second one: a process that ends may close its
+	// connections before its listener.
+	probeTimeout = 300 * time.Millisecond
+	probePause   = 200 * time.Millisecond
+)
+
+// Prober finds out whether an endpoint's process has ended.
+type Prober interface {
+	// Refuses reports whether the address (IP:port) refuses connections. It is false if nothing answers.
+	Refuses(ctx context.Context, address string) bool
+}
+
+// Quarantine holds the suspect and blocked parts known to one instance. Safe for concurrent use.
+type Quarantine struct {
+	prober   Prober
+	changed  func()
+	counters *telemetry.Counters
+	log      *slog.Logger
+
+	blocked atomic.Pointer[map[uint64]time.Time] // end of the blocking, by part
+
+	mu       sync.Mutex
+	open     map[machine.EndpointID][]*Exposure // not yet settled
+	suspects map[uint64]*suspect
+	sound    map[uint64]time.Time            // last sound answer seen here, by part
+	digests  map[machine.InstanceID]uint64   // of the suspects that a peer last sent
+	probing  map[machine.EndpointID]struct{} // probes in flight
+
+	evaluatedAt time.Time
+	ownDigest   uint64 // see digest
+	digestValid bool
+}
+
+// New returns an empty quarantine. changed is called, outside any lock, when there is news for the other instances.
+func New(prober Prober, changed func(), counters *telemetry.Counters, log *slog.Logger) *Quarantine {
+	q := &Quarantine{
+		prober: prober, changed: changed, counters: counters, log: log,
+		open:     make(map[machine.EndpointID][]*Exposure),
+		suspects: make(map[uint64]*suspect),
+		sound:    make(map[uint64]time.Time),
+		digests:  make(map[machine.InstanceID]uint64),
+		probing:  make(map[machine.EndpointID]struct{}),
+	}
+	q.blocked.Store(&map[uint64]time.Time{})
+	counters.Gauge("plumbarrow_quarantined_parts", func() float64 { return float64(len(*q.blocked.Load())) })
+	return q
+}
+
+// partKey hashes a part together with the service, whose endpoints it may crash while those of others serve it.
+func partKey(service string, part upstream.PromptPart) uint64 {
+	buffer := make([]byte, 0, 64) // on the stack
+	return xxhash.Sum64(append(binary.LittleEndian.AppendUint64(buffer, part.ID), service...))
+}
+
+func partKeys(service string, parts []upstream.PromptPart) []uint64 {
+	keys := make([]uint64, len(parts))
+	for i, part := range parts {
+		keys[i] = partKey(service, part)
+	}
+	return keys
+}
+
+// Blocked reports whether requests to the service with any of the parts are blocked, and for how much longer.
+func (q *Quarantine) Blocked(service string, parts []upstream.PromptPart) (remaining time.Duration, blocked bool) {
+	all := *q.blocked.Load()
+	if len(all) == 0 {
+		return 0, false
+	}
+	for _, part := range parts {
+		if until, found := all[partKey(service, part)]; found {
+			return max(time.Until(until), 0), true
+		}
+	}
+	return 0, false
+}
+
+// Ending is how an attempt ended.
+type Ending uint8
+
+// Endings of attempts.
+const (
+	// Closed means that the answer was complete, or that this instance gave up the attempt.
+	Closed Ending = iota
+	// NotRun means that the endpoint has not begun to work on the request.
+	NotRun
+	// Refused means that the endpoint's address refused the connection.
+	Refused
+	// Broken means that the connection was lost before the answer was complete.
+	Broken
+)
+
+// Exposure is one attempt of a request whose prompt has shared parts. The quarantine's lock guards its fields.
+type Exposure struct {
+	quarantine *Quarantine
+	endpoint   machine.EndpointID
+	address    string
+	parts      []uint64
+	sentAt     time.Time
+	answeredAt time.Time // first byte of the answer; zero before
+	endedAt    time.Time // zero while the attempt lasts
+}
+
+// Begin records that a request with the shared parts is sent to an endpoint of the service. End must be called on the
+// result. Without parts the result is nil, on which all methods may be called.
+func (q *Quarantine) Begin(endpoint machine.EndpointID, address, service string, parts []upstream.PromptPart) *Exposure {
+	if len(parts) == 0 {
+		return nil
+	}
+	now := time.Now()
+	x := &Exposure{quarantine: q, endpoint: endpoint, address: address, parts: partKeys(service, parts), sentAt: now}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.settle(endpoint, now)
+	q.open[endpoint] = append(q.open[endpoint], x)
+	return x
+}
+
+// RecordAnswer records the first byte of the answer.
+func (x *Exposure) RecordAnswer() {
+	if x == nil {
+		return
+	}
+	x.quarantine.mu.Lock()
+	defer x.quarantine.mu.Unlock()
+	x.answeredAt = time.Now()
+}
+
+// End records how the attempt ended.
+func (x *Exposure) End(ending Ending) {
+	if x == nil {
+		return
+	}
+	now := time.Now()
+	q := x.quarantine
+	q.mu.Lock()
+	x.endedAt = now
+	q.mu.Unlock()
+	switch ending {
+	case Refused:
+		q.remove(x)
+		q.RecordCrash(x.endpoint, now)
+	case NotRun:
+		q.remove(x)
+	case Broken:
+		q.probe(x, now)
+	case Closed:
+	}
+}
+
+// remove forgets an exposure.
+func (q *Quarantine) remove(x *Exposure) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.keep(x.endpoint, func(other *Exposure) bool { return other != x })
+}
+
+// keep filters the exposures at an endpoint. The caller holds the lock.
+func (q *Quarantine) keep(endpoint machine.EndpointID, wanted func(*Exposure) bool) {
+	kept := q.open[endpoint][:0]
+	for _, x := range q.open[endpoint] {
+		if wanted(x) {
+			kept = append(kept, x)
+		}
+	}
+	clear(q.open[endpoint][len(kept):])
+	if len(kept) == 0 {
+		delete(q.open, endpoint)
+		return
+	}
+	q.open[endpoint] = kept
+}
+
+// settle removes the exposures whose endpoint has survived the answer for settleTime. Their parts count as sound. If one of the
+// parts is suspect and the attempt has ended since, a probe must show first that the endpoint is alive. The caller holds
+// the lock.
+func (q *Quarantine) settle(endpoint machine.EndpointID, now time.Time) {
+	if len(q.open[endpoint]) == 0 {
+		return
+	}
+	q.keep(endpoint, func(x *Exposure) bool {
+		if _, probing := q.probing[endpoint]; probing {
+			return true
+		}
+		switch {
+		case x.answeredAt.IsZero():
+			return x.endedAt.IsZero() || now.Sub(x.endedAt) < settleTime
+		case now.Sub(x.answeredAt) < settleTime:
+			return true
+		case x.endedAt.IsZero() || x.endedAt.Sub(x.answeredAt) >= settleTime || !q.anySuspect(x.parts):
+			q.recordSound(x.parts, now)
+			return false
+		default:
+			go q.probe(x, x.answeredAt.Add(settleTime))
+			return now.Sub(x.answeredAt) < 2*settleTime
+		}
+	})
+}
+
+// anySuspect reports whether endpoints have ended under one of the parts. The caller holds the lock.
+func (q *Quarantine) anySuspect(parts []uint64) bool {
+	for _, part := range parts {
+		if s := q.suspects[part]; s != nil && len(s.crashes) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// recordSound records that an endpoint has survived an answer to the parts. The caller holds the lock.
+func (q *Quarantine) recordSound(parts []uint64, now time.Time) {
+	news := false
+	for _, part := range parts {
+		q.sound[part] = now
+		if s := q.suspects[part]; s != nil && s.clear(now) {
+			news = true
+		}
+	}
+	if len(q.sound) > maxSound {
+		for part, at := range q.sound {
+			if now.Sub(at) > soundMemory/2 {
+				delete(q.sound, part)
+			}
+		}
+		if len(q.sound) > maxSound {
+			clear(q.sound)
+		}
+	}
+	if news {
+		q.digestValid = false
+		q.evaluate(now)
+		go q.changed()
+	}
+}
+
+// probe finds out whether the endpoint of an exposure has ended, and records that or, if the exposure's answer had begun, that its
+// parts are sound. at is when the connection broke or the answer settled.
+func (q *Quarantine) probe(x *Exposure, at time.Time) {
+	q.mu.Lock()
+	_, busy := q.probing[x.endpoint]
+	q.probing[x.endpoint] = struct{}{}
+	q.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		refused := q.refuses(x.address)
+		q.mu.Lock()
+		delete(q.probing, x.endpoint)
+		if !refused && !x.answeredAt.IsZero() && at.Sub(x.answeredAt) >= settleTime {
+			q.recordSound(x.parts, time.Now())
+			q.keep(x.endpoint, func(other *Exposure) bool { return other != x })
+		}
+		q.mu.Unlock()
+		if refused {
+			q.RecordCrash(x.endpoint, at)
+		}
+	}()
+}
+
+func (q *Quarantine) refuses(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if q.prober.Refuses(ctx, address) {
+		return true
+	}
+	time.Sleep(probePause)
+	again, cancelAgain := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancelAgain()
+	return q.prober.Refuses(again, address)
+}
+
+// RecordCrash records that an endpoint has ended by the given time. All shared parts of the requests that it worked on or had just begun
+// to answer become suspect.
+func (q *Quarantine) RecordCrash(endpoint machine.EndpointID, at time.Time) {
+	q.mu.Lock()
+	hash := xxhash.Sum64String(string(endpoint))
+	var news []string
+	for _, x := range q.open[endpoint] {
+		if !x.exposedAt(at) {
+			continue
+		}
+		for _, part := range x.parts {
+			if s := q.suspect(part); s != nil && s.add(hash, crash{sentAt: x.sentAt, endedAt: at}, at) {
+				news = append(news, strconv.FormatUint(part, 16))
+			}
+		}
+	}
+	delete(q.open, endpoint)
+	if len(news) > 0 {
+		q.digestValid = false
+		q.evaluate(time.Now())
+	}
+	q.mu.Unlock()
+	if len(news) == 0 {
+		return
+	}
+	q.counters.Inc("plumbarrow_endpoint_crashes_total")
+	q.log.Warn("endpoint ended while it worked on prompts", "endpoint", endpoint, "suspect_parts", news)
+	q.changed()
+}
+
+// exposedAt reports whether the attempt may have ended the endpoint, or was broken off by its end, at the given time.
+func (x *Exposure) exposedAt(at time.Time) bool {
+	if x.sentAt.After(at) {
+		return false
+	}
+	if !x.answeredAt.IsZero() && at.Sub(x.answeredAt) > settleTime {
+		return false
+	}
+	return x.endedAt.IsZero() || at.Sub(x.endedAt) <= settleTime
+}
+
+// suspect returns the state of a part, new if it was not suspect before; nil if there are too many. The caller holds the lock.
+func (q *Quarantine) suspect(part uint64) *suspect {
+	s := q.suspects[part]
+	if s == nil && len(q.suspects) < maxSuspects {
+		s = &suspect{crashes: make(map[uint64]crash)}
+		q.suspects[part] = s
+	}
+	if s != nil && len(s.crashes) == 0 && q.sound[part].After(s.soundAt) {
+		s.soundAt = q.sound[part]
+	}
+	return s
+}
+
+// evaluate decides which parts are blocked. The caller holds the lock.
+func (q *Quarantine) evaluate(now time.Time) {
+	q.evaluatedAt = now
+	for part, s := range q.suspects {
+		if s.expired(now) {
+			delete(q.suspects, part)
+			q.digestValid = false
+		}
+	}
+	before := *q.blocked.Load()
+	if len(before) == 0 && len(q.suspects) == 0 {
+		return
+	}
+	blocked := blockedParts(q.suspects, now)
+	q.blocked.Store(&blocked)
+	for part := range blocked {
+		if _, known := before[part]; !known {
+			q.counters.Inc("plumbarrow_quarantines_total")
+			q.log.Warn("prompt part quarantined", "part", strconv.FormatUint(part, 16), "crashes", len(q.suspects[part].crashes))
+		}
+	}
+	for part := range before {
+		if _, still := blocked[part]; !still {
+			q.log.Info("prompt part released from quarantine", "part", strconv.FormatUint(part, 16))
+		}
+	}
+}
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,230 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumbarrow.example/plumbarrow/internal/telemetry"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/upstream"
+)
+
+// endedAddresses is a Prober that refuses the addresses of endpoints that have ended.
+type endedAddresses struct {
+	mu    sync.Mutex
+	ended map[string]bool
+}
+
+func (e *endedAddresses) Refuses(_ context.Context, address string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ended[address]
+}
+
+func (e *endedAddresses) end(endpoint string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ended[endpoint] = true
+}
+
+type quarantineFixture struct {
+	*Quarantine
+	addresses *endedAddresses
+}
+
+func newFixture() *quarantineFixture {
+	addresses := &endedAddresses{ended: make(map[string]bool)}
+	return &quarantineFixture{New(addresses, func() {}, telemetry.New(), slog.New(slog.DiscardHandler)), addresses}
+}
+
+func prompt(ids ...uint64) []upstream.PromptPart {
+	parts := make([]upstream.PromptPart, 0, len(ids))
+	for _, id := range ids {
+		parts = append(parts, upstream.PromptPart{ID: id})
+	}
+	return parts
+}
+
+func (f *quarantineFixture) begin(endpoint string, ids ...uint64) *Exposure {
+	return f.Begin(machine.EndpointID(endpoint), endpoint, "chat", prompt(ids...))
+}
+
+// crash lets an endpoint end while it works on the exposures.
+func (f *quarantineFixture) crash(endpoint string, exposures ...*Exposure) {
+	f.addresses.end(endpoint)
+	for _, x := range exposures {
+		x.End(Broken)
+	}
+	synctest.Wait()
+}
+
+// blocks reports whether requests with the part are blocked, after the time for objections.
+func (f *quarantineFixture) blocks(id uint64) bool {
+	time.Sleep(objectionTime)
+	f.Message(machine.Member{ID: "peer"})
+	_, blocked := f.Blocked("chat", prompt(id))
+	return blocked
+}
+
+const (
+	common = 1 // part of all requests
+	bad    = 2 // part that crashes endpoints
+	rare   = 3 // sound part of few requests
+)
+
+// TestSuccessiveCrashes checks that a part is blocked after successive crashes, for its service only, and for blockTime.
+func TestSuccessiveCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFixture()
+		for i := range minGenerations {
+			c.Check(f.blocks(bad), qt.IsFalse)
+			endpoint := fmt.Sprint("e", i)
+			x := f.begin(endpoint, bad)
+			x.RecordAnswer()
+			time.Sleep(100 * time.Millisecond)
+			f.crash(endpoint, x)
+		}
+		c.Check(f.blocks(bad), qt.IsTrue)
+		_, blocked := f.Blocked("other", prompt(bad))
+		c.Check(blocked, qt.IsFalse)
+		time.Sleep(blockTime)
+		c.Check(f.blocks(bad), qt.IsFalse)
+	})
+}
+
+// TestSimultaneousCrashes guards against blocking sound parts when many endpoints end at once for a reason of their own.
+func TestSimultaneousCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFixture()
+		var exposures []*Exposure
+		for i := range 18 {
+			exposures = append(exposures, f.begin(fmt.Sprint("e", i), common))
+		}
+		time.Sleep(20 * time.Millisecond)
+		for i, x := range exposures {
+			f.crash(fmt.Sprint("e", i), x)
+		}
+		c.Check(f.blocks(common), qt.IsFalse)
+	})
+}
+
+// TestResetConnections guards against blocking sound parts when connections break while the endpoints live on.
+func TestResetConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFixture()
+		for i := range 3 * minGenerations {
+			f.begin(fmt.Sprint("e", i), common).End(Broken)
+			time.Sleep(100 * time.Millisecond)
+		}
+		c.Check(f.blocks(common), qt.IsFalse)
+	})
+}
+
+// TestSoundPartsOfCrashes guards against blocking the other parts of requests whose endpoints were ended by one part: a common one
+// that is answered elsewhere, and a rare one that never is.
+func TestSoundPartsOfCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFixture()
+		for i := range 5 {
+			endpoint := fmt.Sprint("e", i)
+			exposures := []*Exposure{f.begin(endpoint, common, bad), f.begin(endpoint, common, bad)}
+			if i > 0 && i <= minGenerations {
+				exposures = append(exposures, f.begin(endpoint, common, rare))
+			}
+			time.Sleep(100 * time.Millisecond)
+			f.crash(endpoint, exposures...)
+			answered := f.begin("alive", common, uint64(100+i))
+			answered.RecordAnswer()
+			time.Sleep(2 * settleTime)
+			answered.End(Closed)
+			f.Message(machine.Member{ID: "peer"})
+		}
+		c.Check(f.blocks(bad), qt.IsTrue)
+		c.Check(f.blocks(common), qt.IsFalse)
+		c.Check(f.blocks(rare), qt.IsFalse)
+	})
+}
+
+// TestDiscardedAnswers checks that crashes count whose attempts had ended before: the answer was discarded for a larger model's.
+func TestDiscardedAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFixture()
+		for i := range minGenerations {
+			discarded, broken := fmt.Sprint("small", i), fmt.Sprint("large", i)
+			x := f.begin(discarded, bad)
+			x.RecordAnswer()
+			x.End(Closed)
+			y := f.begin(broken, bad)
+			y.RecordAnswer()
+			time.Sleep(100 * time.Millisecond)
+			f.addresses.end(discarded)
+			f.crash(broken, y)
+			time.Sleep(settleTime)
+			f.Message(machine.Member{ID: "peer"})
+			synctest.Wait()
+			c.Check(f.suspects[partKey("chat", prompt(bad)[0])].crashes, qt.HasLen, 2*(i+1))
+		}
+		c.Check(f.blocks(bad), qt.IsTrue)
+	})
+}
+
+// TestRestartedPeer checks that an instance that has lost its state learns it with its first exchange, and that peers with the
+// same state exchange only its digest.
+func TestRestartedPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		a, b := newFixture(), newFixture()
+		for i := range minGenerations {
+			endpoint := fmt.Sprint("e", i)
+			x := a.begin(endpoint, bad)
+			time.Sleep(100 * time.Millisecond)
+			a.crash(endpoint, x)
+		}
+		c.Check(a.blocks(bad), qt.IsTrue)
+		memberA, memberB := machine.Member{ID: "a"}, machine.Member{ID: "b"}
+		a.Receive(memberB, b.Message(memberA))
+		b.Receive(memberA, a.Message(memberB))
+		c.Check(b.blocks(bad), qt.IsTrue)
+		a.Receive(memberB, b.Message(memberA))
+		c.Check(len(a.Message(memberB)) < 16, qt.IsTrue)
+		restarted := newFixture()
+		a.Receive(memberB, restarted.Message(memberA))
+		restarted.Receive(memberA, a.Message(memberB))
+		c.Check(restarted.blocks(bad), qt.IsTrue)
+	})
+}
+
+// TestAnswersBetweenCrashes guards against blocking a sound part whose endpoints end one after the other for a reason of their own,
+// while others answer it.
+func TestAnswersBetweenCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFixture()
+		for i := range 2 * minGenerations {
+			endpoint := fmt.Sprint("e", i)
+			x := f.begin(endpoint, common)
+			time.Sleep(100 * time.Millisecond)
+			f.crash(endpoint, x)
+			answered := f.begin("alive", common)
+			answered.RecordAnswer()
+			answered.End(Closed)
+			time.Sleep(settleTime)
+			f.Message(machine.Member{ID: "peer"})
+			time.Sleep(probePause)
+			synctest.Wait()
+		}
+		c.Check(f.blocks(common), qt.IsFalse)
+	})
+}
