gateway: an unframed event stream without any event counts as broken off

Callers got an empty stream as a complete answer when an endpoint's process ended before its first event, if the answer had neither a length nor chunks: such a body ends with its connection either way. It is now tried again or reported as a failure. TestUnframedStreamWithoutEvents failed before: the caller got the empty body, and one request was sent instead of two.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -61,6 +61,7 @@
 	status    int
 	header    string // fields as "Name: value", one per line
 	body      string
+	unframed  bool          // the body ends with the connection
 	truncated bool          // reading the body fails after body
 	repeated  int           // how often body is repeated; 0 means once
 	failure   *link.Failure // returned instead of an answer
@@ -128,7 +129,7 @@
 	if next.truncated {
 		body = io.MultiReader(body, brokenReader{})
 	}
-	return &link.EndpointAnswer{Status: next.status, Header: header, Body: io.NopCloser(body), Length: -1}, nil
+	return &link.EndpointAnswer{Status: next.status, Header: header, Body: io.NopCloser(body), Length: -1, Unframed: next.unframed}, nil
 }
 
 // brokenReader fails as the body of a truncated answer does.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -104,6 +104,24 @@
 	})
 }
 
+// TestUnframedStreamWithoutEvents guards against delivering an empty stream as complete when the endpoint's process ended: a body
+// without length and chunks ends with its connection either way.
+func TestUnframedStreamWithoutEvents(t *testing.T) {
+	c := qt.New(t)
+	empty := events("")
+	empty.unframed = true
+	whole := events("id: 1\ndata: a\n\n")
+	whole.unframed = true
+	f := newFixture(empty, whole)
+	seen := f.call("stream")
+	c.Check(seen.body, qt.Equals, "id: 1\ndata: a\n\n")
+	c.Check(f.sender.sent, qt.HasLen, 2)
+	f = newFixture(empty)
+	c.Check(f.call("once").status, qt.Equals, http.StatusBadGateway)
+	f = newFixture(events(""))
+	c.Check(f.call("once").status, qt.Equals, http.StatusOK)
+}
+
 // TestResume checks that a truncated stream is resumed after the last complete event, keeps the first answer's
 // header, and repeats no part of an event.
 func TestResume(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -84,9 +84,10 @@
 	return verdict.RetryTruncated
 }
 
-// endStream handles the end of an answer's body. An incomplete event at the end counts as truncation.
+// endStream handles the end of an answer's body. An incomplete event at the end counts as truncation, as does an unframed
+// body without any event: it ends like that if the endpoint's process ends.
 func (f *requestState) endStream(answer *link.EndpointAnswer, failed *failedAttempt) *failedAttempt {
-	if len(f.stream.buffer) > 0 {
+	if len(f.stream.buffer) > 0 || answer.Unframed && f.stream.events == 0 {
 		failed.reason, failed.err = verdict.RetryTruncated, io.ErrUnexpectedEOF
 		return failed
 	}
--- a/link/endpointclient.go
+++ b/link/endpointclient.go
@@ -151,6 +151,9 @@
 	Header http.Header
 	Body   io.ReadCloser
 	Length int64 // of the body; -1 if it is not declared
+	// Unframed means that the body has neither a length nor chunks: it ends with the connection, also where the endpoint's
+	// process ends.
+	Unframed bool
 }
 
 // RecordProgress restarts the request's ProgressTimeout. The receiver calls it for each unit of the answer that is
@@ -208,7 +211,9 @@
 		ctx: ctx, client: c, conn: conn, body: response.Body, response: response, progress: request.ProgressTimeout, progressAt: time.Now(),
 		detach: stop, written: written,
 	}
-	return &EndpointAnswer{Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength}, nil
+	return &EndpointAnswer{
+		Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength, Unframed: !body.framed(),
+	}, nil
 }
 
 // Refuses opens a connection to the address (IP:port) and closes it. It reports whether the address refused the connection:
--- a/link/endpointclientbody.go
+++ b/link/endpointclientbody.go
@@ -63,9 +63,11 @@
 
 // delimited reports whether the answer ends by its length or last chunk, not by the end of the
 // connection.
-func (b *endpointBody) delimited() bool {
-	chunked := len(b.response.TransferEncoding) > 0
-	return !b.response.Close && (chunked || b.response.ContentLength >= 0)
+func (b *endpointBody) delimited() bool { return !b.response.Close && b.framed() }
+
+// framed reports whether the answer has a length or chunks.
+func (b *endpointBody) framed() bool {
+	return len(b.response.TransferEncoding) > 0 || b.response.ContentLength >= 0
 }
 
 // requestWritten reports whether the whole request was written. It waits up to writeGrace.
