upstream, platform: log the request rates that endpoints state

Each instance now logs the limit when it learns it, when it changes and when answers cease to carry it, and counts these statements. It has no effect on placement.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -84,6 +84,9 @@
 	f.firstByteMS = append(f.firstByteMS, firstByte.Milliseconds())
 	reply := f.server.EndpointProtocol.Reply(answer.Status, answer.Header)
 	grant.ExtendCold(reply.ColdFor)
+	if reply.Signed || reply.HasRateLimit {
+		grant.RecordRateLimit(reply.RateLimit, reply.HasRateLimit)
+	}
 	failed := f.receive(ctx, grant, answer, reply)
 	outcome, ending = f.outcomeOf(ctx, failed), endingOf(ctx, failed)
 	if isEvidence(outcome, failed) {
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -82,6 +82,10 @@
 	// Confidence is the model's own rating of its answer, 0 to 100. It is valid if HasConfidence is set.
 	Confidence    float64
 	HasConfidence bool
+	// RateLimit is how many requests per second the endpoint takes from all instances together. It is valid if
+	// HasRateLimit is set.
+	RateLimit    float64
+	HasRateLimit bool
 }
 
 // EndpointProtocol is the protocol that endpoints speak. Implementations must be safe for concurrent use.
--- a/upstream/endpoint.go
+++ b/upstream/endpoint.go
@@ -50,6 +50,7 @@
 	peerTotal   load      // of all peers, computed at peerTotalAt
 	peerTotalAt time.Time // zero if a peer's load has changed since
 	health      health
+	statedLimit statedLimit
 	prefixes    prefixCache
 }
 
@@ -85,13 +86,14 @@
 }
 
 // update replaces the report. A restart, and a return to discovery, reset what was learned of the endpoint:
-// its health, its cached prefixes and the end of its cold time. The caller holds the lock.
+// its health, its cached prefixes, its stated limit and the end of its cold time. The caller holds the lock.
 func (e *Endpoint) update(report Report, now time.Time) (restarted bool) {
 	restarted = e.discovered && (report.StartMillis != e.report.StartMillis || report.Address != e.report.Address)
 	if restarted || !e.discovered {
 		e.health = health{}
 		e.prefixes = newPrefixCache()
 		e.coldUntil = time.Time{}
+		e.statedLimit = statedLimit{}
 	}
 	e.report = report
 	e.discovered = true
--- a/upstream/place.go
+++ b/upstream/place.go
@@ -319,12 +319,12 @@
 func (t *Table) addLoad(grant *Grant, need *Need, now time.Time) {
 	e := grant.Endpoint
 	e.ownLoad.requests++
+	grant.startedAt = now
 	if len(need.PromptParts) == 0 {
 		return
 	}
 	shared := need.PromptParts[:len(need.PromptParts)-1]
 	grant.model = need.Model
-	grant.startedAt = now
 	grant.uncachedTokens = need.PromptTokens - e.prefixes.cachedTokens(need.Model, shared, now)
 	_, perToken := t.prefillTimes.estimate(need.Service, need.Model)
 	grant.prefill = time.Duration(grant.uncachedTokens) * perToken
