canary: compare the pace of events between versions

Cause: the evidence on a version was its failures and its first bytes. Connection, queue and prompt hide a slow version there: at 3 times, the logarithm of the relative time to the first byte moves by 0.15 at a standard deviation of 0.4. What callers wait for, the events, was not measured.

Change: instances count paces by version in histograms and exchange them with their tallies. At the canary share, at which new endpoints have less load than old ones, a version is rejected if its paces lie above the old median significantly more often than half of the time, or those at idle endpoints above 1.2 times the old version's fastest tenth more often than in one of eight.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -60,6 +60,8 @@
 	stageRevision uint64    // store revision of the stage's document; 0 without one
 	local         tally
 	peers         map[machine.InstanceID]tally
+	paces         paces // seen by this instance
+	peerPaces     map[machine.InstanceID]*paces
 	oldLatency    ewma  // the old version's mean of Attempt.relativeLatency
 	atStageStart  tally // counts of all instances when the stage began
 	rejected      bool  // the evidence shows that the new version is worse
@@ -100,7 +102,7 @@
 	if known != nil && known.order.Revision >= order.Revision {
 		return
 	}
-	ro := &rollout{order: order, seenAt: time.Now(), peers: make(map[machine.InstanceID]tally)}
+	ro := &rollout{order: order, seenAt: time.Now(), peers: make(map[machine.InstanceID]tally), peerPaces: make(map[machine.InstanceID]*paces)}
 	r.byService[order.Service] = ro
 	r.setStage(ro)
 	r.log.Info("roll-out ordered", "service", order.Service, "target", order.Target, "duration_ms", order.Duration.Milliseconds(), "order", order.Revision)
--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -447,10 +447,10 @@
 			rollouts.Observe("app", "v1", Attempt{FirstByte: usual, Expected: usual})
 		}
 		for range minFailures {
-			answered := rollouts.Begin("app", "v2", usual)
+			answered := rollouts.Begin("app", "v2", usual, 0)
 			answered.RecordFirstByte(usual)
 			answered.End(false)
-			rollouts.Begin("app", "v2", usual).Cancel()
+			rollouts.Begin("app", "v2", usual, 0).Cancel()
 		}
 		time.Sleep(time.Minute)
 		synctest.Wait()
@@ -464,7 +464,7 @@
 				break
 			}
 			c.Assert(time.Since(started) < 2*time.Second, qt.IsTrue)
-			waiting = append(waiting, rollouts.Begin("app", "v2", usual))
+			waiting = append(waiting, rollouts.Begin("app", "v2", usual, 0))
 			time.Sleep(20 * time.Millisecond)
 		}
 		counted := rollouts.byService["app"].local.newAnswers
@@ -489,7 +489,7 @@
 		order := store.order(driver)
 		run(t, store, time.Duration(0.95*float64(order.Duration)), []*instance{driver}, func() {
 			if targetShare(driver.rollouts) == 1 {
-				driver.rollouts.Begin("app", "v2", time.Second)
+				driver.rollouts.Begin("app", "v2", time.Second, 0)
 			}
 		})
 		c.Check(targetShare(driver.rollouts), qt.Equals, 1.0)
--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -167,14 +167,20 @@
 
 // evaluate rejects the new version if the counts of all instances show that it is worse. The caller holds the lock.
 func (r *Rollouts) evaluate(ro *rollout) {
-	if ro.rejected || !ro.isWorse() {
+	if ro.rejected {
+		return
+	}
+	observed := ro.sumPaces()
+	slower := observed.slower()
+	if !slower && !ro.isWorse() {
 		return
 	}
 	sum := ro.sum()
 	ro.rejected = true
 	r.counters.Inc("plumbarrow_rollout_distrusted_total")
 	r.log.Warn("new version rejected", "service", ro.order.Service, "target", ro.order.Target, "new_answers", sum.newAnswers,
-		"new_failures", sum.newFailures, "old_answers", sum.oldAnswers, "old_failures", sum.oldFailures)
+		"new_failures", sum.newFailures, "old_answers", sum.oldAnswers, "old_failures", sum.oldFailures,
+		"slower", slower, "new_paces", observed.new.total(), "new_idle_paces", observed.newIdle.total())
 }
 
 // sum adds the counts of this instance and its peers.
@@ -204,6 +210,7 @@
 			NewAnswers: ro.local.newAnswers, NewFailures: ro.local.newFailures,
 			OldAnswers: ro.local.oldAnswers, OldFailures: ro.local.oldFailures, Rejected: ro.rejected,
 			NewStarted: ro.local.newStarted, NewResponded: ro.local.newResponded,
+			OldPaces: ro.paces.old[:], NewPaces: ro.paces.new[:], NewIdlePaces: ro.paces.newIdle[:],
 		})
 	}
 	r.mu.Unlock()
@@ -237,6 +244,11 @@
 			oldAnswers: received.GetOldAnswers(), oldFailures: received.GetOldFailures(),
 			newStarted: received.GetNewStarted(), newResponded: received.GetNewResponded(),
 		}
+		peerPaces := &paces{}
+		peerPaces.old.merge(received.GetOldPaces())
+		peerPaces.new.merge(received.GetNewPaces())
+		peerPaces.newIdle.merge(received.GetNewIdlePaces())
+		ro.peerPaces[from.ID] = peerPaces
 		if received.GetRejected() && !ro.rejected {
 			// A large fleet exchanges tallies with a few members at a time, so that most instances know only a
 			// part of the evidence.
--- a/canary/trial.go
+++ b/canary/trial.go
@@ -11,12 +11,18 @@
 	service, version string
 	expected         time.Duration
 	firstByte        time.Duration
+	idle             bool      // the endpoint had hardly any other requests
+	firstEventAt     time.Time // zero before the first event
+	lastEventAt      time.Time
+	events           int
+	paced            bool            // the pace has been reported
 	pending          *pendingAttempt // nil if the version is not on trial
 }
 
 // Observer receives the outcomes of attempts.
 type Observer interface {
 	Observe(service, version string, attempt Attempt)
+	ObservePace(service, version string, pace time.Duration, idle bool)
 }
 
 var _ Observer = (*Rollouts)(nil)
@@ -34,8 +40,32 @@
 	}
 }
 
+// RecordEvents records that a number of events of a stream have arrived.
+func (t *Trial) RecordEvents(count int) {
+	t.lastEventAt = time.Now()
+	if t.events == 0 {
+		t.firstEventAt = t.lastEventAt
+	}
+	t.events += count
+	if t.events >= paceEvents {
+		t.reportPace()
+	}
+}
+
+// reportPace reports the pace of the stream once, if it is known.
+func (t *Trial) reportPace() {
+	if t.observer == nil || t.paced || t.events < 2 || t.lastEventAt.Equal(t.firstEventAt) {
+		return
+	}
+	t.paced = true
+	t.observer.ObservePace(t.service, t.version, t.lastEventAt.Sub(t.firstEventAt)/time.Duration(t.events-1), t.idle)
+}
+
 // End records the attempt's outcome: a complete answer, or a failure that the endpoint answered.
 func (t *Trial) End(failed bool) {
+	if !failed {
+		t.reportPace()
+	}
 	if t.observer == nil || t.pending != nil && !t.pending.settle() {
 		return
 	}
@@ -60,9 +90,10 @@
 }
 
 // Begin records the start of an attempt. expected is the time that the endpoint's queued work and the request's prompt
-// are expected to take.
-func (r *Rollouts) Begin(service, version string, expected time.Duration) *Trial {
+// are expected to take, load the number of other requests at the endpoint.
+func (r *Rollouts) Begin(service, version string, expected time.Duration, load int) *Trial {
 	trial := NewTrial(r, service, version, expected)
+	trial.idle = load <= idleLoad
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ro := r.byService[service]
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"plumbarrow.example/plumbarrow/canary"
 	"plumbarrow.example/plumbarrow/catalog"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
@@ -65,7 +66,7 @@
 		slog.Int("load", grant.Load), slog.Int64("expected_ms", grant.Expected.Milliseconds()),
 		slog.Int64("left_ms", f.deadline.Sub(started).Milliseconds()))
 	f.tries++
-	trial := f.server.Versions.Begin(f.service, grant.Report.Version, grant.Expected)
+	trial := f.server.Versions.Begin(f.service, grant.Report.Version, grant.Expected, grant.Load)
 	defer trial.Cancel()
 	exposure := f.server.Quarantine.Begin(grant.Endpoint.ID(), grant.Report.Address, f.service, f.call.SharedParts())
 	ending := quarantine.Closed
@@ -87,7 +88,7 @@
 	if reply.Signed || reply.HasRateLimit {
 		grant.RecordRateLimit(reply.RateLimit, reply.HasRateLimit)
 	}
-	failed := f.receive(ctx, grant, answer, reply)
+	failed := f.receive(ctx, grant, trial, answer, reply)
 	outcome, ending = f.outcomeOf(ctx, failed), endingOf(ctx, failed)
 	if isEvidence(outcome, failed) {
 		trial.End(outcome == upstream.Failed)
@@ -156,7 +157,7 @@
 }
 
 // receive checks an endpoint's answer and forwards it. It returns nil once the request is answered.
-func (f *requestState) receive(ctx context.Context, grant *upstream.Grant, answer *link.EndpointAnswer, reply Reply) *failedAttempt {
+func (f *requestState) receive(ctx context.Context, grant *upstream.Grant, trial *canary.Trial, answer *link.EndpointAnswer, reply Reply) *failedAttempt {
 	failed := &failedAttempt{endpoint: grant.Endpoint.ID(), status: answer.Status}
 	switch {
 	case reply.Misdirected:
@@ -178,7 +179,7 @@
 		return failed
 	}
 	if answer.Status == http.StatusOK && strings.HasPrefix(answer.Header.Get("Content-Type"), eventStreamType) {
-		return f.forwardStream(ctx, grant, answer)
+		return f.forwardStream(grant, trial, answer)
 	}
 	if f.stream != nil && f.stream.headerSent {
 		// Its bytes must not follow the events that the caller already has.
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -147,7 +147,7 @@
 func (r fixedVersion) Choose(string, string, string) canary.Choice {
 	return canary.Choice{RequiredVersion: r.only}
 }
-func (fixedVersion) Begin(string, string, time.Duration) *canary.Trial { return &canary.Trial{} }
+func (fixedVersion) Begin(string, string, time.Duration, int) *canary.Trial { return &canary.Trial{} }
 
 // fixture is a server in front of scripted endpoints.
 type fixture struct {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -488,7 +488,9 @@
 	attempts []canary.Attempt
 }
 
-func (r *recordedVersions) Begin(service, version string, expected time.Duration) *canary.Trial {
+func (*recordedVersions) ObservePace(string, string, time.Duration, bool) {}
+
+func (r *recordedVersions) Begin(service, version string, expected time.Duration, _ int) *canary.Trial {
 	return canary.NewTrial(r, service, version, expected)
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -49,8 +49,9 @@
 type Versions interface {
 	// Choose returns the version that the request may use.
 	Choose(service, session, request string) canary.Choice
-	// Begin records the start of an attempt at a version. expected is the time to its first byte.
-	Begin(service, version string, expected time.Duration) *canary.Trial
+	// Begin records the start of an attempt at a version. expected is the time to its first byte, load
+	// the number of other requests at its endpoint.
+	Begin(service, version string, expected time.Duration, load int) *canary.Trial
 }
 
 var (
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -2,13 +2,13 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"plumbarrow.example/plumbarrow/canary"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/upstream"
 	"plumbarrow.example/plumbarrow/verdict"
@@ -36,7 +36,7 @@
 
 // forwardStream forwards an endpoint's events as they arrive, complete events only. It returns nil once the caller
 // has the whole stream or has left, else the failed attempt, after which another one may resume the stream.
-func (f *requestState) forwardStream(ctx context.Context, grant *upstream.Grant, answer *link.EndpointAnswer) *failedAttempt {
+func (f *requestState) forwardStream(grant *upstream.Grant, trial *canary.Trial, answer *link.EndpointAnswer) *failedAttempt {
 	if f.stream == nil {
 		f.stream = &eventStream{}
 	}
@@ -58,9 +58,11 @@
 			if !f.writeEvents(answer, events) {
 				return nil
 			}
+			before := stream.events
 			if stream.advance(events) > 0 {
 				answer.RecordProgress()
 			}
+			trial.RecordEvents(stream.events - before)
 		}
 		switch {
 		case errors.Is(err, io.EOF):
