--- a/gateway/crashfleet_test.go
+++ b/gateway/crashfleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"testing"
@@ -39,10 +38,7 @@
 	var calls, loops sync.WaitGroup
 	ctx, cancel := context.WithTimeout(context.Background(), 25*time.Second)
 	defer cancel()
-	for index, instance := range f.instances {
-		loops.Go(func() { instance.exchangeLoop(ctx, rand.New(rand.NewPCG(uint64(index), 1))) })
-	}
-	loops.Go(func() { f.disturb(ctx) })
+	f.start(ctx, &loops)
 	loops.Go(func() {
 		f.traffic(ctx, &calls, 60, func(number int) {
 			at := time.Now()
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -347,6 +347,14 @@
 	}
 }
 
+// start begins the exchange between all instances and their disturbance, until ctx ends.
+func (f *testFleet) start(ctx context.Context, loops *sync.WaitGroup) {
+	for index, instance := range f.instances {
+		loops.Go(func() { instance.exchangeLoop(ctx, rand.New(rand.NewPCG(uint64(index), 1))) })
+	}
+	loops.Go(func() { f.disturb(ctx) })
+}
+
 // disturb disconnects one instance in five for four seconds, at different times, and restarts others.
 func (f *testFleet) disturb(ctx context.Context) {
 	for round := 0; ctx.Err() == nil; round++ {
--- a/gateway/limitfleet_test.go
+++ b/gateway/limitfleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -78,10 +77,7 @@
 	var calls, loops sync.WaitGroup
 	ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
 	defer cancel()
-	for index, instance := range f.instances {
-		loops.Go(func() { instance.exchangeLoop(ctx, rand.New(rand.NewPCG(uint64(index), 1))) })
-	}
-	loops.Go(func() { f.disturb(ctx) })
+	f.start(ctx, &loops)
 	loops.Go(func() {
 		f.traffic(ctx, &calls, 300, func(number int) {
 			f.call(fmt.Sprintf("%x,%x,%x", 0xa, 0x100+number%40, 0x10000+number), 90)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -20,17 +20,10 @@
 )
 
 const (
-	// settleTime is how long an endpoint must survive after the first byte of an answer for the answer's parts to count as
-	// sound. An endpoint may end only after it has produced a first piece.
-	settleTime = 500 * time.Millisecond
 	// maxSound is the number of parts whose last sound answer is remembered.
 	maxSound = 4096
 	// evaluationInterval is the time between evaluations without news.
 	evaluationInterval = 100 * time.Millisecond
-	// probeTimeout bounds a probe. probePause is the time before the second one: a process that ends may close its
-	// connections before its listener.
-	probeTimeout = 300 * time.Millisecond
-	probePause   = 200 * time.Millisecond
 )
 
 // Prober finds out whether an endpoint's process has ended.
@@ -103,126 +96,34 @@
 	return 0, false
 }
 
-// Ending is how an attempt ended.
-type Ending uint8
-
-// Endings of attempts.
-const (
-	// Closed means that the answer was complete, or that this instance gave up the attempt.
-	Closed Ending = iota
-	// NotRun means that the endpoint has not begun to work on the request.
-	NotRun
-	// Refused means that the endpoint's address refused the connection.
-	Refused
-	// Broken means that the connection was lost before the answer was complete.
-	Broken
-)
-
-// Exposure is one attempt of a request whose prompt has shared parts. The quarantine's lock guards its fields.
-type Exposure struct {
-	quarantine *Quarantine
-	endpoint   machine.EndpointID
-	address    string
-	parts      []uint64
-	sentAt     time.Time
-	answeredAt time.Time // first byte of the answer; zero before
-	endedAt    time.Time // zero while the attempt lasts
-}
-
-// Begin records that a request with the shared parts is sent to an endpoint of the service. End must be called on the
-// result. Without parts the result is nil, on which all methods may be called.
-func (q *Quarantine) Begin(endpoint machine.EndpointID, address, service string, parts []upstream.PromptPart) *Exposure {
-	if len(parts) == 0 {
-		return nil
-	}
-	now := time.Now()
-	x := &Exposure{quarantine: q, endpoint: endpoint, address: address, parts: partKeys(service, parts), sentAt: now}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.settle(endpoint, now)
-	q.open[endpoint] = append(q.open[endpoint], x)
-	return x
-}
-
-// RecordAnswer records the first byte of the answer.
-func (x *Exposure) RecordAnswer() {
-	if x == nil {
-		return
-	}
-	x.quarantine.mu.Lock()
-	defer x.quarantine.mu.Unlock()
-	x.answeredAt = time.Now()
-}
-
-// End records how the attempt ended.
-func (x *Exposure) End(ending Ending) {
-	if x == nil {
-		return
-	}
-	now := time.Now()
-	q := x.quarantine
-	q.mu.Lock()
-	x.endedAt = now
-	q.mu.Unlock()
-	switch ending {
-	case Refused:
-		q.remove(x)
-		q.RecordCrash(x.endpoint, now)
-	case NotRun:
-		q.remove(x)
-	case Broken:
-		q.probe(x, now)
-	case Closed:
-	}
-}
-
-// remove forgets an exposure.
-func (q *Quarantine) remove(x *Exposure) {
+// RecordCrash records that an endpoint has ended by the given time. All shared parts of the requests that it worked on or had just begun
+// to answer become suspect.
+func (q *Quarantine) RecordCrash(endpoint machine.EndpointID, at time.Time) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.keep(x.endpoint, func(other *Exposure) bool { return other != x })
-}
-
-// keep filters the exposures at an endpoint. The caller holds the lock.
-func (q *Quarantine) keep(endpoint machine.EndpointID, wanted func(*Exposure) bool) {
-	kept := q.open[endpoint][:0]
+	hash := xxhash.Sum64String(string(endpoint))
+	var news []string
 	for _, x := range q.open[endpoint] {
-		if wanted(x) {
-			kept = append(kept, x)
+		if !x.exposedAt(at) {
+			continue
+		}
+		for _, part := range x.parts {
+			if s := q.suspect(part); s != nil && s.add(hash, crash{sentAt: x.sentAt, endedAt: at}, at) {
+				news = append(news, strconv.FormatUint(part, 16))
+			}
 		}
 	}
-	clear(q.open[endpoint][len(kept):])
-	if len(kept) == 0 {
-		delete(q.open, endpoint)
-		return
+	delete(q.open, endpoint)
+	if len(news) > 0 {
+		q.digestValid = false
+		q.evaluate(time.Now())
 	}
-	q.open[endpoint] = kept
-}
-
-// settle removes the exposures whose endpoint has survived the answer for settleTime. Their parts count as sound. If one of the
-// parts is suspect and the attempt has ended since, a probe must show first that the endpoint is alive. The caller holds
-// the lock.
-func (q *Quarantine) settle(endpoint machine.EndpointID, now time.Time) {
-	if len(q.open[endpoint]) == 0 {
+	q.mu.Unlock()
+	if len(news) == 0 {
 		return
 	}
-	q.keep(endpoint, func(x *Exposure) bool {
-		if _, probing := q.probing[endpoint]; probing {
-			return true
-		}
-		switch {
-		case x.answeredAt.IsZero():
-			return x.endedAt.IsZero() || now.Sub(x.endedAt) < settleTime
-		case now.Sub(x.answeredAt) < settleTime:
-			return true
-		case x.endedAt.IsZero() || x.endedAt.Sub(x.answeredAt) >= settleTime || !q.anySuspect(x.parts):
-			q.recordSound(x.parts, now)
-			return false
-		default:
-			go q.probe(x, x.answeredAt.Add(settleTime))
-			return now.Sub(x.answeredAt) < 2*settleTime
-		}
-	})
+	q.counters.Inc("plumbarrow_endpoint_crashes_total")
+	q.log.Warn("endpoint ended while it worked on prompts", "endpoint", endpoint, "suspect_parts", news)
+	q.changed()
 }
 
 // anySuspect reports whether endpoints have ended under one of the parts. The caller holds the lock.
@@ -261,84 +162,6 @@
 	}
 }
 
-// probe finds out whether the endpoint of an exposure has ended, and records that or, if the exposure's answer had begun, that its
-// parts are sound. at is when the connection broke or the answer settled.
-func (q *Quarantine) probe(x *Exposure, at time.Time) {
-	q.mu.Lock()
-	_, busy := q.probing[x.endpoint]
-	q.probing[x.endpoint] = struct{}{}
-	q.mu.Unlock()
-	if busy {
-		return
-	}
-	go func() {
-		refused := q.refuses(x.address)
-		q.mu.Lock()
-		delete(q.probing, x.endpoint)
-		if !refused && !x.answeredAt.IsZero() && at.Sub(x.answeredAt) >= settleTime {
-			q.recordSound(x.parts, time.Now())
-			q.keep(x.endpoint, func(other *Exposure) bool { return other != x })
-		}
-		q.mu.Unlock()
-		if refused {
-			q.RecordCrash(x.endpoint, at)
-		}
-	}()
-}
-
-func (q *Quarantine) refuses(address string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	if q.prober.Refuses(ctx, address) {
-		return true
-	}
-	time.Sleep(probePause)
-	again, cancelAgain := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancelAgain()
-	return q.prober.Refuses(again, address)
-}
-
-// RecordCrash records that an endpoint has ended by the given time. All shared parts of the requests that it worked on or had just begun
-// to answer become suspect.
-func (q *Quarantine) RecordCrash(endpoint machine.EndpointID, at time.Time) {
-	q.mu.Lock()
-	hash := xxhash.Sum64String(string(endpoint))
-	var news []string
-	for _, x := range q.open[endpoint] {
-		if !x.exposedAt(at) {
-			continue
-		}
-		for _, part := range x.parts {
-			if s := q.suspect(part); s != nil && s.add(hash, crash{sentAt: x.sentAt, endedAt: at}, at) {
-				news = append(news, strconv.FormatUint(part, 16))
-			}
-		}
-	}
-	delete(q.open, endpoint)
-	if len(news) > 0 {
-		q.digestValid = false
-		q.evaluate(time.Now())
-	}
-	q.mu.Unlock()
-	if len(news) == 0 {
-		return
-	}
-	q.counters.Inc("plumbarrow_endpoint_crashes_total")
-	q.log.Warn("endpoint ended while it worked on prompts", "endpoint", endpoint, "suspect_parts", news)
-	q.changed()
-}
-
-// exposedAt reports whether the attempt may have ended the endpoint, or was broken off by its end, at the given time.
-func (x *Exposure) exposedAt(at time.Time) bool {
-	if x.sentAt.After(at) {
-		return false
-	}
-	if !x.answeredAt.IsZero() && at.Sub(x.answeredAt) > settleTime {
-		return false
-	}
-	return x.endedAt.IsZero() || at.Sub(x.endedAt) <= settleTime
-}
-
 // suspect returns the state of a part, new if it was not suspect before; nil if there are too many. The caller holds the lock.
 func (q *Quarantine) suspect(part uint64) *suspect {
 	s := q.suspects[part]
