mirror: TestCatchUp waits until the copy ahead has both changes

Cause: the store's two changes arrived in two watches, because the watch was answered between them; the copy then gathers changes for batchDelay before it watches again, which is allowed, and the test compared before. With a pause between the changes the old test fails each time with the same values. The test now plays both, changes in one watch and in two, and waits for batchDelay; the values that it requires are the same. No production code is concerned.

--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -319,7 +319,9 @@
 // TestCatchUp checks that an instance that cannot reach the store is brought up to date by a peer,
 // deletions included, also if the peer no longer has the tombstones.
 func TestCatchUp(t *testing.T) {
-	for _, forgotten := range []bool{false, true} {
+	for variant := range 4 {
+		// In one watch or in two, the second of which waits for batchDelay.
+		forgotten, separate := variant%2 == 1, variant >= 2
 		synctest.Test(t, func(t *testing.T) {
 			c := qt.New(t)
 			network := peers.New(time.Millisecond)
@@ -332,7 +334,11 @@
 			changes := ahead.changesAfter(0)
 			behind.apply(changes.documents, changes.revision)
 			store.remove("d/a")
+			if separate {
+				synctest.Wait()
+			}
 			store.put("d/b", "2")
+			time.Sleep(2 * batchDelay)
 			synctest.Wait()
 			if forgotten {
 				ahead.pruneTombstones(0)
