canary: paces travel only while a roll-out is in progress

Each exchange carried the histograms of roll-outs that had ended, some 450 bytes to each peer several times a second, for as long as the instance ran. TestEndedRolloutSendsNoPaces failed before.

--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -590,3 +590,15 @@
 	rollouts.Apply(Order{Service: "app", Target: "v3", Duration: duration, Revision: 9})
 	c.Check(rollouts.Choose("app", "s", "r"), qt.Equals, Choice{ExcludedVersion: "v3"})
 }
+
+// TestEndedRolloutSendsNoPaces guards against histograms that travel with each exchange after the roll-out, when nothing reads them.
+func TestEndedRolloutSendsNoPaces(t *testing.T) {
+	c := qt.New(t)
+	rollouts := New(exposure, telemetry.New(), slog.New(slog.DiscardHandler))
+	rollouts.Apply(Order{Service: "app", Target: "v2", Duration: time.Minute, Revision: 7})
+	rollouts.Observe("app", "v1", Attempt{FirstByte: time.Millisecond, Expected: time.Millisecond})
+	rollouts.ObservePace("app", "v1", 20*time.Millisecond, true)
+	c.Check(len(rollouts.Message(machine.Member{})) > paceBuckets, qt.IsTrue)
+	rollouts.ApplyStage(mirror.Document{Key: StagePrefix + "app", Value: []byte(`{"order":7,"state":"completed","share":1,"elapsed_ms":60000}`), Revision: 8})
+	c.Check(len(rollouts.Message(machine.Member{})) < paceBuckets, qt.IsTrue)
+}
--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -205,13 +205,16 @@
 		if ro.local == (tally{}) && !ro.rejected {
 			continue
 		}
-		message.Tallies = append(message.Tallies, &canarypb.Tally{
+		tally := &canarypb.Tally{
 			Service: service, Order: ro.order.Revision,
 			NewAnswers: ro.local.newAnswers, NewFailures: ro.local.newFailures,
 			OldAnswers: ro.local.oldAnswers, OldFailures: ro.local.oldFailures, Rejected: ro.rejected,
 			NewStarted: ro.local.newStarted, NewResponded: ro.local.newResponded,
-			OldPaces: ro.paces.old[:], NewPaces: ro.paces.new[:], NewIdlePaces: ro.paces.newIdle[:],
-		})
+		}
+		if !ro.ended() {
+			tally.OldPaces, tally.NewPaces, tally.NewIdlePaces = ro.paces.old[:], ro.paces.new[:], ro.paces.newIdle[:]
+		}
+		message.Tallies = append(message.Tallies, tally)
 	}
 	r.mu.Unlock()
 	if len(message.Tallies) == 0 {
