--- a/gateway/pace_test.go
+++ b/gateway/pace_test.go
@@ -48,8 +48,8 @@
 
 func (b *pacedBody) Close() error { return nil }
 
-// TestSlowEventsRejected guards against completing a version whose events come a few times slower while its first bytes come in time (the
-// users' day hasty, slower by two to five times), and against rejecting a sound version because the old one is under load.
+// TestSlowEventsRejected guards against completing a version whose events come a few times slower while its first bytes come in time
+// (incident 0008), and against rejecting a sound version because the old one is under load.
 func TestSlowEventsRejected(t *testing.T) {
 	for slowness, rejected := range map[float64]bool{1: false, 2: true, 3: true, 5: true} {
 		t.Run(fmt.Sprint(slowness), func(t *testing.T) {
