review: case 5: a reverted version gets requests again at the next roll-out order

Cause: canary.Rollouts.Apply replaces a service's roll-out by the next order's and forgets that the version before was reverted; Choose excludes one version only.

--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -26,6 +26,7 @@
 	"duplicate": playDuplicate,
 	"hangup":    playHangup,
 	"queued":    playQueued,
+	"reverted":  playReverted,
 	"silence":   playSilence,
 }
 
--- a/review/_harness/traffic.go
+++ b/review/_harness/traffic.go
@@ -15,15 +15,16 @@
 // engine is a stand-in for an engine. Its handler writes the answer to one request; it serves one request at a time on
 // a connection.
 type engine struct {
-	id, service, zone string
-	slots             int
-	address           string
-	play              *play
-	handle            func(*engine, *exchange)
+	id, service, zone, version string
+	slots                      int
+	address                    string
+	play                       *play
+	handle                     func(*engine, *exchange)
 
-	mu      sync.Mutex
-	running int
-	runs    map[string]int // by request id
+	mu       sync.Mutex
+	draining bool
+	running  int
+	runs     map[string]int // by request id
 }
 
 // exchange is one request at an engine.
@@ -35,11 +36,16 @@
 	serial  int // of the request on its connection, from 1
 }
 
-// newEngine starts an engine and registers it in the store.
+// newEngine starts an engine of version v1 and registers it in the store.
 func (p *play) newEngine(id, service, zone string, slots int, handle func(*engine, *exchange)) *engine {
+	return p.newVersion(id, service, zone, "v1", slots, handle)
+}
+
+// newVersion is newEngine for a version.
+func (p *play) newVersion(id, service, zone, version string, slots int, handle func(*engine, *exchange)) *engine {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	fatalIf(err)
-	e := &engine{id: id, service: service, zone: zone, slots: slots, address: listener.Addr().String(), play: p, handle: handle, runs: map[string]int{}}
+	e := &engine{id: id, service: service, zone: zone, version: version, slots: slots, address: listener.Addr().String(), play: p, handle: handle, runs: map[string]int{}}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -59,12 +65,26 @@
 }
 
 func (e *engine) entry(seq int) object {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	state := "ready"
+	if e.draining {
+		state = "draining"
+	}
 	return object{
-		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots, "state": "ready",
+		"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": e.slots, "state": state,
 		"cold_left_ms": 0, "seq": seq, "born": e.play.started.UnixMilli(),
 	}
 }
 
+// drain registers the engine as draining.
+func (e *engine) drain() {
+	e.mu.Lock()
+	e.draining = true
+	e.mu.Unlock()
+	e.play.store.put("servers/"+e.id, e.entry(1_000_000))
+}
+
 func (e *engine) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
@@ -157,6 +177,7 @@
 	address string
 	conn    net.Conn
 	reader  *bufio.Reader
+	quiet   bool // leaves the requests out of the record
 }
 
 // do sends one request and reads its answer. extra are further header lines.
@@ -169,7 +190,9 @@
 		}
 		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
-	p.note("client sends %s %s as %s", method, path, id)
+	if !c.quiet {
+		p.note("client sends %s %s as %s", method, path, id)
+	}
 	_ = c.conn.SetDeadline(began.Add(deadline))
 	_, _ = fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Key: key-1\r\n%sContent-Length: %d\r\n\r\n%s",
 		method, path, id, deadline.Milliseconds(), extra, len(body), body)
@@ -179,6 +202,9 @@
 		_ = c.conn.Close()
 		c.conn = nil
 	}
+	if c.quiet {
+		return result
+	}
 	text := strings.ReplaceAll(result.body, "\n", "|")
 	p.note("client got for %s after %d ms: status %d, %q, error %v", id, result.took.Milliseconds(), result.status, text[max(0, len(text)-60):], result.err)
 	return result
