link, gateway: log how a failed attempt's answer was received

Change: the endpoint protocol says of an answer whether it names the request, another one or none, instead of yes or no. Lines `attempt failed` carry the number of the connection, whether it was reused, the answers skipped before and the match; a counter counts skipped answers. Which answers are accepted is unchanged.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -138,7 +138,7 @@
 	g.driver = canary.NewDriver(g.rollouts, g.mirror, g.store, platform.Publisher{}, g.membership, g.log)
 	decoder.Endpoints = g.table
 	decoder.Rollouts = g.rollouts
-	g.endpointClient = link.NewEndpointClient(platform.EndpointHeaders{}.Answers)
+	g.endpointClient = link.NewEndpointClient(platform.EndpointHeaders{}.Match)
 	g.quarantine = quarantine.New(g.endpointClient, g.exchange.TriggerRound, g.counters, g.log)
 	g.exchange.Add(g.mirrorTopic)
 	g.exchange.Add(upstream.NewLoadTopic(g.table))
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -43,6 +43,17 @@
 	events        int  // events that the attempt delivered to the caller
 	// charged reports that the retry budget has already been charged for the next attempt.
 	charged bool
+	// origin of the endpoint's answer; nil if there was none.
+	origin *link.AnswerOrigin
+}
+
+// originAttr returns the origin of the endpoint's answer for the log.
+func (a *failedAttempt) originAttr() slog.Attr {
+	if a.origin == nil {
+		return slog.Group("answer")
+	}
+	return slog.Group("answer", "connection", a.origin.Connection, "reused", a.origin.Reused, "skipped", a.origin.Skipped,
+		"match", a.origin.Match.String())
 }
 
 func (a *failedAttempt) connFailure() bool {
@@ -88,7 +99,13 @@
 	if reply.Signed || reply.HasRateLimit {
 		grant.RecordRateLimit(reply.RateLimit, reply.HasRateLimit)
 	}
+	for range answer.Origin.Skipped {
+		f.server.Counters.Inc(skippedAnswers)
+	}
 	failed := f.receive(ctx, grant, trial, answer, reply)
+	if failed != nil {
+		failed.origin = &answer.Origin
+	}
 	outcome, ending = f.outcomeOf(ctx, failed), endingOf(ctx, failed)
 	if isEvidence(outcome, failed) {
 		trial.End(outcome == upstream.Failed)
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -56,7 +56,7 @@
 	}
 }
 
-func (plainProtocol) Answers(http.Header, string) bool { return true }
+func (plainProtocol) Match(http.Header, string) link.Match { return link.SameRequest }
 
 // answer is a scripted endpoint's reaction to one request.
 type answer struct {
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	requestSeconds   = "plumbarrow_request_seconds"    // histogram of whole requests
-	firstByteSeconds = "plumbarrow_first_byte_seconds" // histogram of the time to an answer's first byte
+	requestSeconds   = "plumbarrow_request_seconds"       // histogram of whole requests
+	firstByteSeconds = "plumbarrow_first_byte_seconds"    // histogram of the time to an answer's first byte
+	skippedAnswers   = "plumbarrow_skipped_answers_total" // answers to other requests that preceded the own one
 	// defaultTimeout is the time limit of requests whose caller states none.
 	defaultTimeout = 30 * time.Second
 	// stoppingRetryAfter is the Retry-After of refusals by a stopping instance. It is short, because other
@@ -215,7 +216,7 @@
 	decision := decideRetry(&state)
 	f.server.Log.Info("attempt failed", "request_id", f.id(), "endpoint", failed.endpoint, "verdict", failed.verdict.String(),
 		"reason", string(failed.reason), "status", failed.status, "error", errorText(failed.err), "runs", f.runs, "tries", f.tries,
-		"again", decision == nil, "events", failed.events, "shared_parts", partNames(f.call.SharedParts()))
+		"again", decision == nil, "events", failed.events, "shared_parts", partNames(f.call.SharedParts()), failed.originAttr())
 	f.countBroken(failed)
 	if decision != nil {
 		return decision
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/upstream"
 	"plumbarrow.example/plumbarrow/verdict"
@@ -95,6 +96,6 @@
 	Prepare(header http.Header, attempt *Attempt)
 	// Reply decodes the header of an answer.
 	Reply(status int, header http.Header) Reply
-	// Answers reports whether an answer belongs to the request with the id.
-	Answers(header http.Header, id string) bool
+	// Match returns what an answer's header says about the request with the id.
+	Match(header http.Header, id string) link.Match
 }
--- a/link/endless_test.go
+++ b/link/endless_test.go
@@ -49,7 +49,7 @@
 }
 
 func (e *endlessEndpoint) client() *EndpointClient {
-	return NewEndpointClientWith(e.dial, func(answer http.Header, id string) bool { return answer.Get(idHeader) == id })
+	return NewEndpointClientWith(e.dial, matchID)
 }
 
 const endlessDeadline = 3 * time.Second
@@ -149,7 +149,7 @@
 			}()
 			return near, nil
 		}
-		client := NewEndpointClientWith(dial, func(http.Header, string) bool { return true })
+		client := NewEndpointClientWith(dial, matchAny)
 		defer client.Close()
 		request := newEndpointRequest("a", "/")
 		request.Body, request.ProgressTimeout = nil, time.Second
@@ -207,7 +207,7 @@
 	far, err := listener.Accept()
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = far.Close() }()
-	conn := newEndpointConn(near, listener.Addr().String())
+	conn := newEndpointConn(near, listener.Addr().String(), 1)
 	defer func() { _ = conn.Close() }()
 	_, err = far.Write([]byte("answer"))
 	c.Assert(err, qt.IsNil)
@@ -253,7 +253,7 @@
 			}()
 			return near, nil
 		}
-		client := NewEndpointClientWith(dial, func(answer http.Header, id string) bool { return answer.Get(idHeader) == id })
+		client := NewEndpointClientWith(dial, matchID)
 		defer client.Close()
 		for _, id := range []string{"a", "b"} {
 			answer, err := client.Send(t.Context(), newEndpointRequest(id, "/"))
--- a/link/endpointclient.go
+++ b/link/endpointclient.go
@@ -59,24 +59,42 @@
 // byte of it was sent, and reuses connections for the keep-alive time that the endpoint sends. Safe for
 // concurrent use.
 type EndpointClient struct {
-	dial DialFunc
-	// matches reports whether an answer belongs to the request with the id.
-	matches func(answer http.Header, id string) bool
+	dial  DialFunc
+	match MatchFunc
 
 	mu     sync.Mutex
 	idle   map[string][]*endpointConn // by address, most recently used last
 	opened uint64
 }
 
-// NewEndpointClient returns a client without connections. matches reports whether an answer belongs to
-// the request with the id.
-func NewEndpointClient(matches func(answer http.Header, id string) bool) *EndpointClient {
-	return NewEndpointClientWith(endpointDialer(), matches)
+// Match is what an answer's header says about the request that it answers.
+type Match uint8
+
+const (
+	// OtherRequest means that the answer belongs to another request.
+	OtherRequest Match = iota
+	// SameRequest means that the answer names the request.
+	SameRequest
+	// Unnamed means that the answer names no request.
+	Unnamed
+)
+
+var matchNames = [...]string{OtherRequest: "other_request", SameRequest: "same_request", Unnamed: "unnamed"}
+
+// String returns the name for logs.
+func (m Match) String() string { return matchNames[m] }
+
+// MatchFunc returns what an answer's header says about the request with the id.
+type MatchFunc func(answer http.Header, id string) Match
+
+// NewEndpointClient returns a client without connections, which matches answers to requests with match.
+func NewEndpointClient(match MatchFunc) *EndpointClient {
+	return NewEndpointClientWith(endpointDialer(), match)
 }
 
 // NewEndpointClientWith returns a client that opens its connections with dial.
-func NewEndpointClientWith(dial DialFunc, matches func(answer http.Header, id string) bool) *EndpointClient {
-	return &EndpointClient{dial: dial, matches: matches, idle: make(map[string][]*endpointConn)}
+func NewEndpointClientWith(dial DialFunc, match MatchFunc) *EndpointClient {
+	return &EndpointClient{dial: dial, match: match, idle: make(map[string][]*endpointConn)}
 }
 
 func endpointDialer() DialFunc {
@@ -103,6 +121,7 @@
 	source  answerSource
 	reader  *bufio.Reader // of source
 	address string
+	number  uint64 // of the client's connections, in the order in which they were opened
 	// expiresAt is when the connection is too old for reuse.
 	expiresAt    time.Time
 	maxIdleConns int // bound of idle connections to the address; 0 means no bound
@@ -110,8 +129,8 @@
 	sent         atomic.Int64 // bytes of the current request handed to the kernel
 }
 
-func newEndpointConn(conn net.Conn, address string) *endpointConn {
-	c := &endpointConn{Conn: conn, address: address}
+func newEndpointConn(conn net.Conn, address string, number uint64) *endpointConn {
+	c := &endpointConn{Conn: conn, address: address, number: number}
 	c.source.conn = conn
 	c.reader = bufio.NewReaderSize(&c.source, 4<<10)
 	return c
@@ -154,6 +173,16 @@
 	// Unframed means that the body has neither a length nor chunks: it ends with the connection, also where the endpoint's
 	// process ends.
 	Unframed bool
+	// Origin tells how the answer was received.
+	Origin AnswerOrigin
+}
+
+// AnswerOrigin tells how an answer was received, for logs.
+type AnswerOrigin struct {
+	Connection uint64 // number of the client's connection
+	Reused     bool   // the connection carried other requests before
+	Skipped    int    // answers to other requests that preceded this one
+	Match      Match
 }
 
 // RecordProgress restarts the request's ProgressTimeout. The receiver calls it for each unit of the answer that is
@@ -198,7 +227,7 @@
 	if request.FirstByteTimeout > 0 {
 		_ = conn.SetReadDeadline(time.Now().Add(request.FirstByteTimeout))
 	}
-	response, err := c.receive(conn, request)
+	response, origin, err := c.receive(conn, request)
 	if err != nil {
 		stop()
 		_ = conn.Close()
@@ -213,6 +242,7 @@
 	}
 	return &EndpointAnswer{
 		Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength, Unframed: !body.framed(),
+		Origin: origin,
 	}, nil
 }
 
@@ -229,8 +259,9 @@
 
 // receive reads the answer's header. It skips informational answers and up to maxAnswersRead-1 answers
 // to other requests.
-func (c *EndpointClient) receive(conn *endpointConn, request *EndpointRequest) (*http.Response, error) {
+func (c *EndpointClient) receive(conn *endpointConn, request *EndpointRequest) (*http.Response, AnswerOrigin, error) {
 	httpRequest := &http.Request{Method: request.Method}
+	origin := AnswerOrigin{Connection: conn.number, Reused: conn.reused}
 	conn.source.limit(maxHeadBytes)
 	defer conn.source.unlimit()
 	for range maxAnswersRead {
@@ -239,16 +270,17 @@
 			response, err = http.ReadResponse(conn.reader, httpRequest) // informational
 		}
 		if err != nil {
-			return nil, err
+			return nil, origin, err
 		}
-		if c.matches(response.Header, request.ID) {
-			return response, nil
+		if origin.Match = c.match(response.Header, request.ID); origin.Match != OtherRequest {
+			return response, origin, nil
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return nil, err
+			return nil, origin, err
 		}
+		origin.Skipped++
 	}
-	return nil, errOtherAnswer
+	return nil, origin, errOtherAnswer
 }
 
 // send writes the request.
--- a/link/endpointclient_test.go
+++ b/link/endpointclient_test.go
@@ -62,13 +62,23 @@
 	}
 }
 
+// matchID matches answers by the id that they echo.
+func matchID(answer http.Header, id string) Match {
+	if answer.Get(idHeader) == id {
+		return SameRequest
+	}
+	return OtherRequest
+}
+
+func matchAny(http.Header, string) Match { return SameRequest }
+
 func okAnswer(id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", idHeader, id, len(body), body)
 }
 
 func scriptedClient(script func(path, id string) string) (*EndpointClient, *scriptedEndpoint) {
 	endpoint := &scriptedEndpoint{script: script}
-	client := NewEndpointClientWith(endpoint.dial, func(answer http.Header, id string) bool { return answer.Get(idHeader) == id })
+	client := NewEndpointClientWith(endpoint.dial, matchID)
 	return client, endpoint
 }
 
@@ -292,7 +302,7 @@
 	}{{10 * time.Millisecond, 1}, {time.Second, 0}} {
 		synctest.Test(t, func(t *testing.T) {
 			c := qt.New(t)
-			client := NewEndpointClientWith(earlyEndpoint("a", test.readAfter), func(http.Header, string) bool { return true })
+			client := NewEndpointClientWith(earlyEndpoint("a", test.readAfter), matchAny)
 			defer client.Close()
 			request := newEndpointRequest("a", "/")
 			request.Body = make([]byte, 10*maxInlineBody)
@@ -315,7 +325,7 @@
 	}
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		client := NewEndpointClientWith(silent, func(http.Header, string) bool { return true })
+		client := NewEndpointClientWith(silent, matchAny)
 		request := newEndpointRequest("a", "/")
 		request.FirstByteTimeout = 700 * time.Millisecond
 		began := time.Now()
@@ -350,7 +360,7 @@
 			far, err := listener.Accept()
 			c.Assert(err, qt.IsNil)
 			defer func() { _ = far.Close() }()
-			conn := newEndpointConn(near, listener.Addr().String())
+			conn := newEndpointConn(near, listener.Addr().String(), 1)
 			c.Check(conn.reusable(), qt.IsTrue)
 			c.Assert(disturb(far), qt.IsNil)
 			for conn.reusable() {
--- a/link/endpointclientpool.go
+++ b/link/endpointclientpool.go
@@ -26,8 +26,9 @@
 	}
 	c.mu.Lock()
 	c.opened++
+	number := c.opened
 	c.mu.Unlock()
-	return newEndpointConn(netConn, request.Address), nil
+	return newEndpointConn(netConn, request.Address, number), nil
 }
 
 // OpenedCount returns the number of connections opened so far.
