--- /dev/null
+++ b/link/repeatedanswer_test.go
@@ -0,0 +1,137 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// repeatingEndpoint rejects the first request on each connection that it accepts, if first is set, and runs all others. Before it
+// answers a request that it runs, it writes the rejection again, copies times; withID tells whether the copies carry the id.
+type repeatingEndpoint struct {
+	status int
+	copies int
+	withID bool
+	conns  atomic.Int64
+	runs   atomic.Int64
+}
+
+func (e *repeatingEndpoint) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	first := e.conns.Add(1) == 1
+	go e.serve(far, first)
+	return near, nil
+}
+
+func (e *repeatingEndpoint) serve(conn net.Conn, rejects bool) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	stale := ""
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		id := request.Header.Get(idHeader)
+		if rejects {
+			rejects = false
+			rejection := func(idLine string) string {
+				return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sNot-Run: 1\r\nContent-Length: 4\r\n\r\nbusy", e.status, http.StatusText(e.status), idLine)
+			}
+			idLine := idHeader + ": " + id + "\r\n"
+			_, _ = io.WriteString(conn, rejection(idLine))
+			if !e.withID {
+				idLine = ""
+			}
+			stale = strings.Repeat(rejection(idLine), e.copies)
+			continue
+		}
+		e.runs.Add(1)
+		// In pieces, as a slow network would deliver them.
+		for len(stale) > 0 {
+			n := min(len(stale), 50)
+			if _, err := io.WriteString(conn, stale[:n]); err != nil {
+				return
+			}
+			stale = stale[n:]
+		}
+		if _, err := io.WriteString(conn, okAnswer(id, "ran")); err != nil {
+			return
+		}
+	}
+}
+
+// matchNamed matches answers by the id that they echo, if any.
+func matchNamed(answer http.Header, id string) Match {
+	if answer.Get(idHeader) == "" {
+		return Unnamed
+	}
+	return matchID(answer, id)
+}
+
+var rejectionStatuses = []int{
+	http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusRequestTimeout,
+	http.StatusBadRequest, http.StatusInternalServerError,
+}
+
+// sendTwice sends the requests first and second, one after the other, and checks that the second one gets the answer to its own run.
+func sendTwice(t *testing.T, endpoint *repeatingEndpoint, first, second string) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		client := NewEndpointClientWith(endpoint.dial, matchNamed)
+		defer client.Close()
+		answer, err := client.Send(t.Context(), newEndpointRequest(first, "/"))
+		c.Assert(err, qt.IsNil)
+		c.Check(answer.Status, qt.Equals, endpoint.status)
+		readAndClose(c, answer)
+		answer, err = client.Send(t.Context(), newEndpointRequest(second, "/"))
+		c.Assert(err, qt.IsNil)
+		c.Check(answer.Status, qt.Equals, http.StatusOK)
+		c.Check(readAndClose(c, answer), qt.Equals, "ran")
+		c.Check(endpoint.runs.Load(), qt.Equals, int64(1))
+	})
+}
+
+// TestRepeatedRejectionOfSameRequest guards against work that runs twice: an earlier rejection of a request, written once more, must
+// not be taken as the answer to the next attempt of that request.
+func TestRepeatedRejectionOfSameRequest(t *testing.T) {
+	for _, status := range rejectionStatuses {
+		for _, copies := range []int{1, 2, 3} {
+			t.Run(fmt.Sprintf("%d/%d copies", status, copies), func(t *testing.T) {
+				sendTwice(t, &repeatingEndpoint{status: status, copies: copies, withID: true}, "a", "a")
+			})
+		}
+	}
+}
+
+// TestRepeatedRejectionWithoutID guards against work that runs twice: an earlier rejection that names no request must not be taken
+// as the answer to the request that waits on the connection.
+func TestRepeatedRejectionWithoutID(t *testing.T) {
+	for _, status := range rejectionStatuses {
+		for _, copies := range []int{1, 2, 3} {
+			t.Run(fmt.Sprintf("%d/%d copies", status, copies), func(t *testing.T) {
+				sendTwice(t, &repeatingEndpoint{status: status, copies: copies}, "a", "b")
+			})
+		}
+	}
+}
+
+// TestManyRepeatedAnswers guards against answers that are lost though they arrive: any number of copies of an earlier answer that
+// stays within the bounds of an answer's head is skipped.
+func TestManyRepeatedAnswers(t *testing.T) {
+	for _, copies := range []int{1, 2, 3, 30} {
+		t.Run(fmt.Sprint(copies), func(t *testing.T) {
+			sendTwice(t, &repeatingEndpoint{status: http.StatusServiceUnavailable, copies: copies, withID: true}, "a", "b")
+		})
+	}
+}
