link: an attempt never uses a connection that has carried its request

What callers saw: a booking that ran twice, or a 503 with "not run" for a booking that ran (TWICE, REFUSED).

Cause: an answer is matched to a request by the request's id, which all its attempts carry. After a rejection the next attempt at the same endpoint got the same connection back, so that a repeated copy of that rejection passed for its answer: the running attempt counted as not run. Class of fault: replies matched by request instead of by attempt.

Change: a connection keeps the hashes of the ids that it has carried, at most 256, after which it is replaced. An attempt takes an idle connection without its id, else a new one. On one connection an id then names one attempt, and a copy never arrives on a connection where its id is awaited again. A new connection for each retry would do too, but an endpoint that is full resets new connections beyond its bound, after which the request may have run.

--- a/link/endpointclient.go
+++ b/link/endpointclient.go
@@ -43,6 +43,8 @@
 	// maxHeadBytes bounds the bytes read until the head of the request's own answer is complete. They
 	// include informational answers and answers to earlier requests.
 	maxHeadBytes = 256 << 10
+	// maxCarried bounds the requests on one connection, whose ids the client keeps.
+	maxCarried = 256
 	// maxInlineBody is the largest body that is written before reading of the answer starts, in
 	// bytes: it fits into the socket's buffer. A larger one is written concurrently.
 	maxInlineBody = 16 << 10
@@ -126,7 +128,10 @@
 	expiresAt    time.Time
 	maxIdleConns int // bound of idle connections to the address; 0 means no bound
 	reused       bool
-	sent         atomic.Int64 // bytes of the current request handed to the kernel
+	// carried holds the hashes of the ids of the requests that the connection carried. Answers name the request, not the attempt,
+	// so that a repeated answer to an earlier attempt could not be told from the answer to a later one on the same connection.
+	carried []uint64
+	sent    atomic.Int64 // bytes of the current request handed to the kernel
 }
 
 func newEndpointConn(conn net.Conn, address string, number uint64) *endpointConn {
--- a/link/endpointclientpool.go
+++ b/link/endpointclientpool.go
@@ -4,17 +4,22 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
-// conn returns a reusable idle connection or a new one.
+// conn returns a reusable idle connection or a new one. No connection carries two requests with the same id.
 func (c *EndpointClient) conn(ctx context.Context, request *EndpointRequest) (*endpointConn, error) {
+	id := xxhash.Sum64String(request.ID)
 	if !request.NewConnection {
-		for conn := c.takeIdle(request.Address); conn != nil; conn = c.takeIdle(request.Address) {
+		for conn := c.takeIdle(request.Address, id); conn != nil; conn = c.takeIdle(request.Address, id) {
 			if conn.reusable() {
+				conn.carried = append(conn.carried, id)
 				return conn, nil
 			}
 			_ = conn.Close()
@@ -28,7 +33,9 @@
 	c.opened++
 	number := c.opened
 	c.mu.Unlock()
-	return newEndpointConn(netConn, request.Address, number), nil
+	conn := newEndpointConn(netConn, request.Address, number)
+	conn.carried = append(conn.carried, id)
+	return conn, nil
 }
 
 // OpenedCount returns the number of connections opened so far.
@@ -38,14 +45,20 @@
 	return c.opened
 }
 
-// takeIdle removes and returns the most recently used unexpired connection to the address, or nil.
-func (c *EndpointClient) takeIdle(address string) *endpointConn {
+// takeIdle removes and returns the most recently used unexpired connection to the address that has not carried a request with the
+// id's hash, or nil. It closes the expired connections that it passes.
+func (c *EndpointClient) takeIdle(address string, id uint64) *endpointConn {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for conns := c.idle[address]; len(conns) > 0; conns = c.idle[address] {
-		conn := conns[len(conns)-1]
-		c.idle[address] = conns[:len(conns)-1]
+	conns := c.idle[address]
+	for n := len(conns) - 1; n >= 0; n-- {
+		conn := conns[n]
+		if now.Before(conn.expiresAt) && slices.Contains(conn.carried, id) {
+			continue
+		}
+		conns = slices.Delete(conns, n, n+1)
+		c.idle[address] = conns
 		if now.Before(conn.expiresAt) {
 			conn.reused = true
 			conn.sent.Store(0)
@@ -80,8 +93,12 @@
 	return err == nil && reusable
 }
 
-// putIdle keeps a connection for reuse, or closes it if there are maxIdleConns already.
+// putIdle keeps a connection for reuse, or closes it if there are maxIdleConns already or it has carried maxCarried requests.
 func (c *EndpointClient) putIdle(conn *endpointConn, header http.Header) {
+	if len(conn.carried) >= maxCarried {
+		_ = conn.Close()
+		return
+	}
 	conn.expiresAt = time.Now().Add(keepAliveTimeout(header))
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/link/repeatedanswer_test.go
+++ b/link/repeatedanswer_test.go
@@ -135,3 +135,29 @@
 		})
 	}
 }
+
+// TestConnectionsOfOneRequest checks that an attempt uses an idle connection that has not carried its request, opens another one only
+// if there is none, and that a connection which has carried maxCarried requests is replaced.
+func TestConnectionsOfOneRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		client, endpoint := scriptedClient(func(_, id string) string { return okAnswer(id, "done") })
+		defer client.Close()
+		send := func(id string) *EndpointAnswer {
+			answer, err := client.Send(t.Context(), newEndpointRequest(id, "/"))
+			c.Assert(err, qt.IsNil)
+			return answer
+		}
+		first, second := send("a"), send("b")
+		readAndClose(c, second)
+		readAndClose(c, first) // used most recently
+		readAndClose(c, send("a"))
+		c.Check(endpoint.conns.Load(), qt.Equals, int64(2))
+		readAndClose(c, send("a"))
+		c.Check(endpoint.conns.Load(), qt.Equals, int64(3))
+		for n := range 3 * maxCarried {
+			readAndClose(c, send(fmt.Sprint(n)))
+		}
+		c.Check(endpoint.conns.Load(), qt.Equals, int64(4))
+	})
+}
