link: skip repeated answers up to a bound in bytes, not one

What callers saw: 502 for a request that its endpoint ran and answered, after the endpoint had written two copies of an earlier answer.

Cause: the client read at most two answers for a request, one of another request and its own.

Evidence: TestManyRepeatedAnswers, 3 of 4 forms (2, 3 and 30 copies).

Change: up to 63 answers to other requests are skipped, within the 256 KiB that bound an answer's head, and within the time for the first byte. A connection on which any was skipped is closed after the exchange. TestEndpointClientSkipsLateAnswers now sends as many foreign answers as the bound, with the same expectation.

--- a/link/endpointclient.go
+++ b/link/endpointclient.go
@@ -38,8 +38,8 @@
 	// complete.
 	writeGrace = 100 * time.Millisecond
 	// maxAnswersRead bounds the answers that are read for one request: its own and skipped answers to earlier
-	// requests on the connection.
-	maxAnswersRead = 2
+	// requests on the connection. maxHeadBytes bounds their bytes.
+	maxAnswersRead = 64
 	// maxHeadBytes bounds the bytes read until the head of the request's own answer is complete. They
 	// include informational answers and answers to earlier requests.
 	maxHeadBytes = 256 << 10
@@ -243,7 +243,7 @@
 	conn.maxIdleConns = request.MaxIdleConns
 	body := &endpointBody{
 		ctx: ctx, client: c, conn: conn, body: response.Body, response: response, progress: request.ProgressTimeout, progressAt: time.Now(),
-		detach: stop, written: written,
+		detach: stop, written: written, ordered: origin.Skipped == 0,
 	}
 	return &EndpointAnswer{
 		Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength, Unframed: !body.framed(),
--- a/link/endpointclient_test.go
+++ b/link/endpointclient_test.go
@@ -183,7 +183,7 @@
 			if path == "/late" {
 				return okAnswer("earlier", "not yours") + okAnswer(id, "yours")
 			}
-			return okAnswer("earlier", "one") + okAnswer("earlier", "two") + okAnswer("earlier", "three")
+			return strings.Repeat(okAnswer("earlier", "not yours"), maxAnswersRead)
 		})
 		defer client.Close()
 		answer, err := client.Send(t.Context(), newEndpointRequest("a", "/late"))
--- a/link/endpointclientbody.go
+++ b/link/endpointclientbody.go
@@ -21,6 +21,7 @@
 	progressAt time.Time     // of the last one, at first the time of the header
 	detach     func() bool   // detaches the connection from ctx
 	written    chan error    // the result of writing the request
+	ordered    bool          // no answer to another request preceded this one
 	ended      bool          // read to its end
 	closed     bool
 }
@@ -46,14 +47,15 @@
 	}
 }
 
-// Close implements io.Closer. A connection whose answer was not read to its end is closed.
+// Close implements io.Closer. A connection whose answer was not read to its end, or on which answers to other requests preceded it,
+// is closed.
 func (b *endpointBody) Close() error {
 	if b.closed {
 		return nil
 	}
 	b.closed = true
 	connOpen := b.detach() // false if ctx has ended, which closes the connection
-	if connOpen && b.ended && b.delimited() && b.requestWritten() {
+	if connOpen && b.ended && b.ordered && b.delimited() && b.requestWritten() {
 		_ = b.conn.SetReadDeadline(time.Time{})
 		b.client.putIdle(b.conn, b.response.Header)
 		return nil
