link: an answer that names no request is believed on a new connection only

What callers saw: bookings that ran twice, or ran though they had been refused with 503 (TWICE, REFUSED); by far the most cases.

Cause: an endpoint that fails before it has read a request cannot name it, so an unsigned answer without an id was accepted for any request. On a kept connection it may as well be a copy of an earlier rejection.

Change: on a reused connection such an answer is skipped like one to another request. On a new connection nothing precedes the first answer, so it is accepted as before.

--- a/link/endpointclient.go
+++ b/link/endpointclient.go
@@ -77,7 +77,7 @@
 	OtherRequest Match = iota
 	// SameRequest means that the answer names the request.
 	SameRequest
-	// Unnamed means that the answer names no request.
+	// Unnamed means that the answer names no request. It is accepted as the first answer on a connection only.
 	Unnamed
 )
 
@@ -263,7 +263,7 @@
 }
 
 // receive reads the answer's header. It skips informational answers and up to maxAnswersRead-1 answers
-// to other requests.
+// to other requests. On a reused connection an answer that names no request may be a repeated one to an earlier request.
 func (c *EndpointClient) receive(conn *endpointConn, request *EndpointRequest) (*http.Response, AnswerOrigin, error) {
 	httpRequest := &http.Request{Method: request.Method}
 	origin := AnswerOrigin{Connection: conn.number, Reused: conn.reused}
@@ -277,7 +277,8 @@
 		if err != nil {
 			return nil, origin, err
 		}
-		if origin.Match = c.match(response.Header, request.ID); origin.Match != OtherRequest {
+		origin.Match = c.match(response.Header, request.ID)
+		if origin.Match == SameRequest || origin.Match == Unnamed && !conn.reused {
 			return response, origin, nil
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
