gateway: forward events of the stream only

An engine that fails within a stream writes its error into the body, which nothing but the form of the text tells from events; an engine that ignores Last-Event-Id starts again.

Change: an event's lines must be fields or comments, an event with data has an id, and ids are numbers that increase, also over a resumption and after the caller's own Last-Event-Id. The first other bytes break the stream off: what precedes them is delivered, and the stream is resumed elsewhere or aborted. Comments, retry times and unknown fields pass unchanged (TestStreamEvents).

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -30,15 +30,17 @@
 	headerSent bool   // the header has been sent
 	complete   bool   // the stream has been forwarded to its end
 	lastID     string // id of the last event forwarded
+	order      eventOrder
 	events     int    // number of events forwarded
 	buffer     []byte // bytes that do not form a complete event yet
 }
 
-// forwardStream forwards an endpoint's events as they arrive, complete events only. It returns nil once the caller
-// has the whole stream or has left, else the failed attempt, after which another one may resume the stream.
+// forwardStream forwards an endpoint's events as they arrive, complete events only. Bytes that are no event of the stream break it
+// off. It returns nil once the caller has the whole stream or has left, else the failed attempt, after which another one may resume
+// the stream.
 func (f *requestState) forwardStream(grant *upstream.Grant, trial *canary.Trial, answer *link.EndpointAnswer) *failedAttempt {
 	if f.stream == nil {
-		f.stream = &eventStream{}
+		f.stream = &eventStream{order: orderAfter(f.call.LastEvent)}
 	}
 	stream := f.stream
 	stream.buffer = stream.buffer[:0]
@@ -54,7 +56,8 @@
 			grant.RecordFirstEvent()
 		}
 		stream.buffer = append(stream.buffer, chunk[:n]...)
-		if events := stream.completeEvents(); len(events) > 0 {
+		events, invalid := stream.completeEvents()
+		if len(events) > 0 {
 			if !f.writeEvents(answer, events) {
 				return nil
 			}
@@ -65,6 +68,9 @@
 			trial.RecordEvents(stream.events - before)
 		}
 		switch {
+		case invalid != nil:
+			failed.reason, failed.err = verdict.RetryTruncated, invalid
+			return failed
 		case errors.Is(err, io.EOF):
 			return f.endStream(answer, failed)
 		case err != nil:
@@ -99,19 +105,26 @@
 	return nil
 }
 
-// completeEvents returns the complete events at the start of the buffer.
-func (s *eventStream) completeEvents() []byte {
-	end := bytes.LastIndex(s.buffer, []byte("\n\n"))
-	if end < 0 {
-		return nil
+// completeEvents returns the complete events at the start of the buffer, up to the first one that is no event of the stream. The
+// error says what that one is; nil if there is none.
+func (s *eventStream) completeEvents() (events []byte, err error) {
+	end := 0
+	for {
+		n := bytes.Index(s.buffer[end:], eventEnd)
+		if n < 0 {
+			return s.buffer[:end], nil
+		}
+		if err := s.order.accept(s.buffer[end : end+n]); err != nil {
+			return s.buffer[:end], err
+		}
+		end += n + len(eventEnd)
 	}
-	return s.buffer[:end+2]
 }
 
 // advance records the count and last id of events that were written, and removes them from the buffer. It returns
 // the number of lines with data or an id; events without any, such as comments, are no progress of the answer.
 func (s *eventStream) advance(events []byte) (progress int) {
-	for event := range bytes.SplitSeq(events, []byte("\n\n")) {
+	for event := range bytes.SplitSeq(events, eventEnd) {
 		if len(event) == 0 {
 			continue
 		}
