gateway: an unframed answer without new events does not complete a resumed stream

Cause: an unframed event stream without any event counts as broken off, because it ends like that if the endpoint's process ends.

Evidence: TestErrorAfterBrokenStream plays 1,169 forms of answers to a request to resume: 13 statuses, content types, bodies, with and without framing, signed, unsigned and declared as not run. Before, this one form failed (200, event stream, unframed, no events).

Change: the events of the attempt are counted.

--- a/gateway/brokenstream_test.go
+++ b/gateway/brokenstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -20,6 +21,37 @@
 	return broken
 }
 
+// TestErrorAfterBrokenStream guards against an error's text, or a false end, in the caller's stream: an engine may answer a request to
+// resume a stream with a failure in any form. Nothing of it is delivered, and the stream is resumed elsewhere or aborted.
+func TestErrorAfterBrokenStream(t *testing.T) {
+	for _, status := range []int{200, 204, 206, 302, 400, 404, 408, 421, 429, 500, 502, 503, 504} {
+		for _, contentType := range []string{"text/plain", "text/event-stream", ""} {
+			for _, body := range []string{"", "the engine failed", "the engine failed\n\n", `{"error":{"message":"failed"}}` + "\n\n", "data: failed\n\n"} {
+				for _, unframed := range []bool{false, true} {
+					for _, signature := range []string{"Signature: s\n", "", "Not-Run: 1\n"} {
+						failure := answer{status: status, header: signature + "Content-Type: " + contentType, body: body, unframed: unframed}
+						whole := status == http.StatusOK && contentType != "" && contentType != "text/plain" && body == "" && !unframed && signature == "Signature: s\n"
+						if whole {
+							continue // an empty remainder with a declared end
+						}
+						t.Run(fmt.Sprintf("%d %s %q unframed %v %q", status, contentType, body, unframed, signature), func(t *testing.T) {
+							c := qt.New(t)
+							f := newFixture(brokenStream(""), failure, events(lastEvents))
+							seen := f.call("stream")
+							c.Check(seen.body, qt.Equals, firstEvents+lastEvents)
+							c.Check(seen.aborted, qt.IsFalse)
+							f = newFixture(brokenStream(""), failure, failure, failure, failure, failure, failure)
+							seen = f.call("stream")
+							c.Check(seen.body, qt.Equals, firstEvents)
+							c.Check(seen.aborted, qt.IsTrue)
+						})
+					}
+				}
+			}
+		}
+	}
+}
+
 // TestErrorInsideStream guards against an error's text in the caller's stream: what an engine writes into a stream that it breaks
 // off is no event, whether the stream has a length, chunks or neither.
 func TestErrorInsideStream(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -72,7 +72,7 @@
 			failed.reason, failed.err = verdict.RetryTruncated, invalid
 			return failed
 		case errors.Is(err, io.EOF):
-			return f.endStream(answer, failed)
+			return f.endStream(answer, failed, stream.events-eventsBefore)
 		case err != nil:
 			failed.reason, failed.err = reasonOf(err), err
 			return failed
@@ -92,10 +92,10 @@
 	return verdict.RetryTruncated
 }
 
-// endStream handles the end of an answer's body. An incomplete event at the end counts as truncation, as does an unframed
-// body without any event: it ends like that if the endpoint's process ends.
-func (f *requestState) endStream(answer *link.EndpointAnswer, failed *failedAttempt) *failedAttempt {
-	if len(f.stream.buffer) > 0 || answer.Unframed && f.stream.events == 0 {
+// endStream handles the end of the body of an answer that delivered a number of events. An incomplete event at the end counts as
+// truncation, as does an unframed body without any event: it ends like that if the endpoint's process ends.
+func (f *requestState) endStream(answer *link.EndpointAnswer, failed *failedAttempt, delivered int) *failedAttempt {
+	if len(f.stream.buffer) > 0 || answer.Unframed && delivered == 0 {
 		failed.reason, failed.err = verdict.RetryTruncated, io.ErrUnexpectedEOF
 		return failed
 	}
