link: the dispatcher believes a rejection only if it names the attempt

Cause: net/http matches answers by their order on the connection. Package entry compares the attempt's id, but the dispatcher had decided before whether an answer declares that the request has not run.

Evidence: TestDispatcherRepeatedRejection, 4 of 4 forms failed (503 and 429, copies with the earlier attempt's id and without one).

Change: a declaration counts if it carries the attempt's id, or no id as the first answer on a new connection (plain services need not echo it). Any other one is a lost answer after which the request may have run, and its connection is closed.

Measured: the test passes, also under the race detector; tests of link, entry and e2e pass.

--- a/link/dispatcher.go
+++ b/link/dispatcher.go
@@ -54,7 +54,8 @@
 }
 
 // Do sends the attempt once and returns as soon as it has the answer's header. Errors are *Failure.
-// An answer in which the endpoint declares that it has not run the request is a failure too.
+// An answer in which the endpoint declares that it has not run the request is a failure too. The declaration counts if it names
+// the attempt, or if it names none and is the first answer on its connection.
 func (d *Dispatcher) Do(ctx context.Context, attempt *Attempt) (*Answer, error) {
 	callerCtx := ctx
 	if err := callerCtx.Err(); err != nil {
@@ -90,6 +91,12 @@
 	body.detach = detach
 	answer := &Answer{Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength}
 	if failure := notRunFailure(answer); failure != nil {
+		if named := answer.Header.Get(HeaderAttemptID); named != attempt.ID && (named != "" || !sent.newConnsOnly()) {
+			// On a reused connection it may be a repeated answer to an earlier attempt. The own one may follow, so the connection is
+			// closed.
+			_ = answer.Body.Close()
+			return nil, &Failure{Verdict: verdict.MayHaveRun, Reason: verdict.RetryWrongAttempt, Err: errOtherAnswer}
+		}
 		answer.Release()
 		return nil, failure
 	}
--- a/link/repeatedanswer_test.go
+++ b/link/repeatedanswer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,8 @@
 	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
+
+	"plumbarrow.example/plumbarrow/verdict"
 )
 
 // repeatingEndpoint rejects the first request on each connection that it accepts, if first is set, and runs all others. Before it
@@ -161,3 +164,73 @@
 		c.Check(endpoint.conns.Load(), qt.Equals, int64(4))
 	})
 }
+
+// TestDispatcherRepeatedRejection guards against work that runs twice: net/http matches answers by their order only, so that a
+// repeated rejection is taken as the answer to the next attempt on the connection. It must not count as not run.
+func TestDispatcherRepeatedRejection(t *testing.T) {
+	for name, withID := range map[string]bool{"with the attempt's id": true, "without an id": false} {
+		for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests} {
+			t.Run(fmt.Sprintf("%s/%d", name, status), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c := qt.New(t)
+					endpoint := &declaringEndpoint{status: status, copyWithID: withID}
+					dispatcher := NewDispatcherWith(endpoint.dial)
+					defer dispatcher.Close()
+					for _, id := range []string{"first", "second"} {
+						attempt := newAttempt("10.0.0.1:80", false)
+						attempt.ID = id
+						_, err := dispatcher.Do(t.Context(), attempt)
+						var failure *Failure
+						c.Assert(errors.As(err, &failure), qt.IsTrue)
+						if id == "first" {
+							c.Check(failure.Verdict, qt.Equals, verdict.NotRun)
+							synctest.Wait() // until the connection is idle
+							continue
+						}
+						c.Check(failure.Verdict, qt.Equals, verdict.MayHaveRun)
+						c.Check(failure.Reason, qt.Equals, verdict.RetryWrongAttempt)
+					}
+					c.Check(endpoint.runs.Load(), qt.Equals, int64(1))
+				})
+			})
+		}
+	}
+}
+
+// declaringEndpoint rejects the first attempt on a connection, and answers the next one, which it runs, with a copy of that.
+type declaringEndpoint struct {
+	status     int
+	copyWithID bool
+	runs       atomic.Int64
+}
+
+func (e *declaringEndpoint) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() {
+		defer func() { _ = far.Close() }()
+		reader := bufio.NewReader(far)
+		rejection := ""
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			text := func(idLine string) string {
+				return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s%s: not_run\r\nContent-Length: 4\r\n\r\nbusy", e.status, http.StatusText(e.status), idLine, HeaderVerdict)
+			}
+			idLine := HeaderAttemptID + ": " + request.Header.Get(HeaderAttemptID) + "\r\n"
+			if rejection != "" {
+				e.runs.Add(1)
+				_, _ = io.WriteString(far, rejection)
+				continue
+			}
+			_, _ = io.WriteString(far, text(idLine))
+			if !e.copyWithID {
+				idLine = ""
+			}
+			rejection = text(idLine)
+		}
+	}()
+	return near, nil
+}
