entry: an event that is no object breaks a chat stream off

Cause: after a stream's first event, events are parsed only if they may hold usage or an error, so that other text passed unread.

Evidence: TestErrorInsideChatStream, 8 of 12 forms failed (plain text, HTML, a JSON string, half an object, each with and without a terminator after it).

Change: data that does not begin and end like an object is parsed, which fails, so that the stream ends as truncated.

Measured: all forms pass.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -87,9 +87,10 @@
 }
 
 // inspect checks an event and reports whether to pass it on. To save time it parses only the first
-// event and those that may hold usage or an error.
+// event and those that may hold usage or an error or are no object.
 func (s *streamCopy) inspect(data []byte) (pass bool, failure *link.Failure) {
-	if s.versionChecked && !bytes.Contains(data, usageField) && !bytes.Contains(data, errorField) {
+	object := bytes.HasPrefix(data, []byte("{")) && bytes.HasSuffix(data, []byte("}"))
+	if s.versionChecked && object && !bytes.Contains(data, usageField) && !bytes.Contains(data, errorField) {
 		return true, nil
 	}
 	var chunk streamChunk
