upstream, gateway: an endpoint that says in an answer that it leaves gets nothing more

What callers saw: requests to an engine that was about to stop, though it had said so (DRAIN): the header of an answer was not read, and the store's entry says ready until the next heartbeat, or for as long as the store is down.

Change: `Server-Leaving: 1` in any answer excludes that incarnation (start time and address) for this instance, beside what discovery says: a heartbeat that still says ready or a return to discovery does not bring it back, another incarnation does, and a late answer of the incarnation before does not exclude the next one. The other instances are not told: the rule binds the one that saw the answer, and discovery tells the others within a heartbeat.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -96,6 +96,9 @@
 	f.firstByteMS = append(f.firstByteMS, firstByte.Milliseconds())
 	reply := f.server.EndpointProtocol.Reply(answer.Status, answer.Header)
 	grant.ExtendCold(reply.ColdFor)
+	if reply.Leaving {
+		grant.RecordLeaving(f.id())
+	}
 	if reply.Signed || reply.HasRateLimit {
 		grant.RecordRateLimit(reply.RateLimit, reply.HasRateLimit)
 	}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -52,7 +52,7 @@
 	return Reply{
 		Signed: header.Get("Signature") != "", NotRun: header.Get("Not-Run") != "",
 		Misdirected: status == http.StatusMisdirectedRequest, Confidence: confidence, HasConfidence: err == nil,
-		RateLimit: limit, HasRateLimit: limitErr == nil,
+		RateLimit: limit, HasRateLimit: limitErr == nil, Leaving: header.Get("Leaving") != "",
 	}
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -543,3 +544,41 @@
 		})
 	}
 }
+
+// TestLeavingAnswer checks that an endpoint gets no further request after any answer in which it says that it leaves, also if that
+// answer is discarded, and that the answer itself is delivered.
+func TestLeavingAnswer(t *testing.T) {
+	leaving := func(a answer) answer {
+		a.header += "\nLeaving: 1"
+		return a
+	}
+	for name, test := range map[string]struct {
+		answer answer
+		status int
+	}{
+		"success":         {leaving(signed(200, "ok")), 200},
+		"failure":         {leaving(signed(404, "no")), 404},
+		"rejection":       {leaving(declined()), 200},
+		"stream":          {leaving(events("id: 1\ndata: a\n\n")), 200},
+		"other endpoint":  {leaving(answer{status: http.StatusMisdirectedRequest, header: "X: y"}), 200},
+		"low confidence":  {leaving(answer{status: 200, header: "Signature: s\nConfidence: 1", body: "no"}), 200},
+		"broken off":      {leaving(answer{status: 200, header: "Signature: s", body: "ha", truncated: true}), 200},
+		"without a stamp": {leaving(answer{status: 200, header: "X: y", body: "whose?"}), 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			script := []answer{test.answer}
+			for range 40 {
+				script = append(script, signed(200, "ok"))
+			}
+			f := newFixture(script...)
+			seen := f.call("stream", "Model", "any")
+			c.Check(seen.status, qt.Equals, test.status)
+			for range 20 {
+				c.Check(f.call("read").status, qt.Equals, 200)
+			}
+			sent := f.endpoints()
+			c.Check(slices.Contains(sent[1:], sent[0]), qt.IsFalse)
+		})
+	}
+}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -78,6 +78,8 @@
 	NotRun bool
 	// Misdirected reports that the address now belongs to another endpoint.
 	Misdirected bool
+	// Leaving reports that the endpoint is about to stop.
+	Leaving bool
 	// ColdFor is how much longer the endpoint is cold; 0 if it is warm.
 	ColdFor time.Duration
 	// Confidence is the model's own rating of its answer, 0 to 100. It is valid if HasConfidence is set.
--- a/upstream/endpoint.go
+++ b/upstream/endpoint.go
@@ -42,6 +42,7 @@
 	report      Report
 	discovered  bool      // listed by discovery
 	usableUntil time.Time // end of use after removal from discovery; zero while discovered
+	leaving     bool      // this incarnation says in its answers that it leaves
 	coldUntil   time.Time
 	slowStart   tokenBucket // limits the request rate until coldUntil
 	coldShare   rateShare
@@ -90,7 +91,9 @@
 // update replaces the report. A restart, and a return to discovery, reset what was learned of the endpoint:
 // its health, its cached prefixes, its stated limit and the end of its cold time. The caller holds the lock.
 func (e *Endpoint) update(report Report, now time.Time) (restarted bool) {
-	restarted = e.discovered && (report.StartMillis != e.report.StartMillis || report.Address != e.report.Address)
+	changed := report.incarnation() != e.report.incarnation()
+	restarted = e.discovered && changed
+	e.leaving = e.leaving && !changed
 	if restarted || !e.discovered {
 		e.health = health{}
 		e.prefixes = newPrefixCache()
@@ -110,10 +113,10 @@
 	return restarted
 }
 
-// available reports whether discovery allows requests to the endpoint: it is discovered or was removed
-// only recently, and is not draining. The caller holds the lock.
+// available reports whether the endpoint may get requests: it is discovered or was removed only recently, and neither discovery nor
+// its own answers say that it leaves. The caller holds the lock.
 func (e *Endpoint) available(now time.Time) bool {
-	return (e.discovered || now.Before(e.usableUntil)) && !e.report.Draining
+	return (e.discovered || now.Before(e.usableUntil)) && !e.report.Draining && !e.leaving
 }
 
 // total returns the load that all instances put on the endpoint. The caller holds the lock.
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -41,7 +41,7 @@
 type view struct {
 	byService map[string][]*Endpoint
 	byHash    map[uint64]*Endpoint
-	addresses map[string]bool // IP:port
+	addresses map[string]bool // IP:port, of endpoints that do not say that they leave
 }
 
 // NewTable returns an empty table for the instance self in the given zone.
@@ -67,7 +67,7 @@
 		t.byID[report.ID] = endpoint
 	}
 	endpoint.mu.Lock()
-	reindex := !endpoint.discovered || endpoint.report.Service != report.Service || endpoint.report.Address != report.Address
+	reindex := !endpoint.discovered || endpoint.leaving || endpoint.report.Service != report.Service || endpoint.report.Address != report.Address
 	startsDraining := report.Draining && !endpoint.report.Draining
 	restarted := endpoint.update(report, now)
 	endpoint.mu.Unlock()
@@ -117,7 +117,7 @@
 	}
 	for id, endpoint := range t.byID {
 		endpoint.mu.Lock()
-		report, discovered, usableUntil := endpoint.report, endpoint.discovered, endpoint.usableUntil
+		report, discovered, usableUntil, leaving := endpoint.report, endpoint.discovered, endpoint.usableUntil, endpoint.leaving
 		endpoint.mu.Unlock()
 		if !discovered && now.Sub(usableUntil) > removedRetention {
 			delete(t.byID, id)
@@ -126,7 +126,9 @@
 		next.byHash[endpoint.hash] = endpoint
 		if discovered || now.Before(usableUntil) {
 			next.byService[report.Service] = append(next.byService[report.Service], endpoint)
-			next.addresses[report.Address] = true
+			if !leaving {
+				next.addresses[report.Address] = true
+			}
 		}
 	}
 	for _, endpoints := range next.byService {
@@ -176,4 +178,4 @@
 func (t *Table) HasAddress(address string) bool { return t.view.Load().addresses[address] }
 
 // Ready reports whether any endpoint is in use.
-func (t *Table) Ready() bool { return len(t.view.Load().addresses) > 0 }
+func (t *Table) Ready() bool { return len(t.view.Load().byService) > 0 }
