plumbarrowd: catch signals until the process exits

Cause: the handlers of SIGHUP and SIGTERM were removed when the stop began, which restored their default action: it ends the process. Class of fault: a guard that ends with the first stage of what it guards. The second SIGTERM was not reported; it has the same cause.

Change: both programs' modes catch the signals as the first thing and never restore the defaults; further ones during a stop change nothing. In the project's own mode SIGHUP no longer ends the process either.

A signal before main runs still ends the process.

--- a/cmd/plumbarrowd/gateway.go
+++ b/cmd/plumbarrowd/gateway.go
@@ -5,8 +5,6 @@
 	"errors"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/oklog/run"
 
@@ -16,7 +14,7 @@
 
 // serveGateway runs a gateway instance until a signal stops it or it fails. It stops the log writer last,
 // so that the log lines of the shutdown are written too.
-func serveGateway(file string) error {
+func serveGateway(file string, caught *signals) error {
 	settings, err := daemon.LoadGatewaySettings(file)
 	if err != nil {
 		return err
@@ -26,7 +24,7 @@
 	logCtx, stopLogging := context.WithCancel(context.Background())
 	writerDone := make(chan error, 1)
 	go func() { writerDone <- logWriter.Run(logCtx, os.Stdout) }()
-	err = runGateway(settings, file, log)
+	err = runGateway(settings, file, caught, log)
 	if err != nil {
 		log.Error("stopped", "error", err)
 	}
@@ -34,7 +32,7 @@
 	return errors.Join(err, <-writerDone)
 }
 
-func runGateway(settings daemon.GatewaySettings, file string, log *slog.Logger) error {
+func runGateway(settings daemon.GatewaySettings, file string, caught *signals, log *slog.Logger) error {
 	instance, err := daemon.NewGateway(settings, log)
 	if err != nil {
 		return err
@@ -44,23 +42,20 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var group run.Group
 	group.Add(func() error { return instance.Run(ctx) }, func(error) { cancel() })
-	group.Add(run.SignalHandler(ctx, syscall.SIGINT, syscall.SIGTERM))
-	group.Add(func() error { return reload(ctx, instance, file, log) }, func(error) { cancel() })
-	if err := group.Run(); !errors.Is(err, run.ErrSignal) {
+	group.Add(func() error { return caught.awaitStop(ctx) }, func(error) { cancel() })
+	group.Add(func() error { return reload(ctx, instance, file, caught, log) }, func(error) { cancel() })
+	if err := group.Run(); !errors.Is(err, errStopSignal) {
 		return err
 	}
 	return nil
 }
 
 // reload reads the settings file again at each SIGHUP until ctx ends. If that fails, the instance keeps
-// its settings.
-func reload(ctx context.Context, instance *daemon.Gateway, file string, log *slog.Logger) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+// its settings. Later signals are not acted upon.
+func reload(ctx context.Context, instance *daemon.Gateway, file string, caught *signals, log *slog.Logger) error {
 	for {
 		select {
-		case <-signals:
+		case <-caught.reload:
 			settings, err := daemon.LoadGatewaySettings(file)
 			if err != nil {
 				log.Error("reloading settings failed; keeping the previous settings", "error", err)
--- a/cmd/plumbarrowd/main.go
+++ b/cmd/plumbarrowd/main.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"syscall"
 
 	"github.com/alexflint/go-arg"
 	"github.com/oklog/run"
@@ -27,23 +26,24 @@
 }
 
 func main() {
+	caught := catchSignals()
 	var args arguments
 	arg.MustParse(&args)
 	if args.Gateway {
-		if err := serveGateway(args.Settings); err != nil {
+		if err := serveGateway(args.Settings, caught); err != nil {
 			fmt.Fprintln(os.Stderr, "plumbarrowd:", err)
 			os.Exit(1)
 		}
 		return
 	}
 	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
-	if err := serve(args, log); err != nil {
+	if err := serve(args, caught, log); err != nil {
 		log.Error("stopped", "error", eris.ToString(err, false), "trace", eris.ToJSON(err, true))
 		os.Exit(1)
 	}
 }
 
-func serve(args arguments, log *slog.Logger) error {
+func serve(args arguments, caught *signals, log *slog.Logger) error {
 	settings, err := daemon.LoadSettings(args.Settings)
 	if err != nil {
 		return err
@@ -61,8 +61,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var group run.Group
 	group.Add(func() error { return instance.Run(ctx) }, func(error) { cancel() })
-	group.Add(run.SignalHandler(ctx, syscall.SIGINT, syscall.SIGTERM))
-	if err := group.Run(); !errors.Is(err, run.ErrSignal) {
+	group.Add(func() error { return caught.awaitStop(ctx) }, func(error) { cancel() })
+	if err := group.Run(); !errors.Is(err, errStopSignal) {
 		return err
 	}
 	return nil
