gateway: a planned stop refuses the requests that still wait

Cause: the stages of a stop were checked when a request was admitted, not while it waits for capacity, which may take longer than the stop. Class of fault: a state that is checked at the door only.

--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -96,9 +96,7 @@
 		return refusal
 	}
 	if !f.server.admits(f.route) {
-		refusal := verdict.Refuse(verdict.Stopping, "this instance is about to stop")
-		refusal.RetryAfter = stoppingRetryAfter
-		return refusal
+		return stoppingRefusal()
 	}
 	timeout := f.call.Timeout
 	if timeout <= 0 {
@@ -109,6 +107,23 @@
 	return nil
 }
 
+// endsWithStop reports whether a planned stop ends the wait for capacity: at the stage that admits no such requests if no endpoint may
+// have run this one, else at the last stage, in which there is still time for an answer.
+func (f *requestState) endsWithStop() bool {
+	if f.runs == 0 {
+		return !f.server.admits(f.route)
+	}
+	headerSent := f.stream != nil && f.stream.headerSent
+	return f.server.stage() == ClosedToAll && !headerSent
+}
+
+// stoppingRefusal returns the refusal of a request at a stage of a planned stop that no longer admits it.
+func stoppingRefusal() *verdict.Refusal {
+	refusal := verdict.Refuse(verdict.Stopping, "this instance is about to stop")
+	refusal.RetryAfter = stoppingRetryAfter
+	return refusal
+}
+
 // authorize finds the request's route and customer in the snapshot.
 func (f *requestState) authorize() *verdict.Refusal {
 	f.route = f.snapshot.Route(f.call.Host, f.call.Path)
@@ -244,6 +259,9 @@
 		if refusal := f.quarantined(); refusal != nil {
 			return nil, refusal
 		}
+		if f.endsWithStop() {
+			return nil, stoppingRefusal()
+		}
 		need := f.need()
 		grant, blocked := f.server.Upstreams.Place(need)
 		if blocked == upstream.NoneEligible && need.Version != "" {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -139,9 +139,11 @@
 // SetStopStage sets the stage of a planned stop.
 func (s *Server) SetStopStage(stage StopStage) { s.stopStage.Store(int32(stage)) }
 
+func (s *Server) stage() StopStage { return StopStage(s.stopStage.Load()) }
+
 // admits reports whether the instance still serves new requests of the route.
 func (s *Server) admits(route *catalog.Route) bool {
-	switch StopStage(s.stopStage.Load()) {
+	switch s.stage() {
 	case Open:
 		return true
 	case ClosedToStreams:
