gateway: silence ends an attempt only if another one may follow

Cause: the limit of silence between events was set for every attempt of a stream that may be resumed, also for the last one.

Change: the limit is set only if the route allows another attempt, as for the first byte. A lost connection on the last attempt is still found by keep-alive probes and the deadline.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -148,11 +148,12 @@
 		MaxIdleConns: grant.MaxIdleConns,
 	}
 	f.newConnection = false
+	// Silence ends an attempt only if another one may follow.
 	if f.route.Repeatable() && f.runs+1 < f.route.MaxAttempts {
 		out.FirstByteTimeout = firstByteLimit(f.route.Goal, grant.Expected, left)
-	}
-	if f.route.Kind == catalog.Streaming && f.route.Resumable {
-		out.ProgressTimeout = max(2*f.route.GapTarget, minStreamIdle)
+		if f.route.Kind == catalog.Streaming {
+			out.ProgressTimeout = max(2*f.route.GapTarget, minStreamIdle)
+		}
 	}
 	return out, attempt.Model
 }
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -63,3 +63,20 @@
 		})
 	}
 }
+
+// TestSilenceOnLastAttempt guards against a sound stream that is cut because its engine pauses: silence ends an attempt only while
+// another attempt may follow.
+func TestSilenceOnLastAttempt(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(brokenStream(""), connectionLost(), events(lastEvents))
+	seen := f.call("stream")
+	c.Check(seen.body, qt.Equals, firstEvents+lastEvents)
+	c.Assert(f.sender.sent, qt.HasLen, 3)
+	for n, out := range f.sender.sent {
+		c.Check(out.ProgressTimeout > 0, qt.Equals, n < 2)
+		c.Check(out.FirstByteTimeout > 0, qt.Equals, n < 2)
+	}
+	f = newFixture(events(firstEvents + lastEvents))
+	f.call("once")
+	c.Check(f.sender.sent[0].ProgressTimeout, qt.Equals, time.Duration(0))
+}
