canary: a reverted version stays excluded

Cause: a service had one roll-out and one excluded version. The next order replaced both, and with them the fact that the version before had been reverted, while its endpoints were still in discovery. Class of fault: a decision that lives only as long as the order that led to it.

Change: the versions that were reverted are kept by service, written to the store in the same transaction as the stage, and excluded from every choice of a version, also the fallback to any version, until an order names them again. A version that this instance rejected counts too if the next order comes before its roll-back was stored. The restart of all instances and a store without history change nothing.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -76,6 +76,7 @@
 	mu        sync.Mutex
 	byService map[string]*rollout
 	stages    map[string]storedStage // by service; a stage may arrive before its order
+	reverted  map[string][]string    // versions by service that no request may use, unless the present order names them
 }
 
 // storedStage is a stage with its store revision and the time at which this instance received it.
@@ -91,6 +92,7 @@
 	return &Rollouts{
 		exposure: exposure, counters: counters, log: log,
 		byService: make(map[string]*rollout), stages: make(map[string]storedStage),
+		reverted: make(map[string][]string),
 	}
 }
 
@@ -103,6 +105,9 @@
 		return
 	}
 	ro := &rollout{order: order, seenAt: time.Now(), peers: make(map[machine.InstanceID]tally), peerPaces: make(map[machine.InstanceID]*paces)}
+	if known != nil {
+		r.recordEnd(known)
+	}
 	r.byService[order.Service] = ro
 	r.setStage(ro)
 	r.log.Info("roll-out ordered", "service", order.Service, "target", order.Target, "duration_ms", order.Duration.Milliseconds(), "order", order.Revision)
@@ -112,6 +117,9 @@
 func (r *Rollouts) RemoveOrder(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if known := r.byService[service]; known != nil {
+		r.recordEnd(known)
+	}
 	delete(r.byService, service)
 }
 
@@ -144,6 +152,7 @@
 	}
 	ro.stage, ro.stageAt = stored.stage, stored.at
 	ro.atStageStart = ro.sum()
+	r.recordEnd(ro)
 	r.log.Info("roll-out stage applied", "service", ro.order.Service, "target", ro.order.Target, "state", string(ro.stage.State),
 		"share", ro.stage.Share, "revision", stored.revision)
 }
@@ -161,10 +170,10 @@
 
 // Choice restricts the versions of a service that a request may use.
 type Choice struct {
-	// RequiredVersion is the version that the request must use, ExcludedVersion one that it must not use. Either may
-	// be empty.
+	// RequiredVersion is the version that the request must use; empty for any.
 	RequiredVersion string
-	ExcludedVersion string
+	// ExcludedVersions are the versions that the request must not use. The slice must not be modified.
+	ExcludedVersions []string
 	// Spread is the share of the version's endpoints that serve its requests; 0 means all.
 	Spread float64
 }
@@ -176,11 +185,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ro := r.byService[service]
+	reverted := r.reverted[service]
 	if ro == nil {
-		return Choice{}
+		return Choice{ExcludedVersions: reverted}
 	}
 	target := Choice{RequiredVersion: ro.order.Target, Spread: ro.spread()}
-	other := Choice{ExcludedVersion: ro.order.Target}
+	if len(reverted) > 0 {
+		target.ExcludedVersions = withoutVersion(reverted, ro.order.Target)
+	}
+	other := Choice{ExcludedVersions: withVersion(reverted, ro.order.Target)}
 	switch {
 	case ro.stage.State == Completed:
 		return target
--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"reflect"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -91,6 +93,9 @@
 	if len(document.Key) > len(StagePrefix) && document.Key[:len(StagePrefix)] == StagePrefix {
 		i.rollouts.ApplyStage(document)
 	}
+	if strings.HasPrefix(document.Key, RevertedPrefix) {
+		i.rollouts.ApplyReverted(document)
+	}
 }
 
 // Get implements the part of a mirror that the driver reads.
@@ -203,7 +208,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.commit(mirror.Document{Key: "order/app"})
-	order := Order{Service: "app", Target: "v2", Duration: duration, Revision: s.revision}
+	return s.orderOf("v2", instances...)
+}
+
+// orderOf is order for a version. The caller holds the lock and has committed the order's document.
+func (s *fakeStore) orderOf(version string, instances ...*instance) Order {
+	order := Order{Service: "app", Target: version, Duration: duration, Revision: s.revision}
 	for _, inst := range instances {
 		inst.rollouts.Apply(order)
 	}
@@ -382,7 +392,7 @@
 		var pieces []bool // for each tenth of the period, whether it is in the burst
 		for range 10 {
 			choice := rollouts.Choose("app", "", "r")
-			pieces = append(pieces, choice == Choice{RequiredVersion: "v2", Spread: stressShare / 2})
+			pieces = append(pieces, reflect.DeepEqual(choice, Choice{RequiredVersion: "v2", Spread: stressShare / 2}))
 			time.Sleep(stressPeriod / 10)
 		}
 		c.Check(pieces, qt.DeepEquals, []bool{true, true, false, false, false, false, false, false, false, false})
@@ -588,7 +598,7 @@
 	c.Assert(err, qt.IsNil)
 	rollouts.ApplyStage(mirror.Document{Key: StagePrefix + "app", Value: value, Revision: 4})
 	rollouts.Apply(Order{Service: "app", Target: "v3", Duration: duration, Revision: 9})
-	c.Check(rollouts.Choose("app", "s", "r"), qt.Equals, Choice{ExcludedVersion: "v3"})
+	c.Check(rollouts.Choose("app", "s", "r"), qt.DeepEquals, Choice{ExcludedVersions: []string{"v3"}})
 }
 
 // TestEndedRolloutSendsNoPaces guards against histograms that travel with each exchange after the roll-out, when nothing reads them.
--- a/canary/driver.go
+++ b/canary/driver.go
@@ -249,13 +249,17 @@
 		return
 	}
 	key := StagePrefix + next.order.Service
+	puts := []mirror.Put{{Key: key, Value: value}, d.publisher.Status(next.order, next.stage.State)}
+	if put, ok := d.rollouts.revertedAfter(next); ok {
+		puts = append(puts, put)
+	}
 	_, err = d.writer.Write(ctx, &mirror.Write{
 		Conditions: []mirror.Condition{
 			{Key: DriverKey, Revision: d.leaseRevision},
 			{Key: d.publisher.OrderKey(next.order.Service), Revision: next.order.Revision},
 			{Key: key, Revision: next.stageRevision},
 		},
-		Puts: []mirror.Put{{Key: key, Value: value}, d.publisher.Status(next.order, next.stage.State)},
+		Puts: puts,
 	})
 	if err != nil {
 		d.backOff("writing a stage failed", fmt.Errorf("service %s: %w", next.order.Service, err))
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -307,7 +307,7 @@
 	f.chooseModel()
 	version := f.server.Versions.Choose(f.service, f.call.Session, f.call.ID)
 	return &upstream.Need{
-		Service: f.service, Version: version.RequiredVersion, ExcludedVersion: version.ExcludedVersion, Spread: version.Spread, PromptParts: f.call.PromptParts,
+		Service: f.service, Version: version.RequiredVersion, ExcludedVersions: version.ExcludedVersions, Spread: version.Spread, PromptParts: f.call.PromptParts,
 		PromptTokens: f.call.PromptTokens, Avoid: f.avoid, Model: f.modelName(),
 	}
 }
--- a/upstream/place.go
+++ b/upstream/place.go
@@ -38,10 +38,9 @@
 // Need holds a request's requirements on an endpoint.
 type Need struct {
 	Service string
-	// Version is the software version that the endpoint must have, ExcludedVersion one that it must
-	// not have; empty for any.
-	Version         string
-	ExcludedVersion string
+	// Version is the software version that the endpoint must have; empty for any. ExcludedVersions are those that it must not have.
+	Version          string
+	ExcludedVersions []string
 	// Spread is the share of the matching endpoints, 0 to 1, to which the request is confined while
 	// they have free capacity; 0 means all.
 	Spread float64
@@ -166,7 +165,7 @@
 // matchesVersion reports whether the endpoint's software version may serve the request. The caller holds
 // the lock.
 func (e *Endpoint) matchesVersion(need *Need) bool {
-	if need.ExcludedVersion != "" && e.report.Version == need.ExcludedVersion {
+	if slices.Contains(need.ExcludedVersions, e.report.Version) {
 		return false
 	}
 	return need.Version == "" || e.report.Version == need.Version
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -89,7 +89,7 @@
 	c := qt.New(t)
 	table := newTable(report("x", "app", "a"))
 	c.Check(place(table, Need{Service: "app", Version: "v2"}), qt.Equals, machine.EndpointID(""))
-	c.Check(place(table, Need{Service: "app", ExcludedVersion: "v1"}), qt.Equals, machine.EndpointID(""))
+	c.Check(place(table, Need{Service: "app", ExcludedVersions: []string{"v1"}}), qt.Equals, machine.EndpointID(""))
 }
 
 // TestLapsed guards against dropping endpoints whose discovery entries expired in an outage of the store:
