link: reset the connections of abandoned attempts

Cause: an abandoned attempt's connection was closed, so that the kernel went on delivering what had been written. Class of fault: giving up that the other side doesn't learn of. Withdrawn keys, left and cold engines and cancelled requests take the same path.

Change: the connection is reset (SO_LINGER 0) whenever an attempt ends before its answer, so that bytes which have not arrived are discarded. Connections whose answers were read to the end are closed as before.

--- a/link/endpointclient.go
+++ b/link/endpointclient.go
@@ -148,6 +148,15 @@
 	return c.Conn.Write(p)
 }
 
+// abort closes the connection of an attempt that is given up, and discards the bytes that have not reached the endpoint: after a
+// partition they would start a request that is no longer allowed there.
+func (c *endpointConn) abort() {
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = conn.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // EndpointRequest is one request to an endpoint.
 type EndpointRequest struct {
 	Address string // IP:port
@@ -221,8 +230,8 @@
 			Refused: errors.Is(err, syscall.ECONNREFUSED),
 		}
 	}
-	// Closing the connection unblocks its reads and writes at once.
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	// Aborting the connection unblocks its reads and writes at once.
+	stop := context.AfterFunc(ctx, conn.abort)
 	written := make(chan error, 1)
 	if len(request.Body) <= maxInlineBody {
 		written <- conn.send(request)
@@ -235,7 +244,7 @@
 	response, origin, err := c.receive(conn, request)
 	if err != nil {
 		stop()
-		_ = conn.Close()
+		conn.abort()
 		<-written
 		return nil, conn.failure(ctx, err)
 	}
--- a/link/endpointclientbody.go
+++ b/link/endpointclientbody.go
@@ -47,14 +47,18 @@
 	}
 }
 
-// Close implements io.Closer. A connection whose answer was not read to its end, or on which answers to other requests preceded it,
-// is closed.
+// Close implements io.Closer. A connection whose answer was not read to its end is aborted, one on which answers to other requests
+// preceded it is closed.
 func (b *endpointBody) Close() error {
 	if b.closed {
 		return nil
 	}
 	b.closed = true
-	connOpen := b.detach() // false if ctx has ended, which closes the connection
+	connOpen := b.detach() // false if ctx has ended, which aborts the connection
+	if !b.ended {
+		b.conn.abort()
+		return nil
+	}
 	if connOpen && b.ended && b.ordered && b.delimited() && b.requestWritten() {
 		_ = b.conn.SetReadDeadline(time.Time{})
 		b.client.putIdle(b.conn, b.response.Header)
