canary: requests keep to the roll-out that an order replaces

What callers may see: sessions that change their version twice when an order replaces one in progress, or comes right after one that completed while the old version's endpoints are still in discovery: whatever did not use the new target could use any other version.

Evidence: TestOrderReplacesAnother, 4 forms.

Change: requests that do not use the present target keep to what the replaced roll-out gave them, with its share as it was; a completed target is the base for all. If no endpoint of that version is left, any version that is not excluded serves, as before.

Measured: the test passes.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -65,6 +65,9 @@
 	oldLatency    ewma  // the old version's mean of Attempt.relativeLatency
 	atStageStart  tally // counts of all instances when the stage began
 	rejected      bool  // the evidence shows that the new version is worse
+	// replaced is the roll-out that this one's order replaced, completed or in progress. Its share no longer changes; requests that do
+	// not use the present target keep to it.
+	replaced *rollout
 }
 
 // Rollouts holds the roll-outs of all services. Safe for concurrent use.
@@ -107,6 +110,7 @@
 	ro := &rollout{order: order, seenAt: time.Now(), peers: make(map[machine.InstanceID]tally), peerPaces: make(map[machine.InstanceID]*paces)}
 	if known != nil {
 		r.recordEnd(known)
+		ro.replaced = known.base()
 	}
 	r.byService[order.Service] = ro
 	r.setStage(ro)
@@ -193,7 +197,7 @@
 	if len(reverted) > 0 {
 		target.ExcludedVersions = withoutVersion(reverted, ro.order.Target)
 	}
-	other := Choice{ExcludedVersions: withVersion(reverted, ro.order.Target)}
+	other := ro.otherChoice(reverted, cmp.Or(session, request))
 	switch {
 	case ro.stage.State == Completed:
 		return target
@@ -211,6 +215,30 @@
 	}
 }
 
+// base returns what requests that do not use the next order's target keep to: the roll-out, without the one that it replaced, if a
+// share of the requests uses its target, else the one that it replaced. It is nil if no request uses either.
+func (ro *rollout) base() *rollout {
+	switch {
+	case ro.stage.State == Reverted || ro.rejected || ro.stage.Share == 0:
+		return ro.replaced
+	default:
+		return &rollout{order: ro.order, stage: ro.stage}
+	}
+}
+
+// otherChoice returns the choice for a request that does not use the roll-out's target. key is the request's session or id.
+func (ro *rollout) otherChoice(reverted []string, key string) Choice {
+	excluded := withVersion(reverted, ro.order.Target)
+	before := ro.replaced
+	if before == nil || before.order.Target == ro.order.Target {
+		return Choice{ExcludedVersions: excluded}
+	}
+	if hashFraction(before.order.Revision, key) < before.stage.Share {
+		return Choice{RequiredVersion: before.order.Target, ExcludedVersions: excluded}
+	}
+	return Choice{ExcludedVersions: withVersion(excluded, before.order.Target)}
+}
+
 // underStress reports whether the roll-out is in the stress stage, in which the new version's endpoints get about
 // twice their usual load.
 func (ro *rollout) underStress() bool {
--- a/canary/reverted_test.go
+++ b/canary/reverted_test.go
@@ -137,3 +137,33 @@
 	}
 	c.Check(inst.rollouts.Choose("app", "s", "r").ExcludedVersions, qt.HasLen, maxReverted)
 }
+
+// TestOrderReplacesAnother guards against sessions that change their version when an order replaces one that is in progress, or has
+// completed while the endpoints of the version before are still in discovery: those that use the first order's target keep to it until
+// the second order's target gets their requests, the others keep to the old version.
+func TestOrderReplacesAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		for _, stage := range []Stage{{State: Running, Share: 0.1}, {State: Running, Share: stressShare}, {State: Running, Share: 1}, {State: Completed, Share: 1}} {
+			store := newFakeStore()
+			inst := store.addInstance("a")
+			store.orderVersion("v2", inst)
+			inst.rollouts.ApplyStage(mirror.Document{
+				Key: StagePrefix + "app", Value: fmt.Appendf(nil, `{"order":%d,"state":%q,"share":%g}`, store.revision, stage.State, stage.Share), Revision: 1,
+			})
+			onTarget := make(map[int]bool)
+			for n := range 500 {
+				session := fmt.Sprint(n)
+				onTarget[n] = inst.rollouts.Choose("app", session, "r").RequiredVersion == "v2"
+			}
+			store.orderVersion("v3", inst)
+			store.orderVersion("v4", inst) // v3 had no share
+			for n, on := range onTarget {
+				choice := inst.rollouts.Choose("app", fmt.Sprint(n), "r")
+				c.Check(choice.RequiredVersion == "v2", qt.Equals, on)
+				c.Check(slices.Contains(choice.ExcludedVersions, "v2"), qt.Equals, !on)
+				c.Check(slices.Contains(choice.ExcludedVersions, "v4"), qt.IsTrue)
+			}
+		}
+	})
+}
