upstream: the limiter of endpoints counts in nanoseconds

Evidence: TestStatedLimitShared failed on arm64 and passed without fusing.

Change: one request in each interval from the last one, in nanoseconds, which is what a bucket of one token is. No library: the ones of the house's list keep bursts or an own clock, and this is ten lines.

--- a/upstream/cold.go
+++ b/upstream/cold.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,32 +9,34 @@
 	"plumbarrow.example/plumbarrow/machine"
 )
 
-// tokenBucket limits the rate of requests. Its capacity is one request, so that the instances together
-// never start more than one request each at the same moment.
-type tokenBucket struct {
-	tokens     float64
-	refilledAt time.Time
+// pacer limits the rate of requests to one in each interval, as GCRA without a burst does: the instances together never start more than
+// one request each at the same moment. It counts in nanoseconds, since fractions of a request would be rounded differently by processors
+// that fuse multiplication and addition.
+type pacer struct {
+	last time.Time // of the last request, at first of the first question
 }
 
-// take reports whether a request is admitted, and removes its token if so. rate is in requests per
-// second.
-func (b *tokenBucket) take(rate float64, now time.Time) bool {
-	if !b.refill(rate, now) {
+// take reports whether a request is admitted, and counts it if so. rate is in requests per second.
+func (p *pacer) take(rate float64, now time.Time) bool {
+	if !p.ready(rate, now) {
 		return false
 	}
-	b.tokens--
+	p.last = now
 	return true
 }
 
-// refill adds the tokens earned since the last call and reports whether the bucket holds a full one.
-// A new bucket is empty, because other instances may just have sent requests.
-func (b *tokenBucket) refill(rate float64, now time.Time) bool {
-	if b.refilledAt.IsZero() {
-		b.refilledAt = now
+// ready reports whether a request would be admitted. A new pacer admits none in its first interval, because other instances may just
+// have sent requests.
+func (p *pacer) ready(rate float64, now time.Time) bool {
+	if p.last.IsZero() {
+		p.last = now
 	}
-	b.tokens = math.Min(1, b.tokens+rate*now.Sub(b.refilledAt).Seconds())
-	b.refilledAt = now
-	return b.tokens >= 1
+	return rate > 0 && now.Sub(p.last) >= duration(1/rate)
+}
+
+// duration returns a number of seconds as a duration, at most a day.
+func duration(seconds float64) time.Duration {
+	return time.Duration(min(seconds, (24*time.Hour).Seconds()) * float64(time.Second))
 }
 
 // minColdRate is the lowest rate, in requests per second, that one instance is given at a cold endpoint.
--- a/upstream/endpoint.go
+++ b/upstream/endpoint.go
@@ -45,7 +45,7 @@
 	leaving     bool      // this incarnation says in its answers that it leaves
 	turnAway    turnAway
 	coldUntil   time.Time
-	slowStart   tokenBucket // limits the request rate until coldUntil
+	slowStart   pacer // limits the request rate until coldUntil
 	coldShare   rateShare
 	ownLoad     load
 	peers       map[machine.InstanceID]peerLoad
@@ -53,7 +53,7 @@
 	peerTotalAt time.Time // zero if a peer's load has changed since
 	health      health
 	statedLimit statedLimit
-	limiter     tokenBucket // limits the request rate while statedLimit is in force
+	limiter     pacer // limits the request rate while statedLimit is in force
 	limitShare  rateShare
 	prefixes    prefixCache
 }
--- a/upstream/place.go
+++ b/upstream/place.go
@@ -182,13 +182,13 @@
 	if e.total(now).requests >= int(float64(e.report.Slots)*overcommit) {
 		return false
 	}
-	if !e.turnAway.admits(now) || e.statedLimit.inForce && !e.limiter.refill(t.ownStatedRate(e), now) {
+	if !e.turnAway.admits(now) || e.statedLimit.inForce && !e.limiter.ready(t.ownStatedRate(e), now) {
 		return false
 	}
 	if service == nil || service.ColdRate == 0 || !now.Before(e.coldUntil) {
 		return true
 	}
-	return e.slowStart.refill(t.ownColdRate(e, service), now)
+	return e.slowStart.ready(t.ownColdRate(e, service), now)
 }
 
 // ownColdRate returns the rate at which this instance may use a cold endpoint. The caller holds the lock.
--- a/upstream/statedlimit.go
+++ b/upstream/statedlimit.go
@@ -33,7 +33,7 @@
 // setLimit replaces the stated limit. A limit that comes into force begins without saved requests. The caller holds the lock.
 func (e *Endpoint) setLimit(limit statedLimit) {
 	if limit.inForce && !e.statedLimit.inForce {
-		e.limiter = tokenBucket{}
+		e.limiter = pacer{}
 	}
 	e.statedLimit = limit
 }
