link: only the first answer on a new connection may lack the id

Found by reading the diff: on a new connection an answer without an id was also accepted after an answer to another request, which shows that the endpoint writes answers that nobody waits for.

Measured: TestUnnamedAfterOtherAnswer fails without the change; the package passes under the race detector.

--- a/link/endpointclient.go
+++ b/link/endpointclient.go
@@ -272,7 +272,7 @@
 }
 
 // receive reads the answer's header. It skips informational answers and up to maxAnswersRead-1 answers
-// to other requests. On a reused connection an answer that names no request may be a repeated one to an earlier request.
+// to other requests. An answer that names no request may be a repeated one, unless it is the first on its connection.
 func (c *EndpointClient) receive(conn *endpointConn, request *EndpointRequest) (*http.Response, AnswerOrigin, error) {
 	httpRequest := &http.Request{Method: request.Method}
 	origin := AnswerOrigin{Connection: conn.number, Reused: conn.reused}
@@ -287,7 +287,8 @@
 			return nil, origin, err
 		}
 		origin.Match = c.match(response.Header, request.ID)
-		if origin.Match == SameRequest || origin.Match == Unnamed && !conn.reused {
+		first := !conn.reused && origin.Skipped == 0
+		if origin.Match == SameRequest || origin.Match == Unnamed && first {
 			return response, origin, nil
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
--- a/link/repeatedanswer_test.go
+++ b/link/repeatedanswer_test.go
@@ -129,6 +129,23 @@
 	}
 }
 
+// TestUnnamedAfterOtherAnswer checks that on a new connection only the first answer may lack the request's id.
+func TestUnnamedAfterOtherAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const unnamed = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		for before, status := range map[string]int{"": http.StatusServiceUnavailable, okAnswer("other", "not yours"): http.StatusOK} {
+			endpoint := &scriptedEndpoint{script: func(_, id string) string { return before + unnamed + okAnswer(id, "ran") }}
+			client := NewEndpointClientWith(endpoint.dial, matchNamed)
+			answer, err := client.Send(t.Context(), newEndpointRequest("a", "/"))
+			c.Assert(err, qt.IsNil)
+			c.Check(answer.Status, qt.Equals, status)
+			c.Check(answer.Body.Close(), qt.IsNil)
+			client.Close()
+		}
+	})
+}
+
 // TestManyRepeatedAnswers guards against answers that are lost though they arrive: any number of copies of an earlier answer that
 // stays within the bounds of an answer's head is skipped.
 func TestManyRepeatedAnswers(t *testing.T) {
