intake: bounds on what callers make an instance hold

Cause: each body was read into memory on its own, up to the limit of one request, for up to five seconds (30 in entry). Three hundred clients that stop short of their end held 300 bodies, grown by copying, so that up to twice as much was garbage. Connections were not bounded at all, and a refused request with a body that never ends kept its connection for good, since net/http reads the rest without a time limit.

Change: package intake keeps one account a connection and evicts requests that are not whole in favour of others (design/0016). Bodies grow in blocks without copying; the rest of a refused body and each write to a caller have a time limit; a plain answer is forwarded as it arrives where there is no memory to buffer it. Used by gateway and entry.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"plumbarrow.example/plumbarrow/decide"
 	"plumbarrow.example/plumbarrow/entry"
 	"plumbarrow.example/plumbarrow/infra"
+	"plumbarrow.example/plumbarrow/intake"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/ledger"
 	"plumbarrow.example/plumbarrow/limit"
@@ -60,13 +61,14 @@
 	entry           *entry.Server
 	operate         *operate.Server
 
+	callers    *intake.Guard
 	dispatcher *link.Dispatcher
 	dialer     *link.PeerDialer
 	peers      *drpcmux.Mux
 }
 
 // New creates a daemon that serves on the listeners. It starts nothing; Run does, and closes the listeners
-// when it ends. After an error they are still open.
+// when it ends. It sets the memory limit of the whole process. After an error they are still open.
 func New(settings Settings, listeners Listeners, log *slog.Logger) (*Daemon, error) {
 	d := &Daemon{
 		settings:  settings,
@@ -83,6 +85,10 @@
 		dialer:     link.NewPeerDialer(),
 		peers:      drpcmux.New(),
 	}
+	if settings.MemoryMB > 0 {
+		setMemoryLimit(settings.MemoryMB)
+	}
+	d.callers = intake.New(settings.callers().limits(), d.counters, log)
 	d.table = machine.NewTable(settings.Machine, d.self.ID)
 	d.assembleFleet()
 	d.assemblePermits()
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -19,6 +19,7 @@
 	"plumbarrow.example/plumbarrow/canary"
 	"plumbarrow.example/plumbarrow/catalog"
 	"plumbarrow.example/plumbarrow/gateway"
+	"plumbarrow.example/plumbarrow/intake"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
@@ -30,9 +31,6 @@
 )
 
 const (
-	// memoryLimitShare is the Go runtime's soft memory limit as a share of MemoryMB. The rest is left for
-	// memory that the kernel holds for the process.
-	memoryLimitShare = 0.6
 	// gcPercent is the heap growth, in percent, that triggers a garbage collection (GOGC). It is below the
 	// default of 100 because instances use only a few hundredths of a core: frequent collections cost less
 	// than the memory that they save.
@@ -83,6 +81,7 @@
 	quarantine     *quarantine.Quarantine
 	driver         *canary.Driver
 	endpointClient *link.EndpointClient
+	callers        *intake.Guard
 	dialer         *link.PeerDialer
 	peers          *drpcmux.Mux
 	server         *gateway.Server
@@ -92,7 +91,7 @@
 // the whole process.
 func NewGateway(settings GatewaySettings, log *slog.Logger) (*Gateway, error) {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryMB<<20)))
+	setMemoryLimit(settings.MemoryMB)
 	g := &Gateway{
 		settings: settings,
 		log:      log,
@@ -109,6 +108,7 @@
 		dialer:  link.NewPeerDialer(),
 		peers:   drpcmux.New(),
 	}
+	g.callers = intake.New(settings.callers().limits(), g.counters, log)
 	g.assembleStore()
 	g.assembleServing()
 	err := errors.Join(
@@ -174,18 +174,23 @@
 	defer cancel()
 	addStop(ctx, &group, g.stop)
 	addTasks(background, cancel, &group, g.tasks())
+	server := g.httpServer(g.server)
+	g.callers.Attach(server)
 	servers := []struct {
 		address string
 		server  *http.Server
+		listen  func(ctx context.Context, address string) (net.Listener, error)
 	}{
-		{g.settings.CallersAddress, g.httpServer(g.server)},
-		{g.settings.ReadyAddress, g.httpServer(g.readyHandler())},
-		{g.settings.MetricsAddress, g.httpServer(g.metricsHandler())},
+		{g.settings.CallersAddress, server, g.callers.Listen},
+		{g.settings.ReadyAddress, g.httpServer(g.readyHandler()), listen},
+		{g.settings.MetricsAddress, g.httpServer(g.metricsHandler()), listen},
 	}
 	for _, s := range servers {
-		if err := addServer(&group, s.address, s.server, shutdownGrace); err != nil {
-			return err
+		listener, err := s.listen(ctx, s.address)
+		if err != nil {
+			return eris.Wrap(err, s.address)
 		}
+		addServer(&group, listener, s.server, shutdownGrace)
 	}
 	err := group.Run()
 	g.endpointClient.Close()
@@ -252,11 +257,7 @@
 
 // addServer adds a server to the group. At the end it closes the listener and waits up to grace for the answers
 // to requests that have been read.
-func addServer(group *run.Group, address string, server *http.Server, grace time.Duration) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return eris.Wrap(err, address)
-	}
+func addServer(group *run.Group, listener net.Listener, server *http.Server, grace time.Duration) {
 	group.Add(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
@@ -269,7 +270,10 @@
 			_ = server.Close()
 		}
 	})
-	return nil
+}
+
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 }
 
 // ready reports whether the balancer should send requests to this instance.
--- a/daemon/gatewaysettings.go
+++ b/daemon/gatewaysettings.go
@@ -29,6 +29,13 @@
 	StoreAddress string `toml:"store_address"`
 	// MemoryMB is the memory in megabytes beyond which the process is killed. Required.
 	MemoryMB int `toml:"memory_mb"`
+	// MaxDescriptors is the number of descriptors that the process may have open. Default: its limit at start.
+	MaxDescriptors int `toml:"max_descriptors"`
+	// CallersMemoryMB is the memory in megabytes that callers' connections, requests and buffered answers may hold together.
+	// Default: a quarter of MemoryMB.
+	CallersMemoryMB int `toml:"callers_memory_mb"`
+	// CallersConnections is the number of callers' connections that may be open. Default: 45 of 100 descriptors.
+	CallersConnections int `toml:"callers_connections"`
 	// StopSeconds is the time between the signal to stop and the kill. Required.
 	StopSeconds float64 `toml:"stop_seconds"`
 	// CanaryShare is the largest share of a service's requests, above 0 and at most 1, that a bad version may
@@ -95,6 +102,9 @@
 	case s.CanaryShare <= 0 || s.CanaryShare > 1:
 		return errors.New("canary_share: must be above 0 and at most 1")
 	}
+	if err := s.callers().validate(); err != nil {
+		return err
+	}
 	if _, err := s.level(); err != nil {
 		return err
 	}
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
-	"net"
 	"net/http"
 	"time"
 
@@ -31,8 +29,10 @@
 	defer cancel()
 	addStop(ctx, &group, d.stop)
 	addTasks(background, cancel, &group, d.tasks())
-	d.addServer(&group, d.listeners.Callers, d.entry.Handler())
-	d.addServer(&group, d.listeners.Operators, d.operate.Handler())
+	server := d.httpServer(d.entry.Handler())
+	d.callers.Attach(server)
+	addServer(&group, d.callers.Guarded(d.listeners.Callers), server, shutdownTimeout)
+	addServer(&group, d.listeners.Operators, d.httpServer(d.operate.Handler()), shutdownTimeout)
 	err := group.Run()
 	d.dispatcher.Close()
 	d.dialer.Close()
@@ -94,20 +94,10 @@
 	time.Sleep(leaveDelay)
 }
 
-func (d *Daemon) addServer(group *run.Group, listener net.Listener, handler http.Handler) {
-	server := &http.Server{
+func (d *Daemon) httpServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		ErrorLog:          slog.NewLogLogger(d.log.Handler(), slog.LevelWarn),
 	}
-	group.Add(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-		defer cancel()
-		_ = server.Shutdown(ctx)
-	})
 }
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -43,6 +43,15 @@
 	RaterAddress string `toml:"rater_address"`
 	// MaxBodyBytes is the limit of a caller's request body. Default 4,194,304.
 	MaxBodyBytes int64 `toml:"max_body_bytes"`
+	// MemoryMB is the memory in megabytes that the process should stay within. Default 0, which sets no bound.
+	MemoryMB int `toml:"memory_mb"`
+	// MaxDescriptors is the number of descriptors that the process may have open. Default: its limit at start.
+	MaxDescriptors int `toml:"max_descriptors"`
+	// CallersMemoryMB is the memory in megabytes that callers' connections and requests may hold together. Default: a quarter of
+	// MemoryMB, or 256 without it.
+	CallersMemoryMB int `toml:"callers_memory_mb"`
+	// CallersConnections is the number of callers' connections that may be open. Default: 45 of 100 descriptors.
+	CallersConnections int `toml:"callers_connections"`
 	// StopGraceMS is how long, in milliseconds, a planned stop keeps serving after it has reported the
 	// instance as not ready, until the platform's balancer stops sending requests. Default 5,000.
 	StopGraceMS int `toml:"stop_grace_ms"`
@@ -121,6 +130,9 @@
 	if err := s.validateAddresses(); err != nil {
 		return err
 	}
+	if err := s.callers().validate(); err != nil {
+		return err
+	}
 	switch {
 	case s.MaxBodyBytes < 1:
 		return errors.New("max_body_bytes: must be positive")
--- a/daemon/shutdown_test.go
+++ b/daemon/shutdown_test.go
@@ -29,7 +29,9 @@
 	var group run.Group
 	ctx, stop := context.WithCancel(t.Context())
 	group.Add(func() error { <-ctx.Done(); return nil }, func(error) {})
-	c.Assert(addServer(&group, address, &http.Server{Handler: handler}, time.Minute), qt.IsNil)
+	listener, err := listen(t.Context(), address)
+	c.Assert(err, qt.IsNil)
+	addServer(&group, listener, &http.Server{Handler: handler}, time.Minute)
 	ended := make(chan error, 1)
 	go func() { ended <- group.Run() }()
 	type answer struct {
--- a/entry/body.go
+++ b/entry/body.go
@@ -13,9 +13,13 @@
 
 	"github.com/labstack/echo/v4"
 
+	"plumbarrow.example/plumbarrow/intake"
 	"plumbarrow.example/plumbarrow/verdict"
 )
 
+// fullRetryAfter is the Retry-After of a request for which the instance has no memory: requests in progress end within about a second.
+const fullRetryAfter = time.Second
+
 // readBody reads the request body, bounded by MaxBodyBytes and the body timeout.
 func (s *Server) readBody(c echo.Context) ([]byte, error) {
 	request := c.Request()
@@ -25,9 +29,10 @@
 	control := http.NewResponseController(c.Response().Writer)
 	// The error is ignored: forwarded requests and test recorders have no connection.
 	_ = control.SetReadDeadline(time.Now().Add(s.Settings.bodyTimeout()))
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), request.Body, s.MaxBodyBytes))
+	body, err := intake.ReadBody(intake.FromContext(request.Context()), request, s.MaxBodyBytes)
 	if err != nil {
-		return nil, bodyError(err)
+		c.Response().Header().Set(echo.HeaderConnection, "close")
+		return nil, s.bodyError(err)
 	}
 	// net/http keeps reading to detect a disconnect; that background read must not time out.
 	_ = control.SetReadDeadline(time.Time{})
@@ -35,12 +40,15 @@
 	return body, nil
 }
 
-func bodyError(err error) error {
-	var tooLarge *http.MaxBytesError
+func (s *Server) bodyError(err error) error {
 	var timeout net.Error
 	switch {
-	case errors.As(err, &tooLarge):
-		return verdict.Refuse(verdict.BodyTooLarge, "the body is larger than %d bytes", tooLarge.Limit)
+	case errors.Is(err, intake.ErrTooLong):
+		return verdict.Refuse(verdict.BodyTooLarge, "the body is larger than %d bytes", s.MaxBodyBytes)
+	case errors.Is(err, intake.ErrFull), errors.Is(err, intake.ErrEvicted):
+		refusal := verdict.Refuse(verdict.InstanceFull, "%v", err)
+		refusal.RetryAfter = fullRetryAfter
+		return refusal
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
 		return verdict.Refuse(verdict.CallerTooSlow, "the body did not arrive in time")
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF), errors.Is(err, context.Canceled),
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -12,6 +11,7 @@
 
 	"plumbarrow.example/plumbarrow/canary"
 	"plumbarrow.example/plumbarrow/catalog"
+	"plumbarrow.example/plumbarrow/intake"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/quarantine"
@@ -265,14 +265,14 @@
 // f.bufferedFailure instead, to be delivered if no other attempt succeeds.
 func (f *requestState) bufferAnswer(grant *upstream.Grant, answer *link.EndpointAnswer, failed *failedAttempt) *failedAttempt {
 	grant.RecordFirstEvent()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
-	if err != nil {
+	body, err := intake.ReadAll(f.account, answer.Body, answer.Length, maxBufferedBytes)
+	switch {
+	case errors.Is(err, intake.ErrTooLong), errors.Is(err, intake.ErrFull):
+		return f.forwardLong(answer, body, failed)
+	case err != nil:
 		failed.reason, failed.err = verdict.RetryTruncated, err
 		return failed
 	}
-	if len(body) > maxBufferedBytes {
-		return f.forwardLong(answer, body, failed)
-	}
 	f.verdict = verdict.Ran
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
 	if answer.Status >= http.StatusInternalServerError || promisesNotRun(answer.Status) {
--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -79,11 +79,12 @@
 	f.status = answer.Status
 	f.detachFromStop()
 	f.writer.WriteHeader(answer.Status)
-	if _, err := f.writer.Write(prefix); err != nil {
+	caller := deadlineWriter{writer: f.writer, control: http.NewResponseController(f.writer)}
+	if _, err := caller.Write(prefix); err != nil {
 		f.abort("the caller left")
 	}
 	// One byte more than allowed shows that the answer is too long.
-	n, err := io.Copy(f.writer, io.LimitReader(answer.Body, maxAnswerBytes+1-int64(len(prefix))))
+	n, err := io.Copy(caller, io.LimitReader(answer.Body, maxAnswerBytes+1-int64(len(prefix))))
 	if err != nil {
 		f.abort("the answer broke off")
 	}
@@ -94,6 +95,18 @@
 	return nil
 }
 
+// deadlineWriter bounds each write, in case the caller stops reading.
+type deadlineWriter struct {
+	writer  io.Writer
+	control *http.ResponseController
+}
+
+// Write implements io.Writer.
+func (w deadlineWriter) Write(p []byte) (int, error) {
+	_ = w.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return w.writer.Write(p)
+}
+
 // abort closes the caller's connection, so that the caller cannot mistake a truncated answer for a complete one.
 // It panics with http.ErrAbortHandler.
 func (f *requestState) abort(why string) {
@@ -120,16 +133,23 @@
 	if refusal.RetryAfter > 0 && promisesNotRun(f.status) {
 		header.Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 2, 64))
 	}
-	if f.callerGone || refusal.Reason == verdict.BodyTooLarge {
+	if f.callerGone || closesConnection(refusal.Reason) {
 		header.Set("Connection", "close")
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	body := refusal.Detail + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(body)))
+	control := http.NewResponseController(f.writer)
+	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 	f.writer.WriteHeader(f.status)
 	_, _ = io.WriteString(f.writer, body)
 }
 
+// closesConnection reports whether a refusal for the reason leaves a body unread that has not ended.
+func closesConnection(reason verdict.Reason) bool {
+	return reason == verdict.BodyTooLarge || reason == verdict.CallerTooSlow || reason == verdict.InstanceFull
+}
+
 // statusOf returns the HTTP status of a refusal. If the request has not run, every server error becomes 503. If it
 // may have run, it is 504 after the deadline, and statuses that blame the caller or promise that the request has
 // not run become 502.
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
 	"plumbarrow.example/plumbarrow/catalog"
+	"plumbarrow.example/plumbarrow/intake"
 	"plumbarrow.example/plumbarrow/internal/inflight"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/upstream"
@@ -32,6 +33,7 @@
 	server  *Server
 	writer  http.ResponseWriter
 	request *http.Request
+	account *intake.Account // of the caller's connection
 	arrived time.Time
 
 	call     *Call
@@ -155,30 +157,36 @@
 	control := http.NewResponseController(f.writer)
 	limit := f.snapshot.Limits.MaxBodyBytes
 	if r.ContentLength > limit {
-		return verdict.Refuse(verdict.BodyTooLarge, "the body is longer than %d bytes", limit)
+		return f.bodyRefusal(intake.ErrTooLong)
+	}
+	if f.customer != nil {
+		f.account.SetOwner(f.customer.Name)
 	}
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := readAll(io.LimitReader(r.Body, limit+1), r.ContentLength)
+	body, err := intake.ReadBody(f.account, r, limit)
 	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
-		f.callerGone = true
-		return verdict.Refuse(verdict.BadRequest, "the body is not whole: %v", err)
-	}
-	if int64(len(body)) > limit {
-		return verdict.Refuse(verdict.BodyTooLarge, "the body is longer than %d bytes", limit)
+		return f.bodyRefusal(err)
 	}
 	f.body = body
 	return nil
 }
 
-// readAll reads length bytes, or to the end if the length is unknown (not positive).
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length <= 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	n, err := io.ReadFull(r, body)
-	return body[:n], err
+// bodyRefusal returns the refusal of a request whose body was not read to its end.
+func (f *requestState) bodyRefusal(err error) *verdict.Refusal {
+	switch {
+	case errors.Is(err, intake.ErrTooLong):
+		return verdict.Refuse(verdict.BodyTooLarge, "the body is longer than %d bytes", f.snapshot.Limits.MaxBodyBytes)
+	case errors.Is(err, intake.ErrFull), errors.Is(err, intake.ErrEvicted):
+		refusal := verdict.Refuse(verdict.InstanceFull, "%v", err)
+		refusal.RetryAfter = retryAfter(0)
+		return refusal
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return verdict.Refuse(verdict.CallerTooSlow, "the body did not arrive within %d ms", bodyTimeout.Milliseconds())
+	default:
+		f.callerGone = true
+		return verdict.Refuse(verdict.BadRequest, "the body is not whole: %v", err)
+	}
 }
 
 // run makes attempts until the request is answered or nothing further is allowed.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -17,6 +17,7 @@
 	"plumbarrow.example/plumbarrow/canary"
 	"plumbarrow.example/plumbarrow/catalog"
 	"plumbarrow.example/plumbarrow/decide"
+	"plumbarrow.example/plumbarrow/intake"
 	"plumbarrow.example/plumbarrow/internal/inflight"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/link"
@@ -106,7 +107,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer s.inFlight.End()
-	f := &requestState{server: s, writer: w, request: r, arrived: time.Now(), verdict: verdict.NotRun}
+	f := &requestState{
+		server: s, writer: w, request: r, account: intake.FromContext(r.Context()), arrived: time.Now(), verdict: verdict.NotRun,
+	}
 	defer f.finish()
 	defer f.recovered()
 	f.serve(r.Context())
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"plumbarrow.example/plumbarrow/canary"
+	"plumbarrow.example/plumbarrow/intake"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/upstream"
 	"plumbarrow.example/plumbarrow/verdict"
@@ -33,6 +34,7 @@
 	order      eventOrder
 	events     int    // number of events forwarded
 	buffer     []byte // bytes that do not form a complete event yet
+	held       int    // bytes of buffer that the caller's account holds; a buffer up to readChunk counts as none
 }
 
 // forwardStream forwards an endpoint's events as they arrive, complete events only. Bytes that are no event of the stream break it
@@ -55,6 +57,10 @@
 			first = false
 			grant.RecordFirstEvent()
 		}
+		if !f.holdEvents(len(stream.buffer) + n) {
+			failed.reason, failed.err = verdict.RetryTruncated, intake.ErrFull
+			return failed
+		}
 		stream.buffer = append(stream.buffer, chunk[:n]...)
 		events, invalid := stream.completeEvents()
 		if len(events) > 0 {
@@ -83,6 +89,19 @@
 	}
 }
 
+// holdEvents makes room for n bytes that form no complete event yet. It returns false if the instance has no memory for them.
+func (f *requestState) holdEvents(n int) bool {
+	more := n - max(f.stream.held, readChunk)
+	if more <= 0 {
+		return true
+	}
+	if f.account.Grow(int64(more)) != nil {
+		return false
+	}
+	f.stream.held = n
+	return true
+}
+
 // reasonOf returns the retry reason of an error from reading an answer's body.
 func reasonOf(err error) verdict.Reason {
 	var failure *link.Failure
--- /dev/null
+++ b/intake/guard.go
@@ -0,0 +1,374 @@
+// Package intake bounds what callers make an instance hold: connections, and the bytes of heads, bodies and buffered answers. Where a bound
+// is reached, it evicts connections whose requests are not whole in favour of others. The decisions are in evict.go; design note 0016
+// says what was weighed.
+package intake
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"plumbarrow.example/plumbarrow/internal/telemetry"
+)
+
+const (
+	// connectionBytes is what an open connection holds by itself: buffers for reading and writing of 4 KiB each, and the stacks of its
+	// goroutines.
+	connectionBytes = 24 << 10
+	// receiveBuffer is the kernel's buffer for the bytes of a connection that the process has not read, in bytes. The kernel's default
+	// grows to several MiB.
+	receiveBuffer = 64 << 10
+	// ownerShare is the largest share of the bytes that the bodies of one owner may hold, except for a single one.
+	ownerShare = 0.5
+	// calmShare is the share of the bytes up to which other connections are calm. A single request may then exceed the limit, so that a
+	// body is accepted that is allowed but larger than the limit.
+	calmShare = 0.5
+	// restTimeout bounds the time for reading the rest of a body after the request was answered.
+	restTimeout = time.Second
+	// logInterval is the least time between two log lines on evictions.
+	logInterval = time.Second
+)
+
+// Errors of Account.Grow.
+var (
+	// ErrFull means that the bytes are used up by connections that do not yield.
+	ErrFull = errors.New("the memory for callers' requests is used up")
+	// ErrEvicted means that the connection had to yield.
+	ErrEvicted = errors.New("the request yielded its memory to others before it was whole")
+)
+
+// Limits bound what all callers together may make the instance hold.
+type Limits struct {
+	Bytes       int64
+	Connections int
+}
+
+// Guard keeps the accounts of all connections. Safe for concurrent use.
+type Guard struct {
+	limits   Limits
+	counters *telemetry.Counters
+	log      *slog.Logger
+
+	mu       sync.Mutex
+	accounts map[*Account]struct{}
+	open     int   // connections that are not closed, including evicted ones
+	bytes    int64 // of all accounts
+	owners   map[string]int64
+	evicted  int // since loggedAt
+	loggedAt time.Time
+}
+
+// New returns a guard without connections.
+func New(limits Limits, counters *telemetry.Counters, log *slog.Logger) *Guard {
+	g := &Guard{
+		limits: limits, counters: counters, log: log, accounts: make(map[*Account]struct{}), owners: make(map[string]int64),
+	}
+	counters.Gauge("plumbarrow_callers_connections", func() float64 { return float64(g.connections()) })
+	counters.Gauge("plumbarrow_callers_held_bytes", func() float64 { return float64(g.held()) })
+	return g
+}
+
+func (g *Guard) connections() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.open
+}
+
+func (g *Guard) held() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.bytes
+}
+
+// Account is what one connection makes the instance hold. All methods accept nil, an account without bounds, for requests that come by
+// other ways than a connection of the guard.
+type Account struct {
+	guard *Guard
+	conn  net.Conn
+
+	// Guarded by guard.mu.
+	holding
+	owner      string
+	ownerBytes int64 // of bytes, counted for owner
+	wholeBody  bool  // the body of the present request was read to its end
+	evicted    bool
+	closed     bool
+}
+
+type contextKey struct{}
+
+// FromContext returns the account of the connection on which a request came, or nil.
+func FromContext(ctx context.Context) *Account {
+	account, _ := ctx.Value(contextKey{}).(*Account)
+	return account
+}
+
+// Attach sets the hooks of a server whose listener is of Guard.Listen, and wraps its handler.
+func (g *Guard) Attach(server *http.Server) {
+	server.Handler = handler{server.Handler}
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		if c, ok := conn.(*guardedConn); ok {
+			return context.WithValue(ctx, contextKey{}, c.account)
+		}
+		return ctx
+	}
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if c, ok := conn.(*guardedConn); ok && state == http.StateIdle {
+			c.account.endRequest()
+		}
+	}
+}
+
+// handler marks requests as in service while the next handler serves them.
+type handler struct{ next http.Handler }
+
+// ServeHTTP implements http.Handler.
+func (h handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	account := FromContext(r.Context())
+	if account.Begin() != nil {
+		panic(http.ErrAbortHandler) // evicted since the head was read
+	}
+	h.next.ServeHTTP(w, r)
+	if r.Body != nil && r.Body != http.NoBody && !account.hasWholeBody() {
+		// net/http reads on, so that the caller gets the answer before its connection is closed.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(restTimeout))
+	}
+}
+
+// admit opens an account for a new connection, or returns nil if there is no room for it. It evicts another connection if needed.
+func (g *Guard) admit(conn net.Conn) *Account {
+	now := time.Now()
+	account := &Account{guard: g, conn: conn, holding: holding{stage: idle, progressAt: now}}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.open >= g.limits.Connections {
+		victim := g.victim(account, ofConnections, now)
+		if victim == nil {
+			g.count("refused", now)
+			return nil
+		}
+		g.evict(victim, now)
+		// An evicted connection would hold its descriptor until its handler has ended.
+		victim.end()
+		_ = victim.conn.Close()
+	}
+	if !g.makeRoom(account, connectionBytes, now) {
+		g.count("refused", now)
+		return nil
+	}
+	g.accounts[account] = struct{}{}
+	g.open++
+	account.charge(connectionBytes)
+	return account
+}
+
+// makeRoom evicts connections until the account can grow by n bytes. It returns false if too few yield. The caller holds the lock.
+func (g *Guard) makeRoom(account *Account, n int64, now time.Time) bool {
+	wanting := account.holding
+	wanting.bytes += n
+	for g.bytes+n > g.limits.Bytes {
+		if float64(g.bytes-account.bytes) <= calmShare*float64(g.limits.Bytes) {
+			return true
+		}
+		victim := g.victim(account, ofBytes, now)
+		if victim == nil || !victim.yieldsTo(wanting, now) {
+			return false
+		}
+		g.evict(victim, now)
+	}
+	return true
+}
+
+// victim returns the connection that yields first, other than the account, or nil if all are in service. The caller holds the lock.
+func (g *Guard) victim(account *Account, short shortage, now time.Time) *Account {
+	var first *Account
+	for other := range g.accounts {
+		if other == account || other.stage == inService {
+			continue
+		}
+		if first == nil || evictBefore(other.holding, first.holding, short, now) {
+			first = other
+		}
+	}
+	return first
+}
+
+// evict takes the account's bytes and wakes the goroutine that reads from its connection. The caller holds the lock.
+func (g *Guard) evict(account *Account, now time.Time) {
+	g.count("evicted", now)
+	account.evicted = true
+	account.release(account.bytes)
+	delete(g.accounts, account)
+	_ = account.conn.SetReadDeadline(now)
+}
+
+// count counts a connection that was evicted or refused, and logs at most one line in logInterval. The caller holds the lock.
+func (g *Guard) count(what string, now time.Time) {
+	g.counters.Add("plumbarrow_callers_turned_off_total", "how", what)
+	g.evicted++
+	if now.Sub(g.loggedAt) < logInterval {
+		return
+	}
+	g.log.Warn("callers' connections evicted or refused", "number", g.evicted, "connections", g.open, "max_connections", g.limits.Connections,
+		"held_bytes", g.bytes, "max_bytes", g.limits.Bytes)
+	g.evicted, g.loggedAt = 0, now
+}
+
+// charge adds n bytes. The caller holds the guard's lock.
+func (a *Account) charge(n int64) {
+	a.bytes += n
+	a.guard.bytes += n
+	if a.owner != "" {
+		a.ownerBytes += n
+		a.guard.owners[a.owner] += n
+	}
+}
+
+// release takes n bytes off. The caller holds the guard's lock.
+func (a *Account) release(n int64) {
+	a.bytes -= n
+	a.guard.bytes -= n
+	owned := min(n, a.ownerBytes)
+	if owned == 0 {
+		return
+	}
+	a.ownerBytes -= owned
+	a.guard.owners[a.owner] -= owned
+	if a.guard.owners[a.owner] == 0 {
+		delete(a.guard.owners, a.owner)
+	}
+}
+
+// SetOwner names the customer for whom bytes are counted from now on.
+func (a *Account) SetOwner(owner string) {
+	if a == nil {
+		return
+	}
+	a.guard.mu.Lock()
+	defer a.guard.mu.Unlock()
+	if a.ownerBytes == 0 {
+		a.owner = owner
+	}
+}
+
+// Begin marks the connection's request as in service. It returns ErrEvicted if the connection had to yield before.
+func (a *Account) Begin() error { return a.setStage(inService) }
+
+func (a *Account) setStage(next stage) error {
+	if a == nil {
+		return nil
+	}
+	a.guard.mu.Lock()
+	defer a.guard.mu.Unlock()
+	if a.evicted {
+		return ErrEvicted
+	}
+	a.stage, a.progressAt = next, time.Now()
+	return nil
+}
+
+// Grow adds n bytes, before they are allocated. Errors are ErrFull and ErrEvicted.
+func (a *Account) Grow(n int64) error {
+	if a == nil {
+		return nil
+	}
+	g := a.guard
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if a.evicted {
+		return ErrEvicted
+	}
+	a.progressAt = now
+	owned := g.owners[a.owner]
+	if a.owner != "" && a.stage == inBody && owned > a.ownerBytes && float64(owned+n) > ownerShare*float64(g.limits.Bytes) {
+		return ErrFull
+	}
+	if !g.makeRoom(a, n, now) {
+		return ErrFull
+	}
+	a.charge(n)
+	return nil
+}
+
+// Shrink gives n bytes back that are not held any more.
+func (a *Account) Shrink(n int64) {
+	if a == nil {
+		return
+	}
+	a.guard.mu.Lock()
+	defer a.guard.mu.Unlock()
+	if !a.evicted && !a.closed {
+		a.release(min(n, a.bytes))
+	}
+}
+
+// endRequest releases what the connection's last request held.
+func (a *Account) endRequest() {
+	a.guard.mu.Lock()
+	defer a.guard.mu.Unlock()
+	if a.evicted || a.closed {
+		return
+	}
+	a.release(a.bytes - connectionBytes)
+	a.owner, a.wholeBody = "", false
+	a.stage, a.progressAt = idle, time.Now()
+}
+
+// received records n bytes that were read from the connection. It returns an error if the connection has to be closed for them.
+func (a *Account) received(n int) error {
+	g := a.guard
+	g.mu.Lock()
+	if a.evicted {
+		g.mu.Unlock()
+		return ErrEvicted
+	}
+	if a.stage == inBody || a.stage == inService {
+		a.progressAt = time.Now()
+		g.mu.Unlock()
+		return nil
+	}
+	a.stage = inHead
+	g.mu.Unlock()
+	return a.Grow(int64(n))
+}
+
+// close ends the account with its connection.
+func (a *Account) close() {
+	a.guard.mu.Lock()
+	defer a.guard.mu.Unlock()
+	a.end()
+}
+
+// end is close for a caller that holds the guard's lock.
+func (a *Account) end() {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	a.guard.open--
+	a.release(a.bytes)
+	delete(a.guard.accounts, a)
+}
+
+func (a *Account) setWholeBody() {
+	if a == nil {
+		return
+	}
+	a.guard.mu.Lock()
+	defer a.guard.mu.Unlock()
+	a.wholeBody = true
+}
+
+func (a *Account) hasWholeBody() bool {
+	if a == nil {
+		return false
+	}
+	a.guard.mu.Lock()
+	defer a.guard.mu.Unlock()
+	return a.wholeBody
+}
--- /dev/null
+++ b/intake/intake_test.go
@@ -0,0 +1,174 @@
+package intake
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plumbarrow.example/plumbarrow/internal/telemetry"
+)
+
+// TestEvictionOrder answers a crowd whose requests stop short of their end, among callers that upload and callers between two requests.
+func TestEvictionOrder(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	stalledSmall := holding{inBody, 10, ago(2 * time.Second)}
+	stalledHead := holding{inHead, 5, ago(3 * time.Second)}
+	large := holding{inBody, 1000, ago(10 * time.Millisecond)}
+	small := holding{inBody, 20, ago(time.Millisecond)}
+	kept := holding{idle, 1, ago(time.Minute)}
+	for _, test := range []struct {
+		name          string
+		short         shortage
+		first, second holding
+	}{
+		{"of bytes, a stalled one before a larger one", ofBytes, stalledSmall, large},
+		{"of bytes, the larger of two stalled ones", ofBytes, stalledSmall, stalledHead},
+		{"of bytes, the larger one", ofBytes, large, small},
+		{"of connections, a stalled one before an idle one", ofConnections, stalledHead, kept},
+		{"of connections, an idle one before one that makes progress", ofConnections, kept, small},
+		{"of connections, the one without progress for longest", ofConnections, large, small},
+	} {
+		c.Check(evictBefore(test.first, test.second, test.short, now), qt.IsTrue, qt.Commentf("%s", test.name))
+		c.Check(evictBefore(test.second, test.first, test.short, now), qt.IsFalse, qt.Commentf("%s, reversed", test.name))
+	}
+	c.Check(large.yieldsTo(small, now), qt.IsTrue)
+	c.Check(small.yieldsTo(large, now), qt.IsFalse)
+	c.Check(stalledSmall.yieldsTo(large, now), qt.IsTrue)
+	c.Check(small.yieldsTo(holding{stage: inService, bytes: 5000}, now), qt.IsTrue)
+}
+
+// pipeGuard is a guard over connections of net.Pipe.
+type pipeGuard struct {
+	*Guard
+	c *qt.C
+}
+
+func newPipeGuard(t *testing.T, limits Limits) pipeGuard {
+	return pipeGuard{New(limits, telemetry.New(), slog.New(slog.DiscardHandler)), qt.New(t)}
+}
+
+func (g pipeGuard) connect() *Account {
+	conn, other := net.Pipe()
+	g.c.Cleanup(func() { _ = conn.Close(); _ = other.Close() })
+	return g.admit(conn)
+}
+
+// upload returns an account whose body holds n bytes besides the connection's own, or the error.
+func (g pipeGuard) upload(n int64) (*Account, error) {
+	account := g.connect()
+	g.c.Assert(account, qt.IsNotNil)
+	g.c.Assert(account.setStage(inBody), qt.IsNil)
+	return account, account.Grow(n)
+}
+
+// TestCrowdYields answers a crowd of large bodies that stop short of their end: a small request gets in at once, a large one once they
+// have stalled, and what is in service stays.
+func TestCrowdYields(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newPipeGuard(t, Limits{Bytes: 10 << 20, Connections: 100})
+		served, err := g.upload(1 << 20)
+		g.c.Assert(err, qt.IsNil)
+		g.c.Assert(served.Begin(), qt.IsNil)
+		crowd := []*Account{}
+		for range 8 {
+			account, err := g.upload(1 << 20)
+			g.c.Assert(err, qt.IsNil)
+			crowd = append(crowd, account)
+		}
+		_, err = g.upload(3 << 20)
+		g.c.Check(errors.Is(err, ErrFull), qt.IsTrue)
+		_, err = g.upload(900 << 10)
+		g.c.Check(err, qt.IsNil)
+		g.c.Check(crowd[0].Begin(), qt.ErrorIs, ErrEvicted) // of equal ones the one without progress for longest
+		g.c.Check(crowd[1].Begin(), qt.IsNil)
+		time.Sleep(2 * stallTime)
+		_, err = g.upload(3 << 20)
+		g.c.Check(err, qt.IsNil)
+		g.c.Check(served.Grow(1<<10), qt.IsNil)
+		g.c.Check(crowd[1].Grow(1<<10), qt.IsNil)
+		g.c.Check(g.held() <= g.limits.Bytes, qt.IsTrue)
+	})
+}
+
+// TestConnectionsYield answers more connections than descriptors: new ones replace those that send nothing, but none in service.
+func TestConnectionsYield(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newPipeGuard(t, Limits{Bytes: 10 << 20, Connections: 2})
+		first, second := g.connect(), g.connect()
+		g.c.Assert(second.received(1), qt.IsNil)
+		third := g.connect()
+		g.c.Check(first.received(1), qt.ErrorIs, ErrEvicted)
+		g.c.Check(second.Begin(), qt.IsNil)
+		g.c.Check(third.Begin(), qt.IsNil)
+		g.c.Check(g.connect(), qt.IsNil)
+		third.endRequest()
+		g.c.Check(g.connect(), qt.IsNotNil)
+		g.c.Check(g.connections(), qt.Equals, 2)
+	})
+}
+
+// TestOwnerShare answers one customer whose bodies would take all the memory: it is refused beyond half, others are not, and a single
+// request may be longer than half.
+func TestOwnerShare(t *testing.T) {
+	g := newPipeGuard(t, Limits{Bytes: 10 << 20, Connections: 100})
+	hold := func(owner string, n int64) error {
+		account := g.connect()
+		account.SetOwner(owner)
+		g.c.Assert(account.setStage(inBody), qt.IsNil)
+		err := account.Grow(n)
+		_ = account.Begin()
+		return err
+	}
+	g.c.Check(hold("a", 6<<20), qt.IsNil)
+	g.c.Check(hold("a", 1<<20), qt.ErrorIs, ErrFull)
+	g.c.Check(hold("b", 1<<20), qt.IsNil)
+	g.c.Check(hold("b", 2<<20), qt.IsNil)
+}
+
+// TestLargeBodyInCalm answers a body that is allowed but larger than the memory for callers, beside idle connections.
+func TestLargeBodyInCalm(t *testing.T) {
+	g := newPipeGuard(t, Limits{Bytes: 1 << 20, Connections: 100})
+	for range 10 {
+		g.connect()
+	}
+	account, err := g.upload(0)
+	g.c.Assert(err, qt.IsNil)
+	body, err := ReadAll(account, bytes.NewReader(make([]byte, 3<<20)), -1, 4<<20)
+	g.c.Check(err, qt.IsNil)
+	g.c.Check(len(body), qt.Equals, 3<<20)
+	g.c.Check(g.connections(), qt.Equals, 11)
+	account.endRequest()
+	g.c.Check(g.held(), qt.Equals, int64(11*connectionBytes))
+}
+
+// TestReadAll checks lengths around the blocks' bounds, announced or not, and the bytes that are returned with an error.
+func TestReadAll(t *testing.T) {
+	c := qt.New(t)
+	for _, size := range []int{0, 1, 4 << 10, 4<<10 + 1, 12 << 10, 64 << 10, 300<<10 + 7} {
+		want := bytes.Repeat([]byte("0123456789abcdef"), size/16+1)[:size]
+		for _, length := range []int{-1, size} {
+			for _, reader := range []io.Reader{bytes.NewReader(want), iotest.DataErrReader(bytes.NewReader(want)), iotest.HalfReader(bytes.NewReader(want))} {
+				body, err := ReadAll(nil, reader, int64(length), 1<<20)
+				c.Check(err, qt.IsNil)
+				c.Check(bytes.Equal(body, want), qt.IsTrue, qt.Commentf("%d bytes, announced %d", size, length))
+			}
+		}
+	}
+	body, err := ReadAll(nil, bytes.NewReader(make([]byte, 9000)), -1, 5000)
+	c.Check(err, qt.ErrorIs, ErrTooLong)
+	c.Check(len(body) > 5000, qt.IsTrue)
+	broken := io.MultiReader(bytes.NewReader(make([]byte, 5000)), iotest.ErrReader(io.ErrUnexpectedEOF))
+	body, err = ReadAll(nil, broken, -1, 1<<20)
+	c.Check(err, qt.ErrorIs, io.ErrUnexpectedEOF)
+	c.Check(len(body), qt.Equals, 5000)
+}
--- /dev/null
+++ b/internal/crowd/crowd.go
@@ -0,0 +1,99 @@
+// Package crowd plays clients that do not keep to a server's limits, many at a time, and measures the server's process. It is for tests.
+package crowd
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+const (
+	// Size is the number of clients of a crowd.
+	Size = 300
+	// Waves is the number of crowds in a row.
+	Waves = 3
+	// MemoryMB and Descriptors are what the process that serves the crowd may use. The bodies of a crowd exceed the memory, its
+	// connections the descriptors.
+	MemoryMB    = 96
+	Descriptors = 256
+	// BodyBytes is the longest body that is allowed.
+	BodyBytes = 1 << 20
+)
+
+// Kind is a kind of client.
+type Kind struct {
+	Name    string
+	Header  string        // fields of the request's head that announce the body, or are the rest of a head without an end
+	Payload func() []byte // what follows the head; nil if the head has no end
+}
+
+// Kinds are clients that stop before the end of what they send, or send more than allowed.
+var Kinds = []Kind{
+	{"large chunks", "Transfer-Encoding: chunked", func() []byte { return chunks(BodyBytes-64<<10, 64<<10) }},
+	{"small chunks", "Transfer-Encoding: chunked", func() []byte { return chunks(BodyBytes-1, 1) }},
+	{"announced body short of its end", "Content-Length: " + strconv.Itoa(BodyBytes), func() []byte { return make([]byte, BodyBytes-1) }},
+	{"announced body over the limit", "Content-Length: 1073741824", func() []byte { return make([]byte, 8*BodyBytes) }},
+	{"chunked body over the limit", "Transfer-Encoding: chunked", func() []byte { return chunks(8*BodyBytes, 64<<10) }},
+	{"head without an end", "X-Padding: " + strings.Repeat("x", 60<<10), nil},
+}
+
+// chunks returns a body of the given number of bytes in chunks of size bytes each, without the chunk that ends it.
+func chunks(total, size int) []byte {
+	chunk := fmt.Appendf(nil, "%x\r\n%s\r\n", size, strings.Repeat("x", size))
+	return bytes.Repeat(chunk, total/size)
+}
+
+// Send opens Size connections to the address (IP:port) and sends on each what a client of the kind sends, as far as the server takes it.
+// head is the request line and fields, each ended by a line break. Send returns once all clients have ended sending; their connections
+// stay open until leave is called.
+func (k Kind) Send(address, head string) (leave func()) {
+	request := []byte(head + k.Header + "\r\n")
+	if k.Payload != nil {
+		request = append(append(request, "\r\n"...), k.Payload()...)
+	}
+	var sending sync.WaitGroup
+	conns := make([]net.Conn, Size)
+	for n := range conns {
+		sending.Go(func() {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				return
+			}
+			conns[n] = conn
+			_, _ = conn.Write(request)
+		})
+	}
+	sending.Wait()
+	return func() {
+		for _, conn := range conns {
+			if conn != nil {
+				_ = conn.Close()
+			}
+		}
+	}
+}
+
+// PeakMemoryMB returns the largest resident memory of a process so far, in megabytes of 2^20 bytes. An error means that the process has
+// ended.
+func PeakMemoryMB(pid int) (int, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, found := strings.Cut(string(status), "VmHWM:")
+	if !found {
+		return 0, fmt.Errorf("process %d has ended", pid)
+	}
+	kb, err := strconv.Atoi(strings.Fields(rest)[0])
+	return kb >> 10, err
+}
+
+// OpenDescriptors returns the number of a process's open descriptors. An error means that the process has ended.
+func OpenDescriptors(pid int) (int, error) {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	return len(entries), err
+}
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -26,6 +26,7 @@
 	QueueFull               Reason = "queue_full"
 	QueueTimeout            Reason = "queue_timeout"
 	ShedOverload            Reason = "shed_overload"
+	InstanceFull            Reason = "instance_full"      // the instance has no memory for the request
 	PromptQuarantined       Reason = "prompt_quarantined" // a part of the prompt crashes endpoints
 	DeadlineExceeded        Reason = "deadline_exceeded"
 	ZoneOutOfService        Reason = "zone_out_of_service"
