upstream: placement by the load and pace that endpoints state

Endpoints of pace 1.6 got 58 % of the work of those of pace 0.6 and needed 2.7 to 5 times as long.

Change: from 12 live instances on, placement uses what endpoints state in their answers of their load and pace, or a pace that is learned from the answers; expected times are fitted over tokens, requests and reading time before; candidates are those that hold a part of the prompt and four others at random; the cost holds what reading costs others (design/0017). Peers send each other the statements with their loads. Nothing changes below 12 instances.

Bytes between zones rise, since endpoints of other zones are used at all.

--- a/daemon/gatewaysettings.go
+++ b/daemon/gatewaysettings.go
@@ -41,6 +41,9 @@
 	// CanaryShare is the largest share of a service's requests, above 0 and at most 1, that a bad version may
 	// get during its roll-out. Default 0.1.
 	CanaryShare float64 `toml:"canary_share"`
+	// StatedLoadsFrom is the number of live instances from which on placement uses the load and pace that endpoints state in their
+	// answers; 0 means never. Default 12: with fewer, a round of the exchange reaches all instances.
+	StatedLoadsFrom int `toml:"stated_loads_from"`
 	// LogLevel is the lowest level that is logged: debug, info, warn or error. Default info.
 	LogLevel string `toml:"log_level"`
 
@@ -53,6 +56,8 @@
 	gatewayExchangeIntervalMS = 250
 	// gatewayFewMembers is the number of other members up to which an exchange round reaches all of them.
 	gatewayFewMembers = 10
+	// gatewayStatedLoadsFrom is the default StatedLoadsFrom: this instance and more others than a round reaches.
+	gatewayStatedLoadsFrom = gatewayFewMembers + 2
 	// gatewayCanaryShare is the default CanaryShare: a tenth of the requests is a common first stage of a
 	// roll-out.
 	gatewayCanaryShare = 0.1
@@ -60,7 +65,9 @@
 
 // DefaultGatewaySettings returns the defaults of all optional fields.
 func DefaultGatewaySettings() GatewaySettings {
-	settings := GatewaySettings{LogLevel: "info", CanaryShare: gatewayCanaryShare, Exchange: zone.DefaultSettings()}
+	settings := GatewaySettings{
+		LogLevel: "info", CanaryShare: gatewayCanaryShare, StatedLoadsFrom: gatewayStatedLoadsFrom, Exchange: zone.DefaultSettings(),
+	}
 	settings.Exchange.ExchangeIntervalMS = gatewayExchangeIntervalMS
 	settings.Exchange.FewMembers = gatewayFewMembers
 	return settings
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -75,7 +75,7 @@
 	f.server.Log.LogAttrs(context.Background(), slog.LevelInfo, "attempt",
 		slog.String("request_id", f.id()), slog.String("endpoint", string(grant.Endpoint.ID())), slog.String("service", f.service),
 		slog.String("version", grant.Report.Version), slog.String("model", model), slog.Uint64("configuration", f.snapshot.Version),
-		slog.Int("load", grant.Load), slog.Int64("expected_ms", grant.Expected.Milliseconds()),
+		slog.Int("load", grant.Load), slog.Float64("pace", grant.Pace), slog.Int64("expected_ms", grant.Expected.Milliseconds()),
 		slog.Int64("left_ms", f.deadline.Sub(started).Milliseconds()))
 	f.tries++
 	trial := f.server.Versions.Begin(f.service, grant.Report.Version, grant.Expected, grant.Load)
@@ -94,9 +94,13 @@
 	firstByte := time.Since(started)
 	trial.RecordFirstByte(firstByte)
 	f.server.Counters.Observe(firstByteSeconds, firstByte.Seconds())
+	f.server.Counters.Observe(expectedFirstByteSeconds, grant.Expected.Seconds())
 	f.firstByteMS = append(f.firstByteMS, firstByte.Milliseconds())
 	reply := f.server.EndpointProtocol.Reply(answer.Status, answer.Header)
 	grant.ExtendCold(reply.ColdFor)
+	if reply.HasLoad {
+		grant.RecordStatement(reply.Running, reply.Waiting, reply.Pace, reply.Signed && !reply.NotRun && !reply.Misdirected)
+	}
 	if reply.Leaving {
 		grant.RecordLeaving(f.id())
 	}
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	requestSeconds   = "plumbarrow_request_seconds"       // histogram of whole requests
-	firstByteSeconds = "plumbarrow_first_byte_seconds"    // histogram of the time to an answer's first byte
-	skippedAnswers   = "plumbarrow_skipped_answers_total" // answers to other requests that preceded the own one
+	requestSeconds           = "plumbarrow_request_seconds"             // histogram of whole requests
+	firstByteSeconds         = "plumbarrow_first_byte_seconds"          // histogram of the time to an answer's first byte
+	expectedFirstByteSeconds = "plumbarrow_expected_first_byte_seconds" // histogram of that time as it was expected before the attempt
+	skippedAnswers           = "plumbarrow_skipped_answers_total"       // answers to other requests that preceded the own one
 	// defaultTimeout is the time limit of requests whose caller states none.
 	defaultTimeout = 30 * time.Second
 	// bodyTimeout bounds the time to read a request's body.
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -87,6 +87,11 @@
 	// Confidence is the model's own rating of its answer, 0 to 100. It is valid if HasConfidence is set.
 	Confidence    float64
 	HasConfidence bool
+	// Running and Waiting are the requests at the endpoint, and Pace is how long work takes there against the usual, 1; 0 if it states no
+	// pace. They are valid if HasLoad is set.
+	Running, Waiting int
+	Pace             float64
+	HasLoad          bool
 	// RateLimit is how many requests per second the endpoint takes from all instances together. It is valid if
 	// HasRateLimit is set.
 	RateLimit    float64
--- a/upstream/endpoint.go
+++ b/upstream/endpoint.go
@@ -56,6 +56,10 @@
 	limiter     pacer // limits the request rate while statedLimit is in force
 	limitShare  rateShare
 	prefixes    prefixCache
+	stated      statement // the newest one, by this instance or a peer
+	ownAtStated int       // ownLoad.requests when stated was received
+	ownStated   statement // the newest one that this instance has received itself
+	pace        pace
 }
 
 // load is the in-flight work at an endpoint.
@@ -102,6 +106,7 @@
 		e.prefixes = newPrefixCache()
 		e.coldUntil = time.Time{}
 		e.statedLimit = statedLimit{}
+		e.stated, e.ownStated, e.pace = statement{}, statement{}, pace{}
 	}
 	if restarted {
 		// Peers may still report the limit of the process before.
@@ -127,7 +132,10 @@
 	if len(e.peers) > 0 && now.Sub(e.peerTotalAt) > peerTotalAge {
 		e.addUpPeers(now)
 	}
-	return load{requests: e.ownLoad.requests + e.peerTotal.requests, prefill: e.ownLoad.prefill + e.peerTotal.prefill}
+	return load{
+		requests: max(e.ownLoad.requests+e.peerTotal.requests, e.statedRequests(now)),
+		prefill:  e.ownLoad.prefill + e.peerTotal.prefill,
+	}
 }
 
 // setPeer replaces a peer's load; an empty one removes it. The caller holds the lock.
--- a/upstream/loads.go
+++ b/upstream/loads.go
@@ -36,18 +36,20 @@
 
 // Message implements link.Topic.
 func (l *LoadTopic) Message(machine.Member) []byte {
+	now := time.Now()
 	message := &upstreampb.Loads{}
 	for hash, endpoint := range l.table.view.Load().byHash {
 		endpoint.mu.Lock()
-		ownLoad := endpoint.ownLoad
+		ownLoad, stated := endpoint.ownLoad, endpoint.ownStated.message(now)
 		endpoint.mu.Unlock()
-		if ownLoad.requests == 0 {
+		if ownLoad.requests == 0 && stated == nil {
 			continue
 		}
 		message.Endpoints = append(message.Endpoints, &upstreampb.EndpointLoad{
-			Endpoint: hash,
-			Requests: uint32(ownLoad.requests),
-			WorkMs:   uint32(max(ownLoad.prefill, 0) / time.Millisecond),
+			Endpoint:  hash,
+			Requests:  uint32(ownLoad.requests),
+			WorkMs:    uint32(max(ownLoad.prefill, 0) / time.Millisecond),
+			Statement: stated,
 		})
 	}
 	data, err := proto.Marshal(message)
@@ -66,13 +68,18 @@
 		return
 	}
 	now := time.Now()
-	received := make(map[uint64]load, len(message.GetEndpoints()))
+	received := make(map[uint64]*upstreampb.EndpointLoad, len(message.GetEndpoints()))
 	for _, entry := range message.GetEndpoints() {
-		received[entry.GetEndpoint()] = load{requests: int(entry.GetRequests()), prefill: time.Duration(entry.GetWorkMs()) * time.Millisecond}
+		received[entry.GetEndpoint()] = entry
 	}
 	for hash, endpoint := range l.table.view.Load().byHash {
+		entry := received[hash]
 		endpoint.mu.Lock()
-		endpoint.setPeer(from.ID, received[hash], now)
+		peerLoad := load{requests: int(entry.GetRequests()), prefill: time.Duration(entry.GetWorkMs()) * time.Millisecond}
+		endpoint.setPeer(from.ID, peerLoad, now)
+		if stated := entry.GetStatement(); stated != nil && l.table.usesStatedLoads() {
+			endpoint.observe(receivedStatement(stated, now))
+		}
 		endpoint.mu.Unlock()
 	}
 }
--- a/upstream/place.go
+++ b/upstream/place.go
@@ -24,6 +24,18 @@
 	// penalty only decides between endpoints that are otherwise equal.
 	crossZonePromptCost = 20 * time.Millisecond
 	crossZonePlainCost  = 500 * time.Microsecond
+	// crossZoneShare is added to the cost of a prompt at an endpoint in another zone, as a share of the expected time, where placement uses
+	// stated loads: these are old enough that smaller differences are chance.
+	crossZoneShare = 0.5
+	// readingCostToOthers is what reading a prompt costs other requests, as a factor of the time that it takes. The same tokens, kept at
+	// another endpoint, would have left that time to them.
+	readingCostToOthers = 2
+	// cachedShare is the share of a prompt that an endpoint must hold to be compared with the sampled ones.
+	cachedShare = 0.25
+	// nearSamples and farSamples are the endpoints without the prompt that are compared, in this and in other zones. All instances know
+	// the same loads, somewhat late: if each took the best of all, they would take the same.
+	nearSamples = 3
+	farSamples  = 1
 	// errorRateCost is added to the cost at an error rate of 1, in proportion below it. It exceeds the
 	// prefill time of any prompt that another endpoint would have to process without a cache.
 	errorRateCost = 400 * time.Millisecond
@@ -64,6 +76,8 @@
 	Load int
 	// Expected is the expected time until the answer's first event.
 	Expected time.Duration
+	// Pace is how long work takes at the endpoint against the usual, 1, as far as that is known.
+	Pace float64
 	// MaxIdleConns is the maximum number of idle connections to the endpoint that this instance may keep;
 	// 0 means no limit.
 	MaxIdleConns int
@@ -74,13 +88,16 @@
 	measurable     bool          // others hardly delay the request, see maxLearningDelay
 	startedAt      time.Time
 	probe          bool // see turnAway
+	conditions     conditions
 }
 
 // candidate is an endpoint that passed the filters.
 type candidate struct {
 	endpoint   *Endpoint
-	cost       time.Duration
-	lastResort bool // chosen only if all candidates are last resorts
+	cost       time.Duration // expected time to the request's first event, penalties, and what the request costs others
+	cached     bool          // the endpoint is expected to hold a good part of the prompt
+	near       bool          // in this instance's zone
+	lastResort bool          // chosen only if all candidates are last resorts
 }
 
 // Blocked is the reason why no capacity was reserved for a request.
@@ -145,6 +162,9 @@
 		}
 		endpoint.mu.Unlock()
 	}
+	if t.usesStatedLoads() && len(need.PromptParts) > 0 {
+		candidates = sample(candidates)
+	}
 	if need.Spread > 0 && need.Spread < 1 {
 		candidates = subset(candidates, need.Spread)
 	}
@@ -216,24 +236,44 @@
 	return best
 }
 
-// score returns the endpoint as a candidate. Its cost is the expected time to the request's first event
-// plus penalties for another zone and for errors. The caller holds the lock.
+// score returns the endpoint as a candidate. Its cost is the expected time to the request's first event,
+// plus penalties for another zone and for errors, plus what the request costs others. The caller holds the lock.
 func (t *Table) score(e *Endpoint, need *Need, preferred bool, now time.Time) candidate {
 	cost := t.expect(e, need, preferred, now)
-	if e.report.Zone != t.zone {
-		cost += crossZoneCost(need)
+	near := e.report.Zone == t.zone
+	if !near {
+		cost += t.crossZoneCost(need, cost)
 	}
 	rate := e.health.errorRate(now)
 	cost += time.Duration(rate * float64(errorRateCost))
-	lastResort := rate > errorRateHigh || e.health.open(now) || slices.Contains(need.Avoid, e.id)
-	return candidate{endpoint: e, cost: cost, lastResort: lastResort}
+	cached := t.estimateCachedTokens(e, need, preferred, now)
+	return candidate{
+		endpoint: e, cost: cost + t.costToOthers(e, need, need.PromptTokens-cached, now), near: near,
+		cached:     float64(cached) >= cachedShare*float64(need.PromptTokens),
+		lastResort: rate > errorRateHigh || e.health.open(now) || slices.Contains(need.Avoid, e.id),
+	}
+}
+
+// costToOthers returns what the reading of uncached prompt tokens costs other requests, as a part of a candidate's cost. The endpoint reads them
+// between the tokens of others, also of those that come later.
+func (t *Table) costToOthers(e *Endpoint, need *Need, uncached int, now time.Time) time.Duration {
+	if !t.usesStatedLoads() {
+		return 0
+	}
+	reading := time.Duration(uncached) * t.responseTimes.of(need.Service, need.Model).perToken()
+	return time.Duration(readingCostToOthers * float64(reading) * e.pace.mean(now))
 }
 
-func crossZoneCost(need *Need) time.Duration {
-	if len(need.PromptParts) > 0 {
+// crossZoneCost returns the penalty of an endpoint in another zone, at which the request's first event is expected after the given time.
+func (t *Table) crossZoneCost(need *Need, expected time.Duration) time.Duration {
+	switch {
+	case len(need.PromptParts) == 0:
+		return crossZonePlainCost
+	case t.usesStatedLoads():
+		return crossZonePromptCost + time.Duration(crossZoneShare*float64(expected))
+	default:
 		return crossZonePromptCost
 	}
-	return crossZonePlainCost
 }
 
 // expect returns the expected time to the request's first event. A preferred endpoint is taken to have
@@ -241,6 +281,10 @@
 func (t *Table) expect(e *Endpoint, need *Need, preferred bool, now time.Time) time.Duration {
 	total := e.total(now)
 	uncached := need.PromptTokens - t.estimateCachedTokens(e, need, preferred, now)
+	if t.usesStatedLoads() {
+		expected := t.responseTimes.of(need.Service, need.Model).expected(conditions{uncached, total.requests, total.prefill})
+		return time.Duration(float64(expected) * e.pace.mean(now))
+	}
 	cost := time.Duration(total.requests)*perRequestDelay + total.prefill
 	if len(need.PromptParts) == 0 {
 		return cost
@@ -266,6 +310,39 @@
 	return tokens
 }
 
+// sample returns the candidates that hold a good part of the prompt, and a few others at random. Last resorts are left out if any other
+// candidate is left.
+func sample(candidates []candidate) []candidate {
+	var sampled, near, far []candidate
+	for _, c := range candidates {
+		switch {
+		case c.lastResort:
+		case c.cached:
+			sampled = append(sampled, c)
+		case c.near:
+			near = append(near, c)
+		default:
+			far = append(far, c)
+		}
+	}
+	sampled = append(sampled, draw(near, nearSamples)...)
+	sampled = append(sampled, draw(far, farSamples)...)
+	if len(sampled) == 0 {
+		return candidates
+	}
+	return sampled
+}
+
+// draw returns n of the candidates at random, or all if there are fewer. It reorders them.
+func draw(candidates []candidate, n int) []candidate {
+	n = min(n, len(candidates))
+	for i := range n {
+		j := i + rand.IntN(len(candidates)-i)
+		candidates[i], candidates[j] = candidates[j], candidates[i]
+	}
+	return candidates[:n]
+}
+
 // pick returns the index of the candidate with the lowest cost, last resorts after all others. Ties are
 // broken at random, so that instances do not all choose the same endpoint.
 func pick(candidates []candidate) int {
@@ -305,7 +382,10 @@
 	if !e.health.openUntil.IsZero() {
 		e.health.probing = true
 	}
-	grant := &Grant{table: t, Endpoint: e, Report: e.report, Load: e.total(now).requests, Expected: t.expect(e, need, false, now)}
+	current := e.total(now)
+	grant := &Grant{table: t, Endpoint: e, Report: e.report, Load: current.requests, Expected: t.expect(e, need, false, now)}
+	grant.Pace = e.pace.mean(now)
+	grant.conditions = conditions{requests: current.requests, prefill: current.prefill}
 	if !e.turnAway.until.IsZero() {
 		e.turnAway.probing, grant.probe = true, true
 	}
@@ -338,7 +418,8 @@
 	shared := need.PromptParts[:len(need.PromptParts)-1]
 	grant.model = need.Model
 	grant.uncachedTokens = need.PromptTokens - e.prefixes.cachedTokens(need.Model, shared, now)
-	_, perToken := t.prefillTimes.estimate(need.Service, need.Model)
+	grant.conditions.tokens = grant.uncachedTokens
+	perToken := t.perToken(need)
 	grant.prefill = time.Duration(grant.uncachedTokens) * perToken
 	current := e.total(now)
 	grant.measurable = current.prefill+time.Duration(current.requests-1)*perRequestDelay <= maxLearningDelay
@@ -346,6 +427,15 @@
 	e.prefixes.touch(need.Model, need.PromptParts, now)
 }
 
+// perToken returns the expected prefill time of one prompt token at an endpoint of the usual pace.
+func (t *Table) perToken(need *Need) time.Duration {
+	if t.usesStatedLoads() {
+		return t.responseTimes.of(need.Service, need.Model).perToken()
+	}
+	_, perToken := t.prefillTimes.estimate(need.Service, need.Model)
+	return perToken
+}
+
 // ExtendCold records the endpoint's report of how much longer it is cold. It never shortens the known time; 0
 // or less has no effect.
 func (g *Grant) ExtendCold(remaining time.Duration) {
@@ -407,8 +497,8 @@
 	return candidates[pick(candidates)].cost, true
 }
 
-// Expect returns the cost at which Place would now choose an endpoint: the expected time to the first
-// event plus penalties. It returns false if no endpoint has capacity.
+// Expect returns the cost at which Place would now choose an endpoint: the expected time to the first event, plus
+// penalties, plus what the request costs others. It returns false if no endpoint has capacity.
 func (t *Table) Expect(need *Need) (time.Duration, bool) {
 	snapshot := t.current.Get()
 	if snapshot == nil {
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -29,12 +29,14 @@
 	counters *telemetry.Counters
 	log      *slog.Logger
 
-	mu           sync.Mutex // held by writers of byID and view
-	byID         map[machine.EndpointID]*Endpoint
-	view         atomic.Pointer[view]
-	evacuated    atomic.Pointer[map[string]bool] // by zone
-	queues       sync.Map                        // *queue by service
-	prefillTimes prefillTimes
+	mu            sync.Mutex // held by writers of byID and view
+	byID          map[machine.EndpointID]*Endpoint
+	view          atomic.Pointer[view]
+	evacuated     atomic.Pointer[map[string]bool] // by zone
+	queues        sync.Map                        // *queue by service
+	prefillTimes  prefillTimes
+	responseTimes responseTimes
+	statedFrom    int // live instances from which on the loads that endpoints state are used; 0 means never
 }
 
 // view is an immutable index of the endpoints.
@@ -57,6 +59,14 @@
 	return t
 }
 
+// UseStatedLoads makes placement use the load and pace that endpoints state while at least the given number of instances is live. With fewer,
+// the loads that peers report are complete. It must be called before the table is used.
+func (t *Table) UseStatedLoads(instances int) { t.statedFrom = instances }
+
+func (t *Table) usesStatedLoads() bool {
+	return t.statedFrom > 0 && len(t.members.Live()) >= t.statedFrom
+}
+
 // Apply adds or updates an endpoint from its report, and wakes a request that waits for its service.
 func (t *Table) Apply(report Report) {
 	now := time.Now()
