upstream: stated loads only for services whose endpoints state a pace

Change: a service follows stated loads once one of its endpoints has stated a pace, to this instance or a peer. The setting stated_loads_unpaced extends that to the others; off by default.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -134,7 +134,7 @@
 	g.mirrorTopic = mirror.NewTopic(g.mirror, g.dialer, g.watchers)
 	g.counters.Gauge("plumbarrow_mirror_age_seconds", g.mirrorAge)
 	g.table = upstream.NewTable(g.self.ID, g.settings.Zone, g.current, g.membership, g.counters, g.log)
-	g.table.UseStatedLoads(g.settings.StatedLoadsFrom)
+	g.table.UseStatedLoads(upstream.StatedLoads{From: g.settings.StatedLoadsFrom, Unpaced: g.settings.StatedLoadsUnpaced})
 	g.counters.Gauge("plumbarrow_endpoints_leaving", func() float64 { return float64(len(g.table.Leaving())) })
 	g.rollouts = canary.New(g.settings.CanaryShare, g.counters, g.log)
 	g.driver = canary.NewDriver(g.rollouts, g.mirror, g.store, platform.Publisher{}, g.membership, g.log)
--- a/daemon/gatewaysettings.go
+++ b/daemon/gatewaysettings.go
@@ -42,8 +42,11 @@
 	// get during its roll-out. Default 0.1.
 	CanaryShare float64 `toml:"canary_share"`
 	// StatedLoadsFrom is the number of live instances from which on placement uses the load and pace that endpoints state in their
-	// answers; 0 means never. Default 12: with fewer, a round of the exchange reaches all instances.
+	// answers, for services whose endpoints state a pace; 0 means never. Default 12: with fewer, a round of the exchange reaches all
+	// instances.
 	StatedLoadsFrom int `toml:"stated_loads_from"`
+	// StatedLoadsUnpaced does so also for services whose endpoints state their load but no pace. Default false.
+	StatedLoadsUnpaced bool `toml:"stated_loads_unpaced"`
 	// LogLevel is the lowest level that is logged: debug, info, warn or error. Default info.
 	LogLevel string `toml:"log_level"`
 
--- a/upstream/loads.go
+++ b/upstream/loads.go
@@ -77,8 +77,12 @@
 		endpoint.mu.Lock()
 		peerLoad := load{requests: int(entry.GetRequests()), prefill: time.Duration(entry.GetWorkMs()) * time.Millisecond}
 		endpoint.setPeer(from.ID, peerLoad, now)
-		if stated := entry.GetStatement(); stated != nil && l.table.usesStatedLoads() {
-			endpoint.observe(receivedStatement(stated, now))
+		if message := entry.GetStatement(); message != nil {
+			stated := receivedStatement(message, now)
+			l.table.notePace(endpoint.report.Service, stated)
+			if l.table.usesStatedLoads(endpoint.report.Service) {
+				endpoint.observe(stated)
+			}
 		}
 		endpoint.mu.Unlock()
 	}
--- a/upstream/observation.go
+++ b/upstream/observation.go
@@ -72,12 +72,12 @@
 // RecordStatement records what an endpoint's answer states of its load: requests running and waiting, and the pace, 0 if it states none.
 // ran reports that the endpoint has begun to run the request; the time until then is learned from.
 func (g *Grant) RecordStatement(running, waiting int, pace float64, ran bool) {
-	if !g.table.usesStatedLoads() {
+	s := statement{running: running, waiting: waiting, pace: pace, at: time.Now()}
+	g.table.notePace(g.Report.Service, s)
+	if !g.table.usesStatedLoads(g.Report.Service) {
 		return
 	}
 	e := g.Endpoint
-	now := time.Now()
-	s := statement{running: running, waiting: waiting, pace: pace, at: now}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !s.valid() || e.report.incarnation() != g.Report.incarnation() {
--- a/upstream/pace_test.go
+++ b/upstream/pace_test.go
@@ -69,12 +69,12 @@
 	return min(queued, 1), max(queued-1, 0), pace
 }
 
-// newPaceFleet returns a fleet whose engines have paces 0.6, 1 and 1.6 in turn. statedFrom is that of Table.UseStatedLoads.
-func newPaceFleet(instancesCount, engines, statedFrom int) *paceFleet {
+// newPaceFleet returns a fleet whose engines have paces 0.6, 1 and 1.6 in turn. where is that of Table.UseStatedLoads.
+func newPaceFleet(instancesCount, engines int, where StatedLoads) *paceFleet {
 	f := &paceFleet{members: instances(instancesCount), random: rand.New(rand.NewPCG(1, 2))}
 	for _, member := range f.members {
 		table := newInstanceTable(member.ID, f.members)
-		table.UseStatedLoads(statedFrom)
+		table.UseStatedLoads(where)
 		f.tables, f.topics = append(f.tables, table), append(f.topics, NewLoadTopic(table))
 	}
 	for n := range engines {
@@ -194,7 +194,7 @@
 		t.Run(fmt.Sprint(size.instances), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				f := newPaceFleet(size.instances, size.engines, 1)
+				f := newPaceFleet(size.instances, size.engines, StatedLoads{From: 1})
 				f.run(0.85, paceWarmUp+paceMeasure, nil)
 				t.Logf("late %.3f; served by fast %.3f, usual %.3f, slow %.3f", f.lateShare(), f.servedBy(0.6), f.servedBy(1), f.servedBy(1.6))
 				c.Check(f.lateShare() < 0.05, qt.IsTrue, qt.Commentf("%.3f late", f.lateShare()))
@@ -208,7 +208,7 @@
 func TestUnstatedPace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		f := newPaceFleet(60, 100, 1)
+		f := newPaceFleet(60, 100, StatedLoads{From: 1, Unpaced: true})
 		for _, e := range f.engines {
 			e.states = func(e *paceEngine, queued int, _ float64) (int, int, float64) { return honest(e, queued, 0) }
 		}
@@ -223,7 +223,7 @@
 func TestSlowTenth(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		f := newPaceFleet(60, 100, 1)
+		f := newPaceFleet(60, 100, StatedLoads{From: 1})
 		for n, e := range f.engines {
 			usual := e.pace(0)
 			e.pace = func(now time.Duration) float64 {
@@ -244,7 +244,7 @@
 func TestLyingStatements(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		f := newPaceFleet(60, 100, 1)
+		f := newPaceFleet(60, 100, StatedLoads{From: 1})
 		for n, e := range f.engines {
 			switch n % 10 {
 			case 0:
@@ -265,7 +265,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		table := newInstanceTable("entry-00", instances(20))
-		table.UseStatedLoads(12)
+		table.UseStatedLoads(StatedLoads{From: 12})
 		one := report("x", "chat", "a")
 		one.Slots = 64
 		table.Apply(one)
@@ -302,7 +302,7 @@
 func TestFewInstances(t *testing.T) {
 	c := qt.New(t)
 	table := newInstanceTable("entry-00", instances(11))
-	table.UseStatedLoads(12)
+	table.UseStatedLoads(StatedLoads{From: 12})
 	table.Apply(report("x", "chat", "a"))
 	need := prompt(1, 2)
 	before, _ := table.Expect(&need)
@@ -314,3 +314,28 @@
 	after, _ := table.Expect(&other)
 	c.Check(after, qt.Equals, before)
 }
+
+// TestUnpacedService checks that stated loads of a service without a stated pace are used only where that is set, and those of another
+// service with one from its first statement on, also by a peer.
+func TestUnpacedService(t *testing.T) {
+	for _, unpaced := range []bool{false, true} {
+		c := qt.New(t)
+		tables := []*Table{newInstanceTable("entry-00", instances(20)), newInstanceTable("entry-01", instances(20))}
+		for _, table := range tables {
+			table.UseStatedLoads(StatedLoads{From: 12, Unpaced: unpaced})
+			table.Apply(report("x", "chat", "a"))
+			table.Apply(report("y", "app", "a"))
+		}
+		need := prompt(1, 2)
+		grant, _ := tables[0].Place(&need)
+		grant.RecordStatement(3, 0, 0, true)
+		c.Check(tables[0].usesStatedLoads("chat"), qt.Equals, unpaced)
+		grant, _ = tables[0].Place(&Need{Service: "app"})
+		grant.RecordStatement(3, 0, 1.2, true)
+		NewLoadTopic(tables[1]).Receive(machine.Member{ID: "entry-00"}, NewLoadTopic(tables[0]).Message(machine.Member{}))
+		for _, table := range tables {
+			c.Check(table.usesStatedLoads("app"), qt.IsTrue)
+		}
+		c.Check(tables[1].usesStatedLoads("chat"), qt.Equals, unpaced)
+	}
+}
--- a/upstream/place.go
+++ b/upstream/place.go
@@ -162,7 +162,7 @@
 		}
 		endpoint.mu.Unlock()
 	}
-	if t.usesStatedLoads() && len(need.PromptParts) > 0 {
+	if t.usesStatedLoads(need.Service) && len(need.PromptParts) > 0 {
 		candidates = sample(candidates)
 	}
 	if need.Spread > 0 && need.Spread < 1 {
@@ -257,7 +257,7 @@
 // costToOthers returns what the reading of uncached prompt tokens costs other requests, as a part of a candidate's cost. The endpoint reads them
 // between the tokens of others, also of those that come later.
 func (t *Table) costToOthers(e *Endpoint, need *Need, uncached int, now time.Time) time.Duration {
-	if !t.usesStatedLoads() {
+	if !t.usesStatedLoads(need.Service) {
 		return 0
 	}
 	reading := time.Duration(uncached) * t.responseTimes.of(need.Service, need.Model).perToken()
@@ -269,7 +269,7 @@
 	switch {
 	case len(need.PromptParts) == 0:
 		return crossZonePlainCost
-	case t.usesStatedLoads():
+	case t.usesStatedLoads(need.Service):
 		return crossZonePromptCost + time.Duration(crossZoneShare*float64(expected))
 	default:
 		return crossZonePromptCost
@@ -281,7 +281,7 @@
 func (t *Table) expect(e *Endpoint, need *Need, preferred bool, now time.Time) time.Duration {
 	total := e.total(now)
 	uncached := need.PromptTokens - t.estimateCachedTokens(e, need, preferred, now)
-	if t.usesStatedLoads() {
+	if t.usesStatedLoads(need.Service) {
 		expected := t.responseTimes.of(need.Service, need.Model).expected(conditions{uncached, total.requests, total.prefill})
 		return time.Duration(float64(expected) * e.pace.mean(now))
 	}
@@ -429,7 +429,7 @@
 
 // perToken returns the expected prefill time of one prompt token at an endpoint of the usual pace.
 func (t *Table) perToken(need *Need) time.Duration {
-	if t.usesStatedLoads() {
+	if t.usesStatedLoads(need.Service) {
 		return t.responseTimes.of(need.Service, need.Model).perToken()
 	}
 	_, perToken := t.prefillTimes.estimate(need.Service, need.Model)
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -36,7 +36,8 @@
 	queues        sync.Map                        // *queue by service
 	prefillTimes  prefillTimes
 	responseTimes responseTimes
-	statedFrom    int // live instances from which on the loads that endpoints state are used; 0 means never
+	statedLoads   StatedLoads
+	paced         sync.Map // names of services whose endpoints state a pace
 }
 
 // view is an immutable index of the endpoints.
@@ -59,12 +60,32 @@
 	return t
 }
 
-// UseStatedLoads makes placement use the load and pace that endpoints state while at least the given number of instances is live. With fewer,
-// the loads that peers report are complete. It must be called before the table is used.
-func (t *Table) UseStatedLoads(instances int) { t.statedFrom = instances }
+// StatedLoads says where placement uses the load and pace that endpoints state, instead of the loads that peers report alone. Zero means nowhere.
+type StatedLoads struct {
+	// From is the number of live instances from which on they are used; 0 means never. With few instances the loads that peers report are
+	// complete.
+	From int
+	// Unpaced also uses them for services whose endpoints state no pace. The pace is then learned from the answers.
+	Unpaced bool
+}
+
+// UseStatedLoads must be called before the table is used.
+func (t *Table) UseStatedLoads(where StatedLoads) { t.statedLoads = where }
+
+// usesStatedLoads reports whether placement uses stated loads for the service.
+func (t *Table) usesStatedLoads(service string) bool {
+	if t.statedLoads.From == 0 || len(t.members.Live()) < t.statedLoads.From {
+		return false
+	}
+	_, paced := t.paced.Load(service)
+	return paced || t.statedLoads.Unpaced
+}
 
-func (t *Table) usesStatedLoads() bool {
-	return t.statedFrom > 0 && len(t.members.Live()) >= t.statedFrom
+// notePace records that endpoints of the service state a pace, if the statement does.
+func (t *Table) notePace(service string, s statement) {
+	if s.pace > 0 && !s.measured {
+		t.paced.LoadOrStore(service, struct{}{})
+	}
 }
 
 // Apply adds or updates an endpoint from its report, and wakes a request that waits for its service.
