--- a/daemon/gatewaysettings.go
+++ b/daemon/gatewaysettings.go
@@ -112,6 +112,9 @@
 	case s.CanaryShare <= 0 || s.CanaryShare > 1:
 		return errors.New("canary_share: must be above 0 and at most 1")
 	}
+	if s.StatedLoadsFrom < 0 {
+		return errors.New("stated_loads_from: must not be negative")
+	}
 	if err := s.callers().validate(); err != nil {
 		return err
 	}
--- a/daemon/settings_test.go
+++ b/daemon/settings_test.go
@@ -27,6 +27,8 @@
 		{"host name", good + "store_address = \"store:8500\"\n", `FILE:3: store_address: "store:8500" is not IP:port`},
 		{"same address twice", good + "\npeers_address = \"127.0.0.1:8080\"\n", `FILE:4: peers_address: 127.0.0.1:8080 is callers_address too`},
 		{"negative grace", good + "stop_grace_ms = -1\n", `FILE:3: stop_grace_ms: must not be negative`},
+		{"negative memory", good + "memory_mb = -1\n", `FILE:3: memory_mb: must not be negative`},
+		{"callers memory", good + "memory_mb = 10\ncallers_memory_mb = 20\n", `FILE:4: callers_memory_mb: must be below memory_mb`},
 		{"zero body", good + "max_body_bytes = 0\n", `FILE:3: max_body_bytes: must be positive`},
 		{"section field", good + "[exchange]\nfanout = 0\n", `FILE:4: exchange.fanout: 0, must be positive`},
 		{"contradiction", good + "[exchange]\nsuspect_after_ms = 100\n", `FILE:4: exchange.suspect_after_ms: must be longer than peer_timeout_ms`},
