intake: idle connections yield to anything that needs room

Cause: where the bytes were used up, a new connection or a small body was refused if all others were idle, since an idle connection holds no more than a new one. An account that its server had closed could still grow, and would not have been released.

Change: whether a connection yields is one pure function, by resource; an idle one always does. A closed account grows no more. The test of a crowd of equal bodies lets time pass between them: which one goes first was left to chance in it.

--- a/intake/evict.go
+++ b/intake/evict.go
@@ -40,7 +40,7 @@
 	ofConnections
 )
 
-// evictBefore reports whether a goes before b where the resource is used up. Neither is in service.
+// evictBefore reports whether a goes before b where the resource is used up and both yield.
 func evictBefore(a, b holding, short shortage, now time.Time) bool {
 	switch {
 	case a.stalled(now) != b.stalled(now):
@@ -54,7 +54,10 @@
 	}
 }
 
-// yieldsTo reports whether a victim makes room for wanting, whose bytes include those that it asks for.
-func (h holding) yieldsTo(wanting holding, now time.Time) bool {
-	return wanting.stage == inService || h.stalled(now) || h.bytes > wanting.bytes
+// yieldsTo reports whether a connection makes room for wanting, whose bytes include those that it asks for, where the resource is used up.
+func (h holding) yieldsTo(wanting holding, short shortage, now time.Time) bool {
+	if h.stage == inService {
+		return false
+	}
+	return short == ofConnections || wanting.stage == inService || h.stage == idle || h.stalled(now) || h.bytes > wanting.bytes
 }
--- a/intake/guard.go
+++ b/intake/guard.go
@@ -53,13 +53,13 @@
 	counters *telemetry.Counters
 	log      *slog.Logger
 
-	mu       sync.Mutex
-	accounts map[*Account]struct{}
-	open     int   // connections that are not closed, including evicted ones
-	bytes    int64 // of all accounts
-	owners   map[string]int64
-	evicted  int // since loggedAt
-	loggedAt time.Time
+	mu        sync.Mutex
+	accounts  map[*Account]struct{}
+	open      int   // connections that are not closed, including evicted ones
+	bytes     int64 // of all accounts
+	owners    map[string]int64
+	turnedOff int // connections evicted or refused since loggedAt
+	loggedAt  time.Time
 }
 
 // New returns a guard without connections.
@@ -146,7 +146,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.open >= g.limits.Connections {
-		victim := g.victim(account, ofConnections, now)
+		victim := g.victim(account, account.holding, ofConnections, now)
 		if victim == nil {
 			g.count("refused", now)
 			return nil
@@ -174,8 +174,8 @@
 		if float64(g.bytes-account.bytes) <= calmShare*float64(g.limits.Bytes) {
 			return true
 		}
-		victim := g.victim(account, ofBytes, now)
-		if victim == nil || !victim.yieldsTo(wanting, now) {
+		victim := g.victim(account, wanting, ofBytes, now)
+		if victim == nil {
 			return false
 		}
 		g.evict(victim, now)
@@ -183,11 +183,11 @@
 	return true
 }
 
-// victim returns the connection that yields first, other than the account, or nil if all are in service. The caller holds the lock.
-func (g *Guard) victim(account *Account, short shortage, now time.Time) *Account {
+// victim returns the connection that yields first to the account, whose state is wanting; nil if none does. The caller holds the lock.
+func (g *Guard) victim(account *Account, wanting holding, short shortage, now time.Time) *Account {
 	var first *Account
 	for other := range g.accounts {
-		if other == account || other.stage == inService {
+		if other == account || !other.yieldsTo(wanting, short, now) {
 			continue
 		}
 		if first == nil || evictBefore(other.holding, first.holding, short, now) {
@@ -209,13 +209,13 @@
 // count counts a connection that was evicted or refused, and logs at most one line in logInterval. The caller holds the lock.
 func (g *Guard) count(what string, now time.Time) {
 	g.counters.Add("plumbarrow_callers_turned_off_total", "how", what)
-	g.evicted++
+	g.turnedOff++
 	if now.Sub(g.loggedAt) < logInterval {
 		return
 	}
-	g.log.Warn("callers' connections evicted or refused", "number", g.evicted, "connections", g.open, "max_connections", g.limits.Connections,
+	g.log.Warn("callers' connections evicted or refused", "number", g.turnedOff, "connections", g.open, "max_connections", g.limits.Connections,
 		"held_bytes", g.bytes, "max_bytes", g.limits.Bytes)
-	g.evicted, g.loggedAt = 0, now
+	g.turnedOff, g.loggedAt = 0, now
 }
 
 // charge adds n bytes. The caller holds the guard's lock.
@@ -280,7 +280,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if a.evicted {
+	if a.evicted || a.closed {
 		return ErrEvicted
 	}
 	a.progressAt = now
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -41,10 +41,15 @@
 		c.Check(evictBefore(test.first, test.second, test.short, now), qt.IsTrue, qt.Commentf("%s", test.name))
 		c.Check(evictBefore(test.second, test.first, test.short, now), qt.IsFalse, qt.Commentf("%s, reversed", test.name))
 	}
-	c.Check(large.yieldsTo(small, now), qt.IsTrue)
-	c.Check(small.yieldsTo(large, now), qt.IsFalse)
-	c.Check(stalledSmall.yieldsTo(large, now), qt.IsTrue)
-	c.Check(small.yieldsTo(holding{stage: inService, bytes: 5000}, now), qt.IsTrue)
+	served := holding{inService, 5000, now}
+	c.Check(large.yieldsTo(small, ofBytes, now), qt.IsTrue)
+	c.Check(small.yieldsTo(large, ofBytes, now), qt.IsFalse)
+	c.Check(small.yieldsTo(large, ofConnections, now), qt.IsTrue)
+	c.Check(stalledSmall.yieldsTo(large, ofBytes, now), qt.IsTrue)
+	c.Check(kept.yieldsTo(small, ofBytes, now), qt.IsTrue)
+	c.Check(small.yieldsTo(served, ofBytes, now), qt.IsTrue)
+	c.Check(served.yieldsTo(small, ofBytes, now), qt.IsFalse)
+	c.Check(served.yieldsTo(small, ofConnections, now), qt.IsFalse)
 }
 
 // pipeGuard is a guard over connections of net.Pipe.
@@ -84,6 +89,7 @@
 			account, err := g.upload(1 << 20)
 			g.c.Assert(err, qt.IsNil)
 			crowd = append(crowd, account)
+			time.Sleep(time.Millisecond)
 		}
 		_, err = g.upload(3 << 20)
 		g.c.Check(errors.Is(err, ErrFull), qt.IsTrue)
@@ -117,6 +123,21 @@
 	})
 }
 
+// TestIdleConnectionsYield answers memory that idle connections use up: a new connection and a body take their room.
+func TestIdleConnectionsYield(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newPipeGuard(t, Limits{Bytes: 10 * connectionBytes, Connections: 100})
+		for range 10 {
+			g.c.Assert(g.connect(), qt.IsNotNil)
+			time.Sleep(time.Millisecond)
+		}
+		g.c.Check(g.connect(), qt.IsNotNil)
+		_, err := g.upload(3 * connectionBytes)
+		g.c.Check(err, qt.IsNil)
+		g.c.Check(g.held() <= g.limits.Bytes, qt.IsTrue)
+	})
+}
+
 // TestOwnerShare answers one customer whose bodies would take all the memory: it is refused beyond half, others are not, and a single
 // request may be longer than half.
 func TestOwnerShare(t *testing.T) {
