upstream: candidates are drawn within the share that a roll-out allows

Cause: where stated loads are used, a few candidates were drawn first and the share of the endpoints that a request of a new version's stress stage is confined to was taken of these, so that all endpoints of the version got such requests, and none about twice its load. Found by reading.

Change: the share first, then the draw.

--- a/upstream/pace_test.go
+++ b/upstream/pace_test.go
@@ -339,3 +339,23 @@
 		c.Check(tables[1].usesStatedLoads("chat"), qt.Equals, unpaced)
 	}
 }
+
+// TestSpreadWithStatedLoads checks that a request that is confined to a share of the endpoints stays there where a few candidates are drawn:
+// all instances use the same two of twenty.
+func TestSpreadWithStatedLoads(t *testing.T) {
+	c := qt.New(t)
+	used := make(map[machine.EndpointID]bool)
+	for _, member := range instances(20) {
+		table := newInstanceTable(member.ID, instances(20))
+		table.UseStatedLoads(StatedLoads{From: 12, Unpaced: true})
+		for i := range 20 {
+			table.Apply(report(fmt.Sprintf("e%02d", i), "chat", "a"))
+		}
+		for own := range uint64(8) {
+			need := prompt(1000+own, own)
+			need.Spread = 0.1
+			used[place(table, need)] = true
+		}
+	}
+	c.Check(used, qt.HasLen, 2)
+}
--- a/upstream/place.go
+++ b/upstream/place.go
@@ -162,12 +162,12 @@
 		}
 		endpoint.mu.Unlock()
 	}
-	if t.usesStatedLoads(need.Service) && len(need.PromptParts) > 0 {
-		candidates = sample(candidates)
-	}
 	if need.Spread > 0 && need.Spread < 1 {
 		candidates = subset(candidates, need.Spread)
 	}
+	if t.usesStatedLoads(need.Service) && len(need.PromptParts) > 0 {
+		candidates = sample(candidates)
+	}
 	return candidates, blocked
 }
 
