zone: a relay whose member of another zone fails asks another one at once

Traced: the test runs in virtual time, so the load had no part in it. In a zone of two of which one is silent, the relays of the other zones choose between both at random until the silent one is suspected after 2.5 s; all their rounds may fall on it.

Change: after a failed exchange with a member of another zone the same round asks another live member of that zone, once.

--- a/zone/exchange.go
+++ b/zone/exchange.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -111,7 +112,9 @@
 			continue
 		}
 		e.calls.Go(func() {
-			e.call(ctx, target)
+			if !e.call(ctx, target) {
+				e.callAnother(ctx, target)
+			}
 			e.mu.Lock()
 			delete(e.inFlight, target.Address)
 			e.mu.Unlock()
@@ -119,21 +122,35 @@
 	}
 }
 
-func (e *Exchange) call(ctx context.Context, target machine.Member) {
+// callAnother makes an exchange with another member of the zone of a target that failed, if that is not this instance's own zone. Until a silent
+// member is suspected, the rounds of all relays might choose it again.
+func (e *Exchange) callAnother(ctx context.Context, failed machine.Member) {
+	if failed.ID == "" || failed.Zone == e.membership.Self().Zone || ctx.Err() != nil {
+		return
+	}
+	others := slices.DeleteFunc(inZone(e.membership.Live(), failed.Zone), func(m machine.Member) bool { return m.ID == failed.ID })
+	if len(others) > 0 {
+		e.call(ctx, others[rand.IntN(len(others))])
+	}
+}
+
+// call makes an exchange with the target and reports whether it succeeded.
+func (e *Exchange) call(ctx context.Context, target machine.Member) bool {
 	ctx, cancel := context.WithTimeout(ctx, milliseconds(e.settings.PeerTimeoutMS))
 	defer cancel()
 	conn, err := e.peers.Conn(ctx, target)
 	if err != nil {
 		e.recordFailure(ctx, target, err)
-		return
+		return false
 	}
 	answer, err := zonepb.NewDRPCExchangeClient(conn).Exchange(ctx, e.message(target))
 	if err != nil {
 		e.recordFailure(ctx, target, err)
-		return
+		return false
 	}
 	e.counters.Inc("plumbarrow_exchanges_total")
 	e.receive(answer)
+	return true
 }
 
 // recordFailure counts and logs a failed exchange and reports the target to the membership. A seed
