--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -112,7 +112,7 @@
 		"{{node_name}}", name, "{{zone}}", zone, "{{region}}", "region",
 		"{{listen_addrs.front}}", i.callers, "{{listen_addrs.ready}}", i.ready,
 		"{{ip}}:{{port_range.0}}", freeAddress(), "{{ip}}:{{port_range.1}}", freeAddress(),
-		"{{provider.address}}", p.store.address, "{{limits.memory_mb}}", "284", "{{contract_bounds.grace_s}}", "8",
+		"{{provider.address}}", p.store.address, "{{limits.memory_mb}}", "284", "{{limits.max_fds}}", "4100", "{{contract_bounds.grace_s}}", "8",
 		"{{#contract_bounds.canary_share}}", "", "{{/contract_bounds.canary_share}}", "", "{{contract_bounds.canary_share}}", "0.15",
 	).Replace(string(template))
 	i.settings = filepath.Join(p.folder, name+".toml")
