upstream: prompts of one length leave the time per token undetermined

Cause: the fit of the time to the first event over the prompt's length divides by the variance of the lengths. Requests were refused with deadline_exceeded at 1.1 s of their 3 s while slots were free.

Change: the lengths must differ by one hundredth of their mean, else the defaults hold.

--- a/upstream/prefill.go
+++ b/upstream/prefill.go
@@ -15,6 +15,9 @@
 	fitDecay = 0.99
 	// minFitWeight is the total weight of observations below which the fitted line is not used.
 	minFitWeight = 8
+	// minLengthSpread is the standard deviation of the prompts' lengths, as a share of their mean, below which the slope is not
+	// determined. With equal lengths the variance is only the rounding of the sums, of either sign.
+	minLengthSpread = 0.01
 	// maxLearningDelay is the largest expected delay by other requests at which a request's time to
 	// the first event is still attributed to its own prompt.
 	maxLearningDelay = 20 * time.Millisecond
@@ -44,10 +47,10 @@
 }
 
 // line returns the time of an empty prompt and of each token. ok is false with too few observations, or
-// if all prompts had the same length and so do not determine the slope.
+// if all prompts had about the same length and so do not determine the slope.
 func (f *fit) line() (base, perToken time.Duration, ok bool) {
 	variance := f.n*f.xx - f.x*f.x
-	if f.n < minFitWeight || variance <= 0 {
+	if f.n < minFitWeight || variance <= minLengthSpread*minLengthSpread*f.x*f.x {
 		return 0, 0, false
 	}
 	slope := max((f.n*f.xy-f.x*f.y)/variance, 0)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -470,3 +471,19 @@
 		c.Check(table.Waiting("app"), qt.Equals, 0)
 	})
 }
+
+// TestPrefillTimesOfOneLength checks that prompts of one length, which say nothing of the time of a token, leave the defaults. The rounding of
+// the sums must not pass for a difference in length.
+func TestPrefillTimesOfOneLength(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		var times prefillTimes
+		for range 300 {
+			times.observe("chat", "large", 7+int(seed), time.Duration(50+random.IntN(100))*time.Millisecond)
+			base, perToken := times.estimate("chat", "large")
+			c.Assert(perToken, qt.Equals, defaultPerToken, qt.Commentf("seed %d", seed))
+			c.Assert(base, qt.Equals, defaultBase)
+		}
+	}
+}
