intake: ordinary callers keep their connections beside a crowd

Causes: (1) a body that grew where no larger one was left took the room of idle connections, among them those just accepted from ordinary callers. (2) Refused connections, which net/http reads on for up to a second, counted as in service, so that a new connection found no place. (3) The bytes of evicted bodies counted as free before their goroutines had noticed. (4) Callers that don't read their answers held their connections until the write timeout of ten seconds.

Change: new connections keep their room against bodies; refused ones yield first; evicted bytes count until they are free; a caller that takes no write for three seconds yields, after all others, by a connection closed in the middle of the answer. TestCrowds learns the crowd that reads no answers (same size and bounds).

--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -29,9 +29,15 @@
 			}
 			calm, most := descriptors(), 0
 			for wave := range crowd.Waves {
-				leave := kind.Send(e.Callers, "POST /bookings/x HTTP/1.1\r\nHost: api.example\r\nAuthorization: Bearer sk-acme\r\n")
+				leave := kind.Send(e.Callers, "POST /bookings/"+kind.Path+" HTTP/1.1\r\nHost: api.example\r\nAuthorization: Bearer sk-acme\r\n")
+				most = max(most, descriptors())
+				if kind.Unread {
+					until(func() bool { return e.chat().complete() }) // once the process no longer waits for the crowd
+				} else {
+					ordinary := e.chat()
+					c.Check(ordinary.complete(), qt.IsTrue, qt.Commentf("wave %d: %+v", wave, ordinary))
+				}
 				most = max(most, descriptors())
-				c.Check(e.chat().complete(), qt.IsTrue, qt.Commentf("wave %d", wave))
 				leave()
 			}
 			until(func() bool { return descriptors() <= calm+8 }) // the process has closed the crowd's connections
--- a/intake/body.go
+++ b/intake/body.go
@@ -22,13 +22,17 @@
 		return nil, err
 	}
 	body, err := ReadAll(account, r.Body, r.ContentLength, limit)
-	if evicted := account.Begin(); evicted != nil {
+	evicted := account.Begin()
+	switch {
+	case evicted != nil:
+		account.refuse()
 		return nil, evicted
+	case err != nil:
+		account.refuse()
+		return nil, err
 	}
-	if err == nil {
-		account.setWholeBody()
-	}
-	return body, err
+	account.setWholeBody()
+	return body, nil
 }
 
 // ReadAll reads a body to its end into memory that the account holds. length is the one that is announced, or not positive without one.
@@ -37,7 +41,7 @@
 	var blocks [][]byte
 	var total, held int64
 	for {
-		size := nextBlock(len(blocks), length, total)
+		size := min(nextBlock(len(blocks), length, total), limit+1-total) // one byte more shows that it is too long
 		if err := account.Grow(size); err != nil {
 			return bytes.Join(blocks, nil), err
 		}
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -64,6 +64,13 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *guardedConn) Write(p []byte) (int, error) {
+	c.account.setWriting(time.Now())
+	defer c.account.setWriting(time.Time{})
+	return c.Conn.Write(p)
+}
+
 // SetReadDeadline implements net.Conn. The deadline of an evicted connection stays in the past.
 func (c *guardedConn) SetReadDeadline(deadline time.Time) error {
 	c.account.guard.mu.Lock()
@@ -76,7 +83,7 @@
 
 // Close implements net.Conn.
 func (c *guardedConn) Close() error {
-	c.account.close()
+	c.account.Close()
 	return c.Conn.Close()
 }
 
--- a/intake/guard.go
+++ b/intake/guard.go
@@ -24,6 +24,9 @@
 	receiveBuffer = 64 << 10
 	// ownerShare is the largest share of the bytes that the bodies of one owner may hold, except for a single one.
 	ownerShare = 0.5
+	// smallShare is the share of the bytes up to which a body counts as small. Small ones get room while others that were evicted still hold
+	// theirs.
+	smallShare = 0.01
 	// calmShare is the share of the bytes up to which other connections are calm. A single request may then exceed the limit, so that a
 	// body is accepted that is allowed but larger than the limit.
 	calmShare = 0.5
@@ -57,6 +60,7 @@
 	accounts  map[*Account]struct{}
 	open      int   // connections that are not closed, including evicted ones
 	bytes     int64 // of all accounts
+	unwinding int64 // bytes of evicted accounts whose goroutines may still refer to them
 	owners    map[string]int64
 	turnedOff int // connections evicted or refused since loggedAt
 	loggedAt  time.Time
@@ -92,16 +96,32 @@
 
 	// Guarded by guard.mu.
 	holding
+	connected  bool // counted in guard.open
 	owner      string
 	ownerBytes int64 // of bytes, counted for owner
 	wholeBody  bool  // the body of the present request was read to its end
 	evicted    bool
+	unwinding  int64 // part of guard.unwinding
 	closed     bool
 }
 
+// Forwarded returns an account without a connection, for a request that a peer has received. Its bytes are never taken from it. Close ends
+// it. A nil guard bounds nothing.
+func (g *Guard) Forwarded() *Account {
+	if g == nil {
+		return nil
+	}
+	return &Account{guard: g, holding: holding{stage: inService, progressAt: time.Now()}}
+}
+
 type contextKey struct{}
 
-// FromContext returns the account of the connection on which a request came, or nil.
+// NewContext returns a context of a request that the account is charged for.
+func NewContext(ctx context.Context, account *Account) context.Context {
+	return context.WithValue(ctx, contextKey{}, account)
+}
+
+// FromContext returns the account that is charged for a request, or nil.
 func FromContext(ctx context.Context) *Account {
 	account, _ := ctx.Value(contextKey{}).(*Account)
 	return account
@@ -112,7 +132,7 @@
 	server.Handler = handler{server.Handler}
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		if c, ok := conn.(*guardedConn); ok {
-			return context.WithValue(ctx, contextKey{}, c.account)
+			return NewContext(ctx, c.account)
 		}
 		return ctx
 	}
@@ -153,14 +173,14 @@
 		}
 		g.evict(victim, now)
 		// An evicted connection would hold its descriptor until its handler has ended.
-		victim.end()
-		_ = victim.conn.Close()
+		victim.abandon()
 	}
 	if !g.makeRoom(account, connectionBytes, now) {
 		g.count("refused", now)
 		return nil
 	}
 	g.accounts[account] = struct{}{}
+	account.connected = true
 	g.open++
 	account.charge(connectionBytes)
 	return account
@@ -170,11 +190,14 @@
 func (g *Guard) makeRoom(account *Account, n int64, now time.Time) bool {
 	wanting := account.holding
 	wanting.bytes += n
+	if g.unwinding > g.limits.Bytes && wanting.arriving() && float64(wanting.bytes) > smallShare*float64(g.limits.Bytes) {
+		return false
+	}
 	for g.bytes+n > g.limits.Bytes {
 		if float64(g.bytes-account.bytes) <= calmShare*float64(g.limits.Bytes) {
 			return true
 		}
-		victim := g.victim(account, wanting, ofBytes, now)
+		victim := g.victim(account, wanting, g.shortageOfBytes(), now)
 		if victim == nil {
 			return false
 		}
@@ -183,6 +206,20 @@
 	return true
 }
 
+// shortageOfBytes returns which kind of shortage of bytes there is. The caller holds the lock.
+func (g *Guard) shortageOfBytes() shortage {
+	idleBytes := int64(0)
+	for account := range g.accounts {
+		if account.stage == idle {
+			idleBytes += account.bytes
+		}
+	}
+	if 2*idleBytes > g.bytes {
+		return ofIdleBytes
+	}
+	return ofBytes
+}
+
 // victim returns the connection that yields first to the account, whose state is wanting; nil if none does. The caller holds the lock.
 func (g *Guard) victim(account *Account, wanting holding, short shortage, now time.Time) *Account {
 	var first *Account
@@ -197,12 +234,17 @@
 	return first
 }
 
-// evict takes the account's bytes and wakes the goroutine that reads from its connection. The caller holds the lock.
+// evict takes the account's bytes and wakes the goroutine that reads from its connection. The connection of a caller that does not read is
+// closed: it can't be told, and must not take the answer for complete. The caller holds the lock.
 func (g *Guard) evict(account *Account, now time.Time) {
 	g.count("evicted", now)
-	account.evicted = true
+	if account.blocked(now) {
+		defer account.abandon()
+	}
+	account.evicted, account.stage = true, refused
+	account.unwinding += account.bytes
+	g.unwinding += account.bytes
 	account.release(account.bytes)
-	delete(g.accounts, account)
 	_ = account.conn.SetReadDeadline(now)
 }
 
@@ -307,6 +349,36 @@
 	}
 }
 
+// unwound records that no goroutine refers to bytes that were taken from the account. The caller holds the guard's lock.
+func (a *Account) unwound() {
+	a.guard.unwinding -= a.unwinding
+	a.unwinding = 0
+}
+
+// refuse ends a request whose body is not whole. Its bytes must not be referred to any more.
+func (a *Account) refuse() {
+	if a == nil {
+		return
+	}
+	a.guard.mu.Lock()
+	defer a.guard.mu.Unlock()
+	a.unwound()
+	if a.evicted || a.closed {
+		return
+	}
+	if a.connected {
+		a.release(a.bytes - connectionBytes)
+	}
+	a.stage = refused
+}
+
+// setWriting records the begin of a write to the caller, or with the zero time its end.
+func (a *Account) setWriting(at time.Time) {
+	a.guard.mu.Lock()
+	defer a.guard.mu.Unlock()
+	a.writingAt = at
+}
+
 // endRequest releases what the connection's last request held.
 func (a *Account) endRequest() {
 	a.guard.mu.Lock()
@@ -327,7 +399,7 @@
 		g.mu.Unlock()
 		return ErrEvicted
 	}
-	if a.stage == inBody || a.stage == inService {
+	if a.stage != idle && a.stage != inHead {
 		a.progressAt = time.Now()
 		g.mu.Unlock()
 		return nil
@@ -337,20 +409,32 @@
 	return a.Grow(int64(n))
 }
 
-// close ends the account with its connection.
-func (a *Account) close() {
+// Close ends the account.
+func (a *Account) Close() {
+	if a == nil {
+		return
+	}
 	a.guard.mu.Lock()
 	defer a.guard.mu.Unlock()
 	a.end()
 }
 
-// end is close for a caller that holds the guard's lock.
+// abandon closes the connection at once. The caller holds the guard's lock.
+func (a *Account) abandon() {
+	a.end()
+	_ = a.conn.Close()
+}
+
+// end is Close for a caller that holds the guard's lock.
 func (a *Account) end() {
 	if a.closed {
 		return
 	}
 	a.closed = true
-	a.guard.open--
+	a.unwound()
+	if a.connected {
+		a.guard.open--
+	}
 	a.release(a.bytes)
 	delete(a.guard.accounts, a)
 }
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -21,11 +21,11 @@
 	c := qt.New(t)
 	now := time.Now()
 	ago := func(d time.Duration) time.Time { return now.Add(-d) }
-	stalledSmall := holding{inBody, 10, ago(2 * time.Second)}
-	stalledHead := holding{inHead, 5, ago(3 * time.Second)}
-	large := holding{inBody, 1000, ago(10 * time.Millisecond)}
-	small := holding{inBody, 20, ago(time.Millisecond)}
-	kept := holding{idle, 1, ago(time.Minute)}
+	stalledSmall := holding{stage: inBody, bytes: 10, progressAt: ago(2 * time.Second)}
+	stalledHead := holding{stage: inHead, bytes: 5, progressAt: ago(3 * time.Second)}
+	large := holding{stage: inBody, bytes: 1000, progressAt: ago(10 * time.Millisecond)}
+	small := holding{stage: inBody, bytes: 20, progressAt: ago(time.Millisecond)}
+	kept := holding{stage: idle, bytes: 1, progressAt: ago(time.Minute)}
 	for _, test := range []struct {
 		name          string
 		short         shortage
@@ -41,7 +41,7 @@
 		c.Check(evictBefore(test.first, test.second, test.short, now), qt.IsTrue, qt.Commentf("%s", test.name))
 		c.Check(evictBefore(test.second, test.first, test.short, now), qt.IsFalse, qt.Commentf("%s, reversed", test.name))
 	}
-	served := holding{inService, 5000, now}
+	served := holding{stage: inService, bytes: 5000, progressAt: now, writingAt: ago(time.Second)}
 	c.Check(large.yieldsTo(small, ofBytes, now), qt.IsTrue)
 	c.Check(small.yieldsTo(large, ofBytes, now), qt.IsFalse)
 	c.Check(small.yieldsTo(large, ofConnections, now), qt.IsTrue)
@@ -50,6 +50,11 @@
 	c.Check(small.yieldsTo(served, ofBytes, now), qt.IsTrue)
 	c.Check(served.yieldsTo(small, ofBytes, now), qt.IsFalse)
 	c.Check(served.yieldsTo(small, ofConnections, now), qt.IsFalse)
+	unread := holding{stage: inService, bytes: 5000, progressAt: now, writingAt: ago(2 * blockedTime)}
+	c.Check(unread.yieldsTo(small, ofBytes, now), qt.IsTrue)
+	c.Check(unread.yieldsTo(kept, ofConnections, now), qt.IsTrue)
+	c.Check(evictBefore(small, unread, ofBytes, now), qt.IsTrue)
+	c.Check(evictBefore(unread, small, ofBytes, now), qt.IsFalse)
 }
 
 // pipeGuard is a guard over connections of net.Pipe.
@@ -123,6 +128,31 @@
 	})
 }
 
+// TestUnreadAnswersYield answers callers that take up all connections and don't read their answers: a new connection takes the place of the
+// one that has not read for longest, whose answer ends without its last bytes.
+func TestUnreadAnswersYield(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newPipeGuard(t, Limits{Bytes: 10 << 20, Connections: 2})
+		ends := make(chan error, 2)
+		for range 2 {
+			account := g.connect()
+			g.c.Assert(account.Begin(), qt.IsNil)
+			go func() {
+				_, err := (&guardedConn{Conn: account.conn, account: account}).Write(make([]byte, 1<<10))
+				ends <- err
+			}()
+			time.Sleep(time.Second)
+		}
+		g.c.Check(g.connect(), qt.IsNil)
+		time.Sleep(blockedTime - time.Second)
+		g.c.Check(g.connect(), qt.IsNotNil)
+		synctest.Wait()
+		g.c.Check(ends, qt.HasLen, 1)
+		g.c.Check(<-ends, qt.ErrorIs, io.ErrClosedPipe)
+		g.c.Check(g.connections(), qt.Equals, 2)
+	})
+}
+
 // TestIdleConnectionsYield answers memory that idle connections use up: a new connection and a body take their room.
 func TestIdleConnectionsYield(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -138,6 +168,68 @@
 	})
 }
 
+// TestRefusedConnectionsYield answers callers that send on after a refusal: a new connection takes the place of one of them.
+func TestRefusedConnectionsYield(t *testing.T) {
+	g := newPipeGuard(t, Limits{Bytes: 10 << 20, Connections: 2})
+	for range 2 {
+		account, err := g.upload(1 << 20)
+		g.c.Assert(err, qt.IsNil)
+		account.refuse()
+		g.c.Check(account.received(100), qt.IsNil)
+	}
+	g.c.Check(g.held(), qt.Equals, int64(2*connectionBytes))
+	g.c.Check(g.connect(), qt.IsNotNil)
+	g.c.Check(g.connections(), qt.Equals, 2)
+}
+
+// TestSlowUnwinding answers a crowd of bodies that are evicted faster than their goroutines end: another large body finds no room until
+// they have, a small one does.
+func TestSlowUnwinding(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newPipeGuard(t, Limits{Bytes: 10 << 20, Connections: 100})
+		var crowd []*Account
+		for range 4 {
+			for range 9 {
+				account, err := g.upload(1 << 20)
+				if errors.Is(err, ErrFull) {
+					break
+				}
+				crowd = append(crowd, account)
+			}
+			time.Sleep(2 * stallTime)
+		}
+		g.c.Check(len(crowd) < 25, qt.IsTrue, qt.Commentf("%d bodies of 1 MiB held or evicted", len(crowd)))
+		_, err := g.upload(1 << 20)
+		g.c.Check(err, qt.ErrorIs, ErrFull)
+		_, err = g.upload(20 << 10)
+		g.c.Check(err, qt.IsNil)
+		for _, account := range crowd {
+			account.refuse()
+		}
+		_, err = g.upload(1 << 20)
+		g.c.Check(err, qt.IsNil)
+		g.c.Check(g.unwinding, qt.Equals, int64(0))
+	})
+}
+
+// TestNewConnectionStays answers bodies that use up the memory while an ordinary caller connects: the largest of them finds no room instead
+// of taking the connection from which no byte has come yet.
+func TestNewConnectionStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newPipeGuard(t, Limits{Bytes: 10 << 20, Connections: 100})
+		var largest *Account
+		for n := range int64(9) {
+			account, err := g.upload(1<<20 + n)
+			g.c.Assert(err, qt.IsNil)
+			largest = account
+		}
+		ordinary := g.connect()
+		g.c.Check(largest.Grow(1<<20), qt.ErrorIs, ErrFull)
+		g.c.Check(ordinary.received(100), qt.IsNil)
+		g.c.Check(ordinary.Begin(), qt.IsNil)
+	})
+}
+
 // TestOwnerShare answers one customer whose bodies would take all the memory: it is refused beyond half, others are not, and a single
 // request may be longer than half.
 func TestOwnerShare(t *testing.T) {
--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -22,6 +22,11 @@
 	Descriptors = 256
 	// BodyBytes is the longest body that is allowed.
 	BodyBytes = 1 << 20
+	// Long is the last part of the path of requests with an answer of AnswerBytes, which no buffer of the system's holds.
+	Long        = "long"
+	AnswerBytes = 4 << 20
+	// unreadBuffer is the size in bytes of the buffer for received bytes of a client that does not read.
+	unreadBuffer = 4 << 10
 )
 
 // Kind is a kind of client.
@@ -29,16 +34,21 @@
 	Name    string
 	Header  string        // fields of the request's head that announce the body, or are the rest of a head without an end
 	Payload func() []byte // what follows the head; nil if the head has no end
+	// Path is the last part of the request's path. The stand-ins answer requests for Long with AnswerBytes.
+	Path string
+	// Unread means that the requests are whole and that the clients don't read their answers.
+	Unread bool
 }
 
-// Kinds are clients that stop before the end of what they send, or send more than allowed.
+// Kinds are clients that stop before the end of what they send, send more than allowed, or don't read what they asked for.
 var Kinds = []Kind{
-	{"large chunks", "Transfer-Encoding: chunked", func() []byte { return chunks(BodyBytes-64<<10, 64<<10) }},
-	{"small chunks", "Transfer-Encoding: chunked", func() []byte { return chunks(BodyBytes-1, 1) }},
-	{"announced body short of its end", "Content-Length: " + strconv.Itoa(BodyBytes), func() []byte { return make([]byte, BodyBytes-1) }},
-	{"announced body over the limit", "Content-Length: 1073741824", func() []byte { return make([]byte, 8*BodyBytes) }},
-	{"chunked body over the limit", "Transfer-Encoding: chunked", func() []byte { return chunks(8*BodyBytes, 64<<10) }},
-	{"head without an end", "X-Padding: " + strings.Repeat("x", 60<<10), nil},
+	{"large chunks", "Transfer-Encoding: chunked", func() []byte { return chunks(BodyBytes-64<<10, 64<<10) }, "x", false},
+	{"small chunks", "Transfer-Encoding: chunked", func() []byte { return chunks(BodyBytes-1, 1) }, "x", false},
+	{"announced body short of its end", "Content-Length: " + strconv.Itoa(BodyBytes), func() []byte { return make([]byte, BodyBytes-1) }, "x", false},
+	{"announced body over the limit", "Content-Length: 1073741824", func() []byte { return make([]byte, 8*BodyBytes) }, "x", false},
+	{"chunked body over the limit", "Transfer-Encoding: chunked", func() []byte { return chunks(8*BodyBytes, 64<<10) }, "x", false},
+	{"head without an end", "X-Padding: " + strings.Repeat("x", 60<<10), nil, "x", false},
+	{"answers that nobody reads", "Content-Length: 2", func() []byte { return []byte("{}") }, Long, true},
 }
 
 // chunks returns a body of the given number of bytes in chunks of size bytes each, without the chunk that ends it.
@@ -64,6 +74,9 @@
 				return
 			}
 			conns[n] = conn
+			if k.Unread {
+				_ = conn.(*net.TCPConn).SetReadBuffer(unreadBuffer)
+			}
 			_, _ = conn.Write(request)
 		})
 	}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -42,14 +43,18 @@
 }
 
 // Receipt is the answer to an executed request. Execution numbers the executions of the RunCounter from
-// 1; Echo is the request's body.
+// 1; Echo is the request's body. Padding makes the receipts of paths that end in "/long" long.
 type Receipt struct {
 	Execution int    `json:"execution"`
 	Method    string `json:"method"`
 	Path      string `json:"path"`
 	Echo      string `json:"echo,omitempty"`
+	Padding   string `json:"padding,omitempty"`
 }
 
+// longBytes is the length of the padding of long receipts.
+const longBytes = 4 << 20
+
 // NewRunCounter returns a counter without executions.
 func NewRunCounter() *RunCounter {
 	return &RunCounter{byKey: make(map[string]int), byRequest: make(map[string]int)}
@@ -144,6 +149,9 @@
 		return c.String(http.StatusInternalServerError, "failed after the run")
 	}
 	receipt := Receipt{Execution: execution, Method: request.Method, Path: request.URL.Path, Echo: string(body)}
+	if strings.HasSuffix(request.URL.Path, "/long") {
+		receipt.Padding = strings.Repeat("x", longBytes)
+	}
 	if request.Method == http.MethodPost {
 		c.Response().Header().Set(echo.HeaderLocation, fmt.Sprintf("%s/%d", request.URL.Path, execution))
 		return c.JSON(http.StatusCreated, receipt)
