entry, link: answers that are kept and forwarded bodies count as callers' memory

Cause: the budget of design 0016 left out what entry reads of an answer before it sends any, answers kept for a rating, and bodies received from another zone. Each is bounded by itself; together nothing bounded them.

Change: they are charged before they are allocated. Without room a plain answer is sent as it arrives, an answer that must be whole fails its attempt, and a forwarded request is declined as not run, so that another zone or the own one serves it.

Measured: TestForwardedWithoutMemory refuses with instance_full, not_run, and serves once the memory is free; entry, link, intake and daemon pass.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -238,7 +238,7 @@
 func (d *Daemon) register() error {
 	return errors.Join(
 		link.NewLiveness(d.self).Register(d.peers),
-		link.NewForwardServer(d.entry, d.settings.MaxBodyBytes).Register(d.peers),
+		link.NewForwardServer(d.entry, d.settings.MaxBodyBytes, d.callers).Register(d.peers),
 		d.exchange.Register(d.peers),
 		d.replica.Register(d.peers),
 		d.ledger.Register(d.peers),
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"plumbarrow.example/plumbarrow/contract"
+	"plumbarrow.example/plumbarrow/intake"
 	"plumbarrow.example/plumbarrow/internal/openai"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/verdict"
@@ -77,15 +78,18 @@
 	return message[:min(len(message), maxEngineMessageBytes)]
 }
 
-// readUnstreamed reads an answer that is not streamed and checks its length, version, choices and
+// readUnstreamed reads an answer that is not streamed, for which the account is charged, and checks its length, version, choices and
 // usage.
-func (r *requestState) readUnstreamed(a *attempt, answer *link.Answer) (*chatAnswer, *link.Failure) {
+func (r *requestState) readUnstreamed(account *intake.Account, a *attempt, answer *link.Answer) (*chatAnswer, *link.Failure) {
 	limit := r.server.Settings.MaxAnswerBytes
-	body, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
-	if err != nil {
+	body, err := intake.ReadAll(account, answer.Body, answer.Length, limit)
+	switch {
+	case errors.Is(err, intake.ErrTooLong), errors.Is(err, intake.ErrFull):
+		return nil, truncatedFailure(err)
+	case err != nil:
 		return nil, asFailure(err)
 	}
-	if int64(len(body)) > limit || answer.Length >= 0 && answer.Length != int64(len(body)) {
+	if answer.Length >= 0 && answer.Length != int64(len(body)) {
 		return nil, truncatedFailure(fmt.Errorf("the answer has %d bytes, its Content-Length is %d, the limit is %d", len(body), answer.Length, limit))
 	}
 	var parsed openai.ChatAnswer
--- a/entry/chatattempt.go
+++ b/entry/chatattempt.go
@@ -8,6 +8,7 @@
 	"github.com/labstack/echo/v4"
 
 	"plumbarrow.example/plumbarrow/decide"
+	"plumbarrow.example/plumbarrow/intake"
 	"plumbarrow.example/plumbarrow/internal/openai"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
@@ -82,14 +83,15 @@
 	if failure, err := checkStatus(answer); failure != nil || err != nil {
 		return failure, err
 	}
+	account := intake.FromContext(f.context.Request().Context())
 	if f.live == nil {
-		complete, failure := f.readUnstreamed(a, answer)
+		complete, failure := f.readUnstreamed(account, a, answer)
 		result.chatAnswer = complete
 		return failure, nil
 	}
 	var target sink = f.live
 	if result.step.AwaitRating {
-		result.buffered = &bufferSink{limit: f.server.Settings.MaxAnswerBytes}
+		result.buffered = &bufferSink{limit: f.server.Settings.MaxAnswerBytes, account: account}
 		target = result.buffered
 	}
 	stream := &streamCopy{requestState: f.requestState, attempt: a, answer: answer, sink: target, usageRequested: f.chat.UsageRequested}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -14,6 +14,7 @@
 
 	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/decide"
+	"plumbarrow.example/plumbarrow/intake"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/verdict"
@@ -134,8 +135,8 @@
 	if strings.HasPrefix(answer.Header.Get(echo.HeaderContentType), eventStream) {
 		return s.relayEvents(r, c, answer)
 	}
-	buffered, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes))
-	if err != nil {
+	buffered, err := readStart(intake.FromContext(c.Request().Context()), answer)
+	if err != nil && !errors.Is(err, errContinues) {
 		return asFailure(err)
 	}
 	if err := forwardDeclined(answer, buffered); err != nil {
@@ -213,10 +214,20 @@
 	return n, err
 }
 
+// brokenBody is a body that cannot be read.
+type brokenBody struct{ err error }
+
+// Read implements io.Reader.
+func (b brokenBody) Read([]byte) (int, error) { return 0, b.err }
+
 // ServeForwarded implements link.ForwardHandler.
 func (s *Server) ServeForwarded(ctx context.Context, writer http.ResponseWriter, received *link.ForwardedRequest) verdict.Verdict {
+	body := io.Reader(bytes.NewReader(received.Body))
+	if received.BodyError != nil {
+		body = brokenBody{received.BodyError}
+	}
 	forwarded := &forwardedRequest{requestID: received.RequestID, customer: received.Customer, hops: received.Hops, verdict: verdict.MayHaveRun}
-	request, err := http.NewRequestWithContext(withForwardedRequest(ctx, forwarded), received.Method, received.Path, bytes.NewReader(received.Body))
+	request, err := http.NewRequestWithContext(withForwardedRequest(ctx, forwarded), received.Method, received.Path, body)
 	if err != nil {
 		writer.WriteHeader(http.StatusBadRequest)
 		return verdict.NotRun
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -15,6 +16,8 @@
 	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/decide"
 	"plumbarrow.example/plumbarrow/entry"
+	"plumbarrow.example/plumbarrow/intake"
+	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/verdict"
@@ -29,9 +32,14 @@
 // twoZones returns an instance in zone a, which is out of service, and one in zone b to which it can
 // forward. conns are the connections between them, the oldest first.
 func twoZones(c *qt.C, picker decide.Picker, change ...func(*entry.Parts)) (a, b *testInstance, conns chan net.Conn) {
+	return twoZonesWith(c, picker, nil, change...)
+}
+
+// twoZonesWith is twoZones where callers bounds what forwarded requests make the instance in zone b hold.
+func twoZonesWith(c *qt.C, picker decide.Picker, callers *intake.Guard, change ...func(*entry.Parts)) (a, b *testInstance, conns chan net.Conn) {
 	b = newTestInstance(c, "b", nil)
 	mux := drpcmux.New()
-	c.Assert(link.NewForwardServer(b.server, 1<<20).Register(mux), qt.IsNil)
+	c.Assert(link.NewForwardServer(b.server, 1<<20, callers).Register(mux), qt.IsNil)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -99,6 +107,21 @@
 	assertRefused(c, a.ask("assistant", true), verdict.HopLimit, verdict.NotRun)
 }
 
+// TestForwardedWithoutMemory answers bodies that use up the memory of an instance that other zones forward to: the next request is
+// refused without a run, and served once the memory is free.
+func TestForwardedWithoutMemory(t *testing.T) {
+	c := qt.New(t)
+	callers := intake.New(intake.Limits{Bytes: 64 << 10, Connections: 10}, telemetry.New(), slog.New(slog.DiscardHandler))
+	a, b, _ := twoZonesWith(c, decide.NewPicker(decide.DefaultSettings()), callers)
+	b.add("booking", "", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusCreated) })
+	other := callers.Forwarded()
+	c.Assert(other.Grow(60<<10), qt.IsNil)
+	book := func() reply { return a.send(http.MethodPost, "/bookings/7", strings.Repeat("x", 20<<10)) }
+	assertRefused(c, book(), verdict.InstanceFull, verdict.NotRun)
+	other.Close()
+	c.Check(book().status, qt.Equals, http.StatusCreated)
+}
+
 // spillPicker picks zone b for a request that may be forwarded and refuses any other as full.
 type spillPicker struct{}
 
--- a/entry/forwarddeclined.go
+++ b/entry/forwarddeclined.go
@@ -13,7 +13,7 @@
 )
 
 // errForwardDeclined is the refusal of a zone that can't take a forwarded request, for example because
-// it was just taken out of service. The request has not run there.
+// it was just taken out of service or has no memory for it. The request has not run there.
 type errForwardDeclined struct{ refusal *verdict.Refusal }
 
 var _ error = errForwardDeclined{}
@@ -32,7 +32,7 @@
 		return nil
 	}
 	switch reason := verdict.Reason(refused.Error.Reason); reason {
-	case verdict.ZoneOutOfService, verdict.HopLimit, verdict.Stopping:
+	case verdict.ZoneOutOfService, verdict.HopLimit, verdict.Stopping, verdict.InstanceFull:
 		return errForwardDeclined{verdict.Refuse(reason, "%s", refused.Error.Message)}
 	default:
 		return nil
--- a/entry/service.go
+++ b/entry/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 
 	"plumbarrow.example/plumbarrow/decide"
+	"plumbarrow.example/plumbarrow/intake"
 	"plumbarrow.example/plumbarrow/ledger"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
@@ -171,8 +171,8 @@
 	if strings.HasPrefix(answer.Header.Get(echo.HeaderContentType), eventStream) {
 		return nil, f.streamAnswer(a, answer, nil)
 	}
-	buffered, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes))
-	if err == nil && len(buffered) == maxBufferedBytes {
+	buffered, err := readStart(intake.FromContext(request.Context()), answer)
+	if errors.Is(err, errContinues) {
 		return nil, f.streamAnswer(a, answer, buffered)
 	}
 	if err == nil && !isLengthExpected(request.Method, answer, int64(len(buffered))) {
@@ -187,6 +187,19 @@
 	return nil, f.deliver(answer, buffered)
 }
 
+// errContinues means that an answer is longer than what was read of it.
+var errContinues = errors.New("the answer is too long for the memory")
+
+// readStart reads an answer to its end, or if it is longer than maxBufferedBytes or than the account has room for, a part of it. In that case
+// it returns errContinues.
+func readStart(account *intake.Account, answer *link.Answer) ([]byte, error) {
+	start, err := intake.ReadAll(account, answer.Body, answer.Length, maxBufferedBytes)
+	if errors.Is(err, intake.ErrTooLong) || errors.Is(err, intake.ErrFull) {
+		return start, errContinues
+	}
+	return start, err
+}
+
 // gatewayFailure returns a failure for a status that a proxy between router and service may have sent
 // in place of the service, so that the request may or may not have run.
 func gatewayFailure(status int) *link.Failure {
--- a/entry/servicestream.go
+++ b/entry/servicestream.go
@@ -47,11 +47,14 @@
 	return f.endStream(answer, send, &callerErr)
 }
 
+// partBytes is the size in bytes of the parts in which a long answer is sent.
+const partBytes = 32 << 10
+
 // copyParts sends each part once the next one has arrived; the last one stays in f.heldBack.
 func (f *serviceFlow) copyParts(answer *link.Answer, buffered []byte, send func([]byte)) (int64, *link.Failure) {
 	f.heldBack = buffered
 	length := int64(len(buffered))
-	buffer, spare := make([]byte, maxBufferedBytes), make([]byte, maxBufferedBytes)
+	buffer, spare := make([]byte, partBytes), make([]byte, partBytes)
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -10,6 +10,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"plumbarrow.example/plumbarrow/intake"
 	"plumbarrow.example/plumbarrow/internal/openai"
 	"plumbarrow.example/plumbarrow/verdict"
 )
@@ -119,6 +120,8 @@
 	events [][]byte
 	size   int64
 	limit  int64
+	// account is charged for the events.
+	account *intake.Account
 }
 
 var _ sink = (*bufferSink)(nil)
@@ -131,6 +134,9 @@
 	if s.size > s.limit {
 		return verdict.Uncertain(verdict.UpstreamError, "the answer is longer than %d bytes", s.limit)
 	}
+	if err := s.account.Grow(int64(len(data))); err != nil {
+		return verdict.Uncertain(verdict.InstanceFull, "the answer to rate: %v", err)
+	}
 	s.events = append(s.events, append([]byte(nil), data...))
 	return nil
 }
--- a/link/forwardclient.go
+++ b/link/forwardclient.go
@@ -30,7 +30,8 @@
 	Path      string // with query
 	Header    http.Header
 	Body      []byte
-	Hops      int // entry instances that handled the request so far, including the sender
+	BodyError error // of a received request whose body there is no memory for; Body is nil then
+	Hops      int   // entry instances that handled the request so far, including the sender
 }
 
 // ForwardClient sends requests to entry instances of other zones. Safe for concurrent use.
--- a/link/forwardserver.go
+++ b/link/forwardserver.go
@@ -10,6 +10,7 @@
 
 	"storj.io/drpc"
 
+	"plumbarrow.example/plumbarrow/intake"
 	"plumbarrow.example/plumbarrow/link/linkpb"
 	"plumbarrow.example/plumbarrow/verdict"
 )
@@ -24,13 +25,14 @@
 type ForwardServer struct {
 	handler  ForwardHandler
 	maxBytes int64
+	callers  *intake.Guard
 }
 
 var _ linkpb.DRPCForwardingServer = (*ForwardServer)(nil)
 
-// NewForwardServer returns a server that accepts requests with bodies of at most maxBytes.
-func NewForwardServer(handler ForwardHandler, maxBytes int64) *ForwardServer {
-	return &ForwardServer{handler: handler, maxBytes: maxBytes}
+// NewForwardServer returns a server that accepts requests with bodies of at most maxBytes each, and of what callers allows together.
+func NewForwardServer(handler ForwardHandler, maxBytes int64, callers *intake.Guard) *ForwardServer {
+	return &ForwardServer{handler: handler, maxBytes: maxBytes, callers: callers}
 }
 
 // Register adds the service to a server's mux.
@@ -42,11 +44,13 @@
 	if err := out.keepAlive(); err != nil {
 		return err
 	}
-	forwarded, err := s.receive(stream)
+	account := s.callers.Forwarded()
+	defer account.Close()
+	forwarded, err := s.receive(stream, account)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(stream.Context())
+	ctx, cancel := context.WithCancel(intake.NewContext(stream.Context(), account))
 	defer cancel()
 	var keepAlives sync.WaitGroup
 	keepAlives.Go(func() { out.keepAliveUntil(ctx) })
@@ -56,7 +60,8 @@
 	return out.send(&linkpb.Frame{Kind: &linkpb.Frame_End{End: end}})
 }
 
-func (s *ForwardServer) receive(stream linkpb.DRPCForwarding_ForwardStream) (*ForwardedRequest, error) {
+// receive reads a request. Its body is left out, and BodyError set, if the account has no room for it.
+func (s *ForwardServer) receive(stream linkpb.DRPCForwarding_ForwardStream, account *intake.Account) (*ForwardedRequest, error) {
 	frame, err := stream.Recv()
 	if err != nil {
 		return nil, err
@@ -74,16 +79,23 @@
 		Header:    fromHeaders(request.GetHeaders()),
 		Hops:      int(request.GetHops()),
 	}
-	for int64(len(forwarded.Body)) < request.GetBodyBytes() {
+	if forwarded.BodyError = account.Grow(request.GetBodyBytes()); forwarded.BodyError == nil {
+		forwarded.Body = make([]byte, 0, request.GetBodyBytes())
+	}
+	received := int64(0)
+	for received < request.GetBodyBytes() {
 		frame, err := stream.Recv()
 		if err != nil {
 			return nil, err
 		}
-		forwarded.Body = append(forwarded.Body, frame.GetChunk()...)
+		received += int64(len(frame.GetChunk()))
+		if forwarded.BodyError == nil {
+			forwarded.Body = append(forwarded.Body, frame.GetChunk()...)
+		}
 	}
-	if int64(len(forwarded.Body)) > request.GetBodyBytes() {
+	if received > request.GetBodyBytes() {
 		return nil, fmt.Errorf("request %s: the body has at least %d bytes, but %d were declared",
-			forwarded.RequestID, len(forwarded.Body), request.GetBodyBytes())
+			forwarded.RequestID, received, request.GetBodyBytes())
 	}
 	return forwarded, nil
 }
--- a/link/peer_test.go
+++ b/link/peer_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 	"storj.io/drpc/drpcmux"
 
+	"plumbarrow.example/plumbarrow/intake"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/verdict"
 )
@@ -28,10 +29,10 @@
 var peer = machine.Member{ID: "entry-2", Incarnation: "i2", Zone: "b", Address: "p:1"}
 
 // servePeer serves one peer in memory. stop shuts it down and waits for it.
-func servePeer(c *qt.C, network *pipeNetwork, handler ForwardHandler) (dialer *PeerDialer, stop func()) {
+func servePeer(c *qt.C, network *pipeNetwork, handler ForwardHandler, callers *intake.Guard) (dialer *PeerDialer, stop func()) {
 	mux := drpcmux.New()
 	c.Assert(NewLiveness(peer).Register(mux), qt.IsNil)
-	c.Assert(NewForwardServer(handler, 1<<20).Register(mux), qt.IsNil)
+	c.Assert(NewForwardServer(handler, 1<<20, callers).Register(mux), qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
 	go func() { served <- ServePeers(ctx, network, mux) }()
@@ -49,7 +50,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		network := newPipeNetwork()
-		dialer, stop := servePeer(c, network, nil)
+		dialer, stop := servePeer(c, network, nil, nil)
 		defer stop()
 		for range 2 {
 			incarnation, err := Ping(t.Context(), dialer, peer)
@@ -111,7 +112,7 @@
 				c := qt.New(t)
 				network := newPipeNetwork()
 				network.silent.Store(test.silent)
-				dialer, stop := servePeer(c, network, test.handler)
+				dialer, stop := servePeer(c, network, test.handler, nil)
 				stop = sync.OnceFunc(stop)
 				answer, err := NewForwardClient(dialer).Forward(t.Context(), peer, forwardedRequest())
 				if err == nil && test.during != nil {
