--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -195,6 +195,16 @@
 // NeedsKey reports whether a request on the route must have a customer's key.
 func (s *Snapshot) NeedsKey(route *Route) bool { return s.keysRequired && !route.Public }
 
+// CustomerNamed returns the customer with the name, or nil.
+func (s *Snapshot) CustomerNamed(name string) *Customer {
+	for _, customer := range s.customers {
+		if customer.Name == name {
+			return customer
+		}
+	}
+	return nil
+}
+
 // Customer returns the customer that holds the key, or nil.
 func (s *Snapshot) Customer(key string) *Customer { return s.customers[key] }
 
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -100,16 +100,21 @@
 	if refusal := f.readBody(); refusal != nil {
 		return refusal
 	}
+	f.start()
+	if !f.finishesInTime(0) {
+		return stoppingRefusal()
+	}
+	return nil
+}
+
+// start sets the deadline and the service of a request that is admitted to its route.
+func (f *requestState) start() {
 	timeout := f.call.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
 	f.deadline = f.arrived.Add(min(timeout, f.route.Timeout))
 	f.service = f.route.Service(hashShare(f.call.ID))
-	if !f.finishesInTime(0) {
-		return stoppingRefusal()
-	}
-	return nil
 }
 
 // authorize finds the request's route and customer in the snapshot.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -44,6 +44,8 @@
 	// Expect returns the expected time to a request's first event at the endpoint that Place would choose now,
 	// plus penalties such as for another zone; false if no endpoint has capacity.
 	Expect(need *upstream.Need) (time.Duration, bool)
+	// Explain returns where Place would send the request now, and why.
+	Explain(need *upstream.Need) upstream.Placement
 }
 
 // Sender sends one request to one endpoint. Errors are *link.Failure.
--- a/upstream/place.go
+++ b/upstream/place.go
@@ -143,11 +143,7 @@
 	blocked = NoneEligible
 	endpoints := t.view.Load().byService[need.Service]
 	evacuated := *t.evacuated.Load()
-	preferred := preferredEndpoint(endpoints, need, func(e *Endpoint) bool {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		return e.report.Zone == t.zone && e.available(now) && !evacuated[e.report.Zone] && e.matchesVersion(need) && !e.health.open(now)
-	})
+	preferred := t.preferred(endpoints, need, evacuated, now)
 	for _, endpoint := range endpoints {
 		endpoint.mu.Lock()
 		if endpoint.available(now) && !evacuated[endpoint.report.Zone] && endpoint.matchesVersion(need) {
@@ -195,11 +191,7 @@
 // overcommit, it does not turn this instance away, and neither the limit that it states nor that of a cold endpoint is used up. The
 // caller holds the lock.
 func (t *Table) hasCapacity(e *Endpoint, service *catalog.Service, now time.Time) bool {
-	overcommit := float64(overcommitPlain)
-	if service != nil && service.Model {
-		overcommit = overcommitModel
-	}
-	if e.total(now).requests >= int(float64(e.report.Slots)*overcommit) {
+	if e.total(now).requests >= maxRequests(e, service) {
 		return false
 	}
 	if !e.turnAway.admits(now) || e.statedLimit.inForce && !e.limiter.ready(t.ownStatedRate(e), now) {
@@ -211,11 +203,29 @@
 	return e.slowStart.ready(t.ownColdRate(e, service), now)
 }
 
+// maxRequests returns how many requests of all instances the endpoint may have. The caller holds the lock.
+func maxRequests(e *Endpoint, service *catalog.Service) int {
+	overcommit := float64(overcommitPlain)
+	if service != nil && service.Model {
+		overcommit = overcommitModel
+	}
+	return int(float64(e.report.Slots) * overcommit)
+}
+
 // ownColdRate returns the rate at which this instance may use a cold endpoint. The caller holds the lock.
 func (t *Table) ownColdRate(e *Endpoint, service *catalog.Service) float64 {
 	return e.coldShare.of(instanceColdRate, e.hash, service.ColdRate, t.self, t.members.Live())
 }
 
+// preferred returns the preferred endpoint of this zone that may be used.
+func (t *Table) preferred(endpoints []*Endpoint, need *Need, evacuated map[string]bool, now time.Time) *Endpoint {
+	return preferredEndpoint(endpoints, need, func(e *Endpoint) bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.report.Zone == t.zone && e.available(now) && !evacuated[e.report.Zone] && e.matchesVersion(need) && !e.health.open(now)
+	})
+}
+
 // preferredEndpoint returns the usable endpoint that rendezvous hashing selects for the shared parts of
 // the prompt in this zone. All instances of the zone select the same one, so that its cache serves all
 // requests with these parts, unless its load outweighs the benefit. It is nil without shared parts.
@@ -239,21 +249,31 @@
 // score returns the endpoint as a candidate. Its cost is the expected time to the request's first event,
 // plus penalties for another zone and for errors, plus what the request costs others. The caller holds the lock.
 func (t *Table) score(e *Endpoint, need *Need, preferred bool, now time.Time) candidate {
-	cost := t.expect(e, need, preferred, now)
-	near := e.report.Zone == t.zone
-	if !near {
-		cost += t.crossZoneCost(need, cost)
-	}
-	rate := e.health.errorRate(now)
-	cost += time.Duration(rate * float64(errorRateCost))
-	cached := t.estimateCachedTokens(e, need, preferred, now)
+	considered := t.consider(e, need, preferred, now)
 	return candidate{
-		endpoint: e, cost: cost + t.costToOthers(e, need, need.PromptTokens-cached, now), near: near,
-		cached:     float64(cached) >= cachedShare*float64(need.PromptTokens),
-		lastResort: rate > errorRateHigh || e.health.open(now) || slices.Contains(need.Avoid, e.id),
+		endpoint: e, cost: considered.Cost, near: e.report.Zone == t.zone,
+		cached:     float64(considered.Cached) >= cachedShare*float64(need.PromptTokens),
+		lastResort: considered.LastResort,
 	}
 }
 
+// consider returns the endpoint with its cost, see score. The caller holds the lock.
+func (t *Table) consider(e *Endpoint, need *Need, preferred bool, now time.Time) Considered {
+	rate := e.health.errorRate(now)
+	c := Considered{
+		Endpoint: e.id, Zone: e.report.Zone, Version: e.report.Version, Requests: e.total(now).requests, Slots: e.report.Slots, Pace: e.pace.mean(now),
+		Cached: t.estimateCachedTokens(e, need, preferred, now), Expected: t.expect(e, need, preferred, now),
+		Errors:     time.Duration(rate * float64(errorRateCost)),
+		LastResort: rate > errorRateHigh || e.health.open(now) || slices.Contains(need.Avoid, e.id),
+	}
+	if e.report.Zone != t.zone {
+		c.OtherZone = t.crossZoneCost(need, c.Expected)
+	}
+	c.OthersWait = t.costToOthers(e, need, need.PromptTokens-c.Cached, now)
+	c.Cost = c.Expected + c.OtherZone + c.Errors + c.OthersWait
+	return c
+}
+
 // costToOthers returns what the reading of uncached prompt tokens costs other requests, as a part of a candidate's cost. The endpoint reads them
 // between the tokens of others, also of those that come later.
 func (t *Table) costToOthers(e *Endpoint, need *Need, uncached int, now time.Time) time.Duration {
--- a/upstream/prefixcache.go
+++ b/upstream/prefixcache.go
@@ -12,8 +12,8 @@
 
 // PromptPart is one part of a prompt. Requests that share the part use the same ID.
 type PromptPart struct {
-	ID     uint64
-	Tokens int
+	ID     uint64 `json:"id"`
+	Tokens int    `json:"tokens"`
 }
 
 // prefixCache estimates which parts of prompts an endpoint has cached, from the time of their last use by
