cmd, daemon: plumbarrow route

Change: POST /route at the gateway's metrics_address, and a command that asks it and prints the decision, the queue and the endpoints, as text or JSON.

--- a/cmd/plumbarrow/main.go
+++ b/cmd/plumbarrow/main.go
@@ -17,6 +17,7 @@
 	Explain    *explainCommand    `arg:"subcommand:explain" help:"print what became of a request and why"`
 	Load       *loadCommand       `arg:"subcommand:load" help:"send a mix of requests to a running deployment"`
 	Replay     *replayCommand     `arg:"subcommand:replay" help:"play a trace through today's decisions"`
+	Route      *routeCommand      `arg:"subcommand:route" help:"print where a request would go now and why, without sending it"`
 	Rollout    *rolloutCommand    `arg:"subcommand:rollout" help:"start, watch, resume and abort roll-outs"`
 	Standin    *standinCommand    `arg:"subcommand:standin" help:"run a stand-in of the platform, an engine or a service"`
 	Status     *statusCommand     `arg:"subcommand:status" help:"print the state of entry instances"`
@@ -57,6 +58,8 @@
 		err = args.Load.run()
 	case args.Replay != nil:
 		err = args.Replay.run()
+	case args.Route != nil:
+		err = args.Route.run()
 	case args.Rollout != nil:
 		err = args.Rollout.run()
 	case args.Standin != nil:
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -303,6 +303,7 @@
 		g.counters.Write(c.Response())
 		return nil
 	})
+	e.POST("/route", echo.WrapHandler(g.server.PreviewHandler()))
 	return e
 }
 
