intake: connections kept between two requests yield last

Cause: where connections ran out, an idle one yielded before those in arrival.

Change: a connection on which a request was answered yields after those in arrival, and keeps its bytes against growing bodies. TestKeptConnectionsStay fails before.

--- a/intake/evict.go
+++ b/intake/evict.go
@@ -30,6 +30,7 @@
 	bytes      int64
 	progressAt time.Time // of the last byte received, or of the end of the last request
 	writingAt  time.Time // begin of the write in progress; zero without one
+	served     bool      // a request on the connection was answered
 }
 
 func (h holding) arriving() bool { return h.stage == inHead || h.stage == inBody }
@@ -38,6 +39,9 @@
 	return h.arriving() && now.Sub(h.progressAt) > stallTime
 }
 
+// kept reports whether the caller keeps a connection for its next request, which may be on its way.
+func (h holding) kept() bool { return h.stage == idle && h.served }
+
 // blocked reports whether the caller does not read its answer.
 func (h holding) blocked(now time.Time) bool {
 	return h.stage == inService && !h.writingAt.IsZero() && now.Sub(h.writingAt) > blockedTime
@@ -63,6 +67,8 @@
 		return a.writingAt.Before(b.writingAt)
 	case a.stalled(now) != b.stalled(now):
 		return a.stalled(now)
+	case short == ofConnections && a.kept() != b.kept():
+		return b.kept()
 	case short == ofConnections && a.arriving() != b.arriving():
 		return b.arriving() // the caller of an idle connection only has to open a new one
 	case short != ofConnections && a.bytes != b.bytes:
@@ -82,7 +88,8 @@
 	default:
 	}
 	if h.stage == idle && wanting.arriving() && short == ofBytes {
-		return now.Sub(h.progressAt) > stallTime // a new connection whose first byte is on its way is not what uses up the bytes
+		// A connection whose first byte, or next request, is on its way is not what uses up the bytes.
+		return !h.served && now.Sub(h.progressAt) > stallTime
 	}
 	return short == ofConnections || wanting.stage == inService || h.stage == idle || h.stalled(now) || h.bytes > wanting.bytes
 }
--- a/intake/guard.go
+++ b/intake/guard.go
@@ -388,7 +388,7 @@
 	}
 	a.release(a.bytes - connectionBytes)
 	a.owner, a.wholeBody = "", false
-	a.stage, a.progressAt = idle, time.Now()
+	a.stage, a.progressAt, a.served = idle, time.Now(), true
 }
 
 // received records n bytes that were read from the connection. It returns an error if the connection has to be closed for them.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -168,6 +168,25 @@
 	})
 }
 
+// TestKeptConnectionsStay answers a crowd that uses up connections and memory beside a caller that keeps its connection between two
+// requests.
+func TestKeptConnectionsStay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newPipeGuard(t, Limits{Bytes: 10 << 20, Connections: 20})
+		ordinary := g.connect()
+		g.c.Assert(ordinary.Begin(), qt.IsNil)
+		ordinary.endRequest()
+		time.Sleep(time.Minute)
+		for n := range int64(60) {
+			_, _ = g.upload(1<<20 + n)
+			g.c.Assert(g.connect(), qt.IsNotNil)
+			time.Sleep(10 * time.Millisecond)
+		}
+		g.c.Check(ordinary.received(100), qt.IsNil)
+		g.c.Check(ordinary.Begin(), qt.IsNil)
+	})
+}
+
 // TestRefusedConnectionsYield answers callers that send on after a refusal: a new connection takes the place of one of them.
 func TestRefusedConnectionsYield(t *testing.T) {
 	g := newPipeGuard(t, Limits{Bytes: 10 << 20, Connections: 2})
