gateway, upstream: admission by the expected wait

Cause: above the endpoints' capacity every request waits up to half of its time limit, whatever its chances.

Change (design 0019): a request that finds all endpoints full is refused at once if its expected wait, by the queue before it and the rate of completions, exceeds queue_goal_share of what its goal leaves; Retry-After is when room is expected, spread. Expected and actual waits are histograms. Off by default.

TestOverloadFairness holds with it.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -163,6 +163,7 @@
 		Quarantine:       g.quarantine,
 		RetryBudget:      gateway.NewRetryBudget(),
 		EscalationPolicy: gateway.NewEscalationPolicy(),
+		QueueGoalShare:   g.settings.QueueGoalShare,
 		Counters:         g.counters,
 		Log:              g.log,
 	})
--- a/daemon/gatewaysettings.go
+++ b/daemon/gatewaysettings.go
@@ -47,6 +47,9 @@
 	StatedLoadsFrom int `toml:"stated_loads_from"`
 	// StatedLoadsUnpaced does so also for services whose endpoints state their load but no pace. Default false.
 	StatedLoadsUnpaced bool `toml:"stated_loads_unpaced"`
+	// QueueGoalShare is the share of what a route's goal leaves beside the answer for which a request may be expected to wait for capacity;
+	// a request that would wait longer is refused at once. From 0, which admits all to the queue, to 1. Default 0.
+	QueueGoalShare float64 `toml:"queue_goal_share"`
 	// LogLevel is the lowest level that is logged: debug, info, warn or error. Default info.
 	LogLevel string `toml:"log_level"`
 
@@ -115,6 +118,9 @@
 	if s.StatedLoadsFrom < 0 {
 		return errors.New("stated_loads_from: must not be negative")
 	}
+	if s.QueueGoalShare < 0 || s.QueueGoalShare > 1 {
+		return errors.New("queue_goal_share: must be from 0 to 1")
+	}
 	if err := s.callers().validate(); err != nil {
 		return err
 	}
--- a/gateway/fairness_test.go
+++ b/gateway/fairness_test.go
@@ -110,6 +110,7 @@
 	perSecond int     // requests per second in all
 	urgent    float64 // share of the requests on the urgent route
 	hot       float64 // share of the requests that one customer sends; the rest is even over all ten
+	goalShare float64 // Parts.QueueGoalShare
 }
 
 // run sends the load for twenty seconds to three endpoints of four slots each. It returns the counts by kind,
@@ -118,6 +119,7 @@
 	sender := &slotSender{slots: 4, endpoints: make(map[string]*slotEndpoint)}
 	f := newFixture()
 	f.server.Sender = sender
+	f.server.QueueGoalShare = l.goalShare
 	changed := draft(2)
 	changed.Routes[0].Priority, changed.Routes[1].Priority = 0, 2
 	for i := range 10 {
@@ -162,10 +164,13 @@
 func TestOverloadFairness(t *testing.T) {
 	// Three endpoints of four slots each, at a mean of 70 ms per request, serve 171 requests per second.
 	for name, test := range map[string]load{
-		"one and a half times capacity":   {250, 0.5, 0},
-		"twice capacity, mostly urgent":   {340, 0.7, 0},
-		"urgent requests beyond capacity": {400, 0.9, 0},
-		"one customer floods":             {300, 0.5, 0.8},
+		"one and a half times capacity":   {250, 0.5, 0, 0},
+		"twice capacity, mostly urgent":   {340, 0.7, 0, 0},
+		"urgent requests beyond capacity": {400, 0.9, 0, 0},
+		"one customer floods":             {300, 0.5, 0.8, 0},
+		"a bound on waits":                {250, 0.5, 0, 0.5},
+		"a bound on waits, urgent beyond": {400, 0.9, 0, 0.5},
+		"a bound on waits, one floods":    {300, 0.5, 0.8, 0.5},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -31,11 +31,12 @@
 
 // requestState is the state of one request in this instance. Only one goroutine uses it.
 type requestState struct {
-	server  *Server
-	writer  http.ResponseWriter
-	request *http.Request
-	account *intake.Account // of the caller's connection
-	arrived time.Time
+	server   *Server
+	writer   http.ResponseWriter
+	request  *http.Request
+	account  *intake.Account // of the caller's connection
+	arrived  time.Time
+	forecast forecast
 
 	call     *Call
 	body     []byte
@@ -276,6 +277,7 @@
 			}
 		}
 		if blocked == upstream.NotBlocked && f.server.Current.Get() == f.snapshot {
+			f.observeWait()
 			return grant, nil
 		}
 		if blocked == upstream.NotBlocked {
@@ -288,6 +290,9 @@
 				return nil, f.turnedAway(pause)
 			}
 		}
+		if refusal := f.refuseLongWait(blocked, wait); refusal != nil {
+			return nil, refusal
+		}
 		if wait <= 0 || !f.server.Upstreams.Wait(ctx, f.service, f.priority(), f.arrived, wait) {
 			if ctx.Err() != nil {
 				return nil, f.contextRefusal(ctx)
--- a/gateway/preview.go
+++ b/gateway/preview.go
@@ -45,12 +45,14 @@
 	LeastAnswerMS   int64 `json:"least_answer_ms"` // that recent answers of the route took
 
 	// Endpoint gets the request at once. Without it the request is refused, or waits up to WaitMS because of Blocked.
-	Endpoint  string            `json:"endpoint,omitempty"`
-	Sampled   bool              `json:"sampled,omitempty"` // Endpoint is drawn among several candidates
-	Blocked   string            `json:"blocked,omitempty"`
-	WaitMS    int64             `json:"wait_ms,omitempty"`
-	Refusal   *PreviewRefusal   `json:"refusal,omitempty"`
-	Endpoints []PreviewEndpoint `json:"endpoints,omitempty"`
+	Endpoint string `json:"endpoint,omitempty"`
+	Sampled  bool   `json:"sampled,omitempty"` // Endpoint is drawn among several candidates
+	Blocked  string `json:"blocked,omitempty"`
+	WaitMS   int64  `json:"wait_ms,omitempty"`
+	// ExpectedWaitMS is how long it is expected to wait; 0 if that is not known.
+	ExpectedWaitMS int64             `json:"expected_wait_ms,omitempty"`
+	Refusal        *PreviewRefusal   `json:"refusal,omitempty"`
+	Endpoints      []PreviewEndpoint `json:"endpoints,omitempty"`
 }
 
 // PreviewRefusal is the refusal that the caller would get.
@@ -152,9 +154,13 @@
 			return f.turnedAway(pause)
 		}
 	}
+	if refusal := f.refuseLongWait(placement.Blocked, wait); refusal != nil {
+		return refusal
+	}
 	if wait <= 0 {
 		return f.noCapacity(placement.Blocked)
 	}
+	preview.ExpectedWaitMS = f.forecast.expected.Milliseconds()
 	preview.WaitMS = wait.Milliseconds()
 	return nil
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -44,6 +44,8 @@
 	// Expect returns the expected time to a request's first event at the endpoint that Place would choose now,
 	// plus penalties such as for another zone; false if no endpoint has capacity.
 	Expect(need *upstream.Need) (time.Duration, bool)
+	// Forecast returns how long a request that begins to wait for the service now is expected to wait; false if that is not known.
+	Forecast(service string, priority int) (time.Duration, bool)
 	// Explain returns where Place would send the request now, and why.
 	Explain(need *upstream.Need) upstream.Placement
 }
@@ -83,8 +85,11 @@
 	RetryBudget *decide.RetryBuckets
 	// EscalationPolicy chooses the model to ask after a smaller model's answer was rejected.
 	EscalationPolicy *EscalationPolicy
-	Counters         *telemetry.Counters
-	Log              *slog.Logger
+	// QueueGoalShare is the share of what a route's goal leaves beside the answer for which a request may be expected to wait for capacity.
+	// Requests that would wait longer are refused at once. 0 admits all to the queue.
+	QueueGoalShare float64
+	Counters       *telemetry.Counters
+	Log            *slog.Logger
 }
 
 // Server is the HTTP handler for callers' requests.
--- a/upstream/place.go
+++ b/upstream/place.go
@@ -499,6 +499,9 @@
 		g.table.counters.Inc("plumbarrow_breaker_opened_total")
 		g.table.log.Warn("breaker opened", "endpoint", e.id, "service", g.Report.Service, "for_ms", openDuration.Milliseconds())
 	}
+	if outcome == Answered {
+		g.table.recordEnd(g.Report.Service, time.Now())
+	}
 	g.table.WakeNext(g.Report.Service)
 }
 
--- a/upstream/queue.go
+++ b/upstream/queue.go
@@ -17,6 +17,7 @@
 	mu       sync.Mutex
 	waiters  waitheap.Heap[*waiter]
 	dequeued int
+	drain    drain
 }
 
 // next removes and returns the request to wake next. The caller holds the lock; the queue must not be
@@ -109,6 +110,14 @@
 // of other instances are updated.
 const retryInterval = 100 * time.Millisecond
 
+// recordEnd records that a request of the service was completed.
+func (t *Table) recordEnd(service string, now time.Time) {
+	q := t.queue(service)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.drain.record(now)
+}
+
 // WakeNext wakes one request that waits for the service.
 func (t *Table) WakeNext(service string) {
 	q := t.queue(service)
