entry, intake: an answer without room does not count against its engine

Cause, found by reading: an unstreamed answer for which the instance has no memory was reported as truncated, so that its engine counted as failing; and the bytes of a body whose connection was closed for another one counted as free at once.

Change: the request ends with upstream_error, may have run, as one whose answer is too long to be rated; the bytes count until the connection's goroutine has closed it.

Measured: TestForwardedWithoutMemory, 20 such answers and then one that is served; TestUnwindingConnection.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -79,30 +79,32 @@
 }
 
 // readUnstreamed reads an answer that is not streamed, for which the account is charged, and checks its length, version, choices and
-// usage.
-func (r *requestState) readUnstreamed(account *intake.Account, a *attempt, answer *link.Answer) (*chatAnswer, *link.Failure) {
+// usage. err is a refusal for lack of memory, which the engine is not to blame for.
+func (r *requestState) readUnstreamed(account *intake.Account, a *attempt, answer *link.Answer) (*chatAnswer, *link.Failure, error) {
 	limit := r.server.Settings.MaxAnswerBytes
 	body, err := intake.ReadAll(account, answer.Body, answer.Length, limit)
 	switch {
-	case errors.Is(err, intake.ErrTooLong), errors.Is(err, intake.ErrFull):
-		return nil, truncatedFailure(err)
+	case errors.Is(err, intake.ErrFull):
+		return nil, nil, verdict.Uncertain(verdict.UpstreamError, "the answer can't be kept: %v", err)
+	case errors.Is(err, intake.ErrTooLong):
+		return nil, truncatedFailure(err), nil
 	case err != nil:
-		return nil, asFailure(err)
+		return nil, asFailure(err), nil
 	}
 	if answer.Length >= 0 && answer.Length != int64(len(body)) {
-		return nil, truncatedFailure(fmt.Errorf("the answer has %d bytes, its Content-Length is %d, the limit is %d", len(body), answer.Length, limit))
+		return nil, truncatedFailure(fmt.Errorf("the answer has %d bytes, its Content-Length is %d", len(body), answer.Length)), nil
 	}
 	var parsed openai.ChatAnswer
 	if err := json.Unmarshal(body, &parsed); err != nil {
-		return nil, truncatedFailure(err)
+		return nil, truncatedFailure(err), nil
 	}
 	if parsed.Usage == nil || len(parsed.Choices) == 0 {
-		return nil, truncatedFailure(errors.New("the answer has no choices or no usage"))
+		return nil, truncatedFailure(errors.New("the answer has no choices or no usage")), nil
 	}
 	if failure := checkVersion(a.placed.choice.Version, answer.Header, parsed.Model); failure != nil {
-		return nil, failure
+		return nil, failure, nil
 	}
-	return &chatAnswer{attempt: a, usage: *parsed.Usage, body: body}, nil
+	return &chatAnswer{attempt: a, usage: *parsed.Usage, body: body}, nil, nil
 }
 
 func truncatedFailure(err error) *link.Failure {
--- a/entry/chatattempt.go
+++ b/entry/chatattempt.go
@@ -85,9 +85,9 @@
 	}
 	account := intake.FromContext(f.context.Request().Context())
 	if f.live == nil {
-		complete, failure := f.readUnstreamed(account, a, answer)
+		complete, failure, err := f.readUnstreamed(account, a, answer)
 		result.chatAnswer = complete
-		return failure, nil
+		return failure, err
 	}
 	var target sink = f.live
 	if result.step.AwaitRating {
--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -120,6 +120,17 @@
 	assertRefused(c, book(), verdict.InstanceFull, verdict.NotRun)
 	other.Close()
 	c.Check(book().status, qt.Equals, http.StatusCreated)
+
+	b.add("small-engines", "small@v1", engine("v1"))
+	const question = `{"model":"assistant","stream":false}`
+	other = callers.Forwarded()
+	c.Assert(other.Grow(64<<10-int64(2*len(question))-10), qt.IsNil) // room for the body, received and read, and not for the answer
+	ask := func() reply { return a.send(http.MethodPost, "/v1/chat/completions", question) }
+	for range 20 { // the engine is not blamed for it
+		assertRefused(c, ask(), verdict.UpstreamError, verdict.MayHaveRun)
+	}
+	other.Close()
+	c.Check(ask().body, qt.Equals, unstreamedAnswer)
 }
 
 // spillPicker picks zone b for a request that may be forwarded and refuses any other as full.
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -135,7 +135,7 @@
 		return verdict.Uncertain(verdict.UpstreamError, "the answer is longer than %d bytes", s.limit)
 	}
 	if err := s.account.Grow(int64(len(data))); err != nil {
-		return verdict.Uncertain(verdict.InstanceFull, "the answer to rate: %v", err)
+		return verdict.Uncertain(verdict.UpstreamError, "the answer can't be kept: %v", err)
 	}
 	s.events = append(s.events, append([]byte(nil), data...))
 	return nil
--- a/intake/guard.go
+++ b/intake/guard.go
@@ -416,10 +416,11 @@
 	}
 	a.guard.mu.Lock()
 	defer a.guard.mu.Unlock()
+	a.unwound()
 	a.end()
 }
 
-// abandon closes the connection at once. The caller holds the guard's lock.
+// abandon closes the connection at once. Its goroutine may still refer to its bytes. The caller holds the guard's lock.
 func (a *Account) abandon() {
 	a.end()
 	_ = a.conn.Close()
@@ -431,7 +432,6 @@
 		return
 	}
 	a.closed = true
-	a.unwound()
 	if a.connected {
 		a.guard.open--
 	}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -231,6 +231,18 @@
 	})
 }
 
+// TestUnwindingConnection checks that the bytes of a connection that was closed for another one count until its goroutine has closed it too.
+func TestUnwindingConnection(t *testing.T) {
+	g := newPipeGuard(t, Limits{Bytes: 10 << 20, Connections: 1})
+	account, err := g.upload(1 << 20)
+	g.c.Assert(err, qt.IsNil)
+	g.c.Assert(g.connect(), qt.IsNotNil)
+	g.c.Check(g.unwinding, qt.Equals, int64(1<<20+connectionBytes))
+	account.Close()
+	g.c.Check(g.unwinding, qt.Equals, int64(0))
+	g.c.Check(g.connections(), qt.Equals, 1)
+}
+
 // TestNewConnectionStays answers bodies that use up the memory while an ordinary caller connects: the largest of them finds no room instead
 // of taking the connection from which no byte has come yet.
 func TestNewConnectionStays(t *testing.T) {
