upstream: a preview names the endpoints beyond a roll-out's share

Cause, found by reading: Explain showed endpoints as candidates to which a roll-out's stage confines no request.

Change: they are excluded as "spread"; the order of the list is by rank and cost.

Measured: TestExplainSpread.

--- a/upstream/explain.go
+++ b/upstream/explain.go
@@ -57,7 +57,8 @@
 	ExcludedVersion    Exclusion = "version"        // the request needs another version
 	ExcludedTurnedAway Exclusion = "turned_away"    // it wants no requests from this instance for a time
 	ExcludedFull       Exclusion = "full"
-	ExcludedRate       Exclusion = "rate" // this instance's share of its rate is used up: it is cold, or states a limit
+	ExcludedSpread     Exclusion = "spread" // a roll-out confines the request to other endpoints of the version
+	ExcludedRate       Exclusion = "rate"   // this instance's share of its rate is used up: it is cold, or states a limit
 )
 
 // Explain returns where Place would send the request now. It reserves nothing.
@@ -84,30 +85,27 @@
 		considered := t.consider(e, need, e == preferred, now)
 		considered.Excluded = t.exclusion(e, need, service, evacuated, now)
 		e.mu.Unlock()
+		drawn := slices.ContainsFunc(candidates, func(c candidate) bool { return c.endpoint == e })
+		if considered.Excluded == "" && !drawn && !placement.Sampled && need.Spread > 0 {
+			considered.Excluded = ExcludedSpread
+		}
 		placement.Endpoints = append(placement.Endpoints, considered)
 	}
 	slices.SortStableFunc(placement.Endpoints, func(a, b Considered) int {
-		switch {
-		case (a.Excluded == "") != (b.Excluded == ""):
-			return compareBool(a.Excluded != "", b.Excluded != "")
-		case a.LastResort != b.LastResort:
-			return compareBool(a.LastResort, b.LastResort)
-		default:
-			return cmp.Compare(a.Cost, b.Cost)
-		}
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.Cost, b.Cost))
 	})
 	return placement
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
+// rank orders candidates before last resorts and these before excluded endpoints.
+func (c *Considered) rank() int {
 	switch {
-	case a == b:
-		return 0
-	case a:
+	case c.Excluded != "":
+		return 2
+	case c.LastResort:
 		return 1
 	default:
-		return -1
+		return 0
 	}
 }
 
--- a/upstream/explain_test.go
+++ b/upstream/explain_test.go
@@ -59,6 +59,21 @@
 	return Considered{}
 }
 
+// TestExplainSpread checks that the endpoints beyond the share of a roll-out are named.
+func TestExplainSpread(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(report("e1", "app", "a"), report("e2", "app", "a"), report("e3", "app", "b"), report("e4", "app", "b"))
+	placement := table.Explain(&Need{Service: "app", Spread: 0.5})
+	beyond := 0
+	for _, e := range placement.Endpoints {
+		if e.Excluded == ExcludedSpread {
+			beyond++
+		}
+	}
+	c.Check(beyond, qt.Equals, 2)
+	c.Check(placement.find(placement.Endpoint).Excluded, qt.Equals, Exclusion(""))
+}
+
 // TestExclusions checks the reason for each endpoint that may not get a request.
 func TestExclusions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
