gateway, cmd: expected waits are shown while admission by them is off

Cause: operators who weigh queue_goal_share saw no forecast before they set it.

Change: the forecast is made for each request that begins to wait; plumbarrow route prints it.

Measured: TestGoalShare, TestPreview, TestTurnedAwayLoad and TestRoute pass.

--- a/cmd/plumbarrow/route.go
+++ b/cmd/plumbarrow/route.go
@@ -103,7 +103,11 @@
 		}
 		fmt.Fprintln(out)
 	case p.Endpoint == "":
-		fmt.Fprintf(out, "waits up to %d ms for capacity (%s)\n", p.WaitMS, p.Blocked)
+		fmt.Fprintf(out, "waits up to %d ms for capacity (%s)", p.WaitMS, p.Blocked)
+		if p.ExpectedWaitMS > 0 {
+			fmt.Fprintf(out, ", expected %d ms", p.ExpectedWaitMS)
+		}
+		fmt.Fprintln(out)
 	case p.Sampled:
 		fmt.Fprintf(out, "goes to %s, drawn among the candidates\n", p.Endpoint)
 	default:
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -35,14 +35,14 @@
 // refuseLongWait returns the refusal of a request that is about to wait for capacity and would get it too late, else nil. left is how long it
 // may wait at most. A request that has been attempted keeps what it was admitted for.
 func (f *requestState) refuseLongWait(blocked upstream.Blocked, left time.Duration) *verdict.Refusal {
-	share := f.server.QueueGoalShare
-	if share == 0 || blocked != upstream.Full || f.tries > 0 || f.forecast.made {
+	if blocked != upstream.Full || f.tries > 0 || f.forecast.made {
 		return nil
 	}
 	now := time.Now()
 	expected, known := f.server.Upstreams.Forecast(f.service, f.priority())
 	f.forecast = forecast{made: true, known: known, expected: expected, at: now}
-	if !known {
+	share := f.server.QueueGoalShare
+	if !known || share == 0 {
 		return nil
 	}
 	limit := waitLimit(share, f.arrived.Add(f.route.Goal).Sub(now), f.leastAnswerTime(0), left)
