--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -32,9 +32,9 @@
 	at       time.Time
 }
 
-// refuseLongWait returns the refusal of a request that is about to wait for capacity and would get it too late, else nil. left is how long it
-// may wait at most. A request that has been attempted keeps what it was admitted for.
-func (f *requestState) refuseLongWait(blocked upstream.Blocked, left time.Duration) *verdict.Refusal {
+// admitToQueue forecasts the wait of a request that is about to wait for capacity. It returns the refusal of one that would get it too late,
+// else nil. left is how long the request may wait at most. One that was attempted before is always admitted.
+func (f *requestState) admitToQueue(blocked upstream.Blocked, left time.Duration) *verdict.Refusal {
 	if blocked != upstream.Full || f.tries > 0 || f.forecast.made {
 		return nil
 	}
@@ -49,7 +49,7 @@
 	if expected <= limit {
 		return nil
 	}
-	refusal := verdict.Refuse(verdict.ShedOverload, "service %s is full, a place is expected in %d ms, and waiting pays for %d ms",
+	refusal := verdict.Refuse(verdict.ShedOverload, "service %s is full; a place is expected in %d ms, too late for the goal after %d ms",
 		f.service, expected.Milliseconds(), limit.Milliseconds())
 	refusal.RetryAfter = roomExpectedIn(expected - limit)
 	return refusal
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -290,7 +290,7 @@
 				return nil, f.turnedAway(pause)
 			}
 		}
-		if refusal := f.refuseLongWait(blocked, wait); refusal != nil {
+		if refusal := f.admitToQueue(blocked, wait); refusal != nil {
 			return nil, refusal
 		}
 		if wait <= 0 || !f.server.Upstreams.Wait(ctx, f.service, f.priority(), f.arrived, wait) {
--- a/gateway/preview.go
+++ b/gateway/preview.go
@@ -154,7 +154,7 @@
 			return f.turnedAway(pause)
 		}
 	}
-	if refusal := f.refuseLongWait(placement.Blocked, wait); refusal != nil {
+	if refusal := f.admitToQueue(placement.Blocked, wait); refusal != nil {
 		return refusal
 	}
 	if wait <= 0 {
