--- /dev/null
+++ b/review/_stand2/case7.go
@@ -0,0 +1,3 @@
+package main
+
+func resetWhileFrozen(s *stand) bool { return false }
