review/7: a stream without a length that is reset while its instance is frozen ends as complete

Cause: link/answersource.go readAvailable() consumes the socket's pending ECONNRESET by recvfrom and drops it; the next read returns the end of the stream, which an answer without a length takes for its end. Done: a script; one of six instances freezes for 3.5 s, one of six engines crashes meanwhile; nothing fixed. The stand-in's free ports lie below the range of outgoing connections, and a case that can't run exits with 2.

--- a/review/_stand2/stand.go
+++ b/review/_stand2/stand.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -64,15 +65,17 @@
 		defer func() {
 			if cause := recover(); cause != nil {
 				s.note("the case couldn't run: %v", cause)
+				code = 2
 			}
 			for _, g := range s.gateways {
 				g.end()
 			}
 		}()
 		s.note("disruption: %t", s.trouble)
-		code = 0
 		if play(s) {
 			code = 1
+		} else {
+			code = 0
 		}
 	}()
 	s.note("result: %d (1: the rule was broken, 0: it held, 2: the case couldn't run)", code)
@@ -88,11 +91,16 @@
 	done                           chan struct{}
 }
 
+// freeAddress returns a free loopback address below the ports that the system gives to outgoing connections.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer listener.Close()
-	return listener.Addr().String()
+	for range 1000 {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 18000+rand.IntN(14000)))
+		if err == nil {
+			_ = listener.Close()
+			return listener.Addr().String()
+		}
+	}
+	panic("no free port")
 }
 
 // gateway starts an instance with the settings that deploy/settings.toml gives one of a small deployment.
@@ -113,6 +121,8 @@
 	check(err)
 	g.cmd = exec.Command("target/plumbarrowd", "--gateway", g.settings)
 	g.cmd.Stdout, g.cmd.Stderr = out, out
+	// On a small deployment's machines the processor list reports one core (DEPLOY.md, "A process is scheduled as batch work").
+	g.cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
 	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	check(g.cmd.Start())
 	g.done = make(chan struct{})
@@ -173,8 +183,9 @@
 	born                       int64
 	handle                     func(conn *net.TCPConn, request *http.Request, id string) bool
 
-	mu    sync.Mutex
-	conns map[*net.TCPConn]bool
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*net.TCPConn]bool
 }
 
 // engine starts an engine and registers it in the store.
@@ -183,7 +194,7 @@
 	check(err)
 	e := &engine{
 		id: id, service: service, zone: zone, address: listener.Addr().String(), slots: slots, born: time.Now().UnixMilli(), handle: handle,
-		conns: map[*net.TCPConn]bool{},
+		listener: listener, conns: map[*net.TCPConn]bool{},
 	}
 	go func() {
 		for {
@@ -246,6 +257,12 @@
 	}
 }
 
+// crash ends the engine's process: its connections are reset and nothing listens at its address.
+func (e *engine) crash() {
+	_ = e.listener.Close()
+	e.reset()
+}
+
 // head is the head of an engine's answer without its framing and end.
 func head(status int, id, engine string) string {
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\nX-Response-Stamp: stamp.%s.%s\r\n", status, http.StatusText(status), id, engine, id)
