review/8: heads with many short fields end processes by memory

Cause: intake charges a connection for the bytes of a head, but the parsed fields take many times as much; MaxHeaderBytes is 64 KiB whatever the configuration allows, and the number of fields has no bound. Done: a script; 600 clients at each of two of six machines send 60,000 bytes of a head and stay, three times; the platform's stand-in kills a process that exceeds memory_mb; nothing fixed.

--- a/review/_stand2/stand.go
+++ b/review/_stand2/stand.go
@@ -52,7 +52,7 @@
 
 // main plays the case whose number is the first argument; the second one is its folder.
 func main() {
-	cases := map[string]func(*stand) bool{"6": routeRemoved, "7": resetWhileFrozen}
+	cases := map[string]func(*stand) bool{"6": routeRemoved, "7": resetWhileFrozen, "8": headCrowd}
 	play := cases[os.Args[1]]
 	if play == nil {
 		os.Exit(2)
@@ -91,10 +91,18 @@
 	done                           chan struct{}
 }
 
+// givenPorts are the ports that freeAddress has returned.
+var givenPorts = map[int]bool{}
+
 // freeAddress returns a free loopback address below the ports that the system gives to outgoing connections.
 func freeAddress() string {
 	for range 1000 {
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 18000+rand.IntN(14000)))
+		port := 18000 + rand.IntN(14000)
+		if givenPorts[port] {
+			continue
+		}
+		givenPorts[port] = true
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err == nil {
 			_ = listener.Close()
 			return listener.Addr().String()
--- a/review/_stand2/store.go
+++ b/review/_stand2/store.go
@@ -37,10 +37,12 @@
 	leases   map[uint64]*lease
 	changed  chan struct{}
 	answer   time.Duration // time for each answer
+	busy     bool          // every call is answered 503
+	cut      chan struct{} // closed and replaced to cut the watches that are waiting
 }
 
 func newStore() *store {
-	s := &store{revision: 1, items: map[string]item{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), answer: 4 * time.Millisecond}
+	s := &store{revision: 1, items: map[string]item{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), answer: 4 * time.Millisecond, cut: make(chan struct{})}
 	go func() {
 		for range time.Tick(50 * time.Millisecond) {
 			s.expire()
@@ -57,11 +59,29 @@
 	return listener.Addr().String()
 }
 
+// setBusy turns the store down or up: while it is down, it answers every call with 503, and leases pause.
+func (s *store) setBusy(busy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = busy
+	for _, l := range s.leases {
+		l.end = time.Now().Add(l.ttl)
+	}
+}
+
+// cutWatches closes the connections of the watches that are waiting.
+func (s *store) cutWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.cut)
+	s.cut = make(chan struct{})
+}
+
 func (s *store) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, l := range s.leases {
-		if time.Now().After(l.end) {
+		if !s.busy && time.Now().After(l.end) {
 			s.endLease(id)
 		}
 	}
@@ -116,7 +136,17 @@
 	if err != nil {
 		return
 	}
+	s.mu.Lock()
+	busy := s.busy
+	s.mu.Unlock()
+	if busy {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	code, reply := s.reply(r, body)
+	if code == 0 {
+		panic(http.ErrAbortHandler) // the watch is cut
+	}
 	s.mu.Lock()
 	pause := s.answer
 	s.mu.Unlock()
@@ -198,13 +228,18 @@
 				events = append(events, it)
 			}
 		}
-		revision, changed := s.revision, s.changed
+		revision, changed, cut, busy := s.revision, s.changed, s.cut, s.busy
 		s.mu.Unlock()
+		if busy {
+			return http.StatusServiceUnavailable, object{}
+		}
 		if len(events) > 0 {
 			return http.StatusOK, object{"events": events, "store_revision": revision}
 		}
 		select {
 		case <-changed:
+		case <-cut:
+			return 0, nil
 		case <-timeout:
 			return http.StatusOK, object{"events": events, "store_revision": revision}
 		case <-r.Context().Done():
