--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -59,6 +59,8 @@
 	gatewayIdleTimeout = 120 * time.Second
 	// maxHeaderBytes is the limit of a request's header, well above the operators' limit for callers.
 	maxHeaderBytes = 64 << 10
+	// maxRelayedBody is the largest body in bytes of a request that a peer passes on. The sender keeps to the operators' limit.
+	maxRelayedBody = 64 << 20
 )
 
 // Gateway is one entry instance on the users' platform.
@@ -83,6 +85,8 @@
 	endpointClient *link.EndpointClient
 	callers        *intake.Guard
 	dialer         *link.PeerDialer
+	relayDialer    *link.PeerDialer
+	reachMonitor   *upstream.ReachMonitor
 	peers          *drpcmux.Mux
 	server         *gateway.Server
 }
@@ -104,9 +108,10 @@
 			Zone:    settings.Region,
 			Address: settings.PeersAddress,
 		},
-		current: &catalog.Current{},
-		dialer:  link.NewPeerDialer(),
-		peers:   drpcmux.New(),
+		current:     &catalog.Current{},
+		dialer:      link.NewPeerDialer(),
+		relayDialer: link.NewRelayDialer(),
+		peers:       drpcmux.New(),
 	}
 	g.callers = intake.New(settings.callers().limits(), g.counters, log)
 	g.assembleStore()
@@ -115,6 +120,7 @@
 		link.NewLiveness(g.self).Register(g.peers),
 		g.exchange.Register(g.peers),
 		g.mirrorTopic.Register(g.peers),
+		link.NewForwardServer(g.server, maxRelayedBody, g.callers).Register(g.peers),
 	)
 	return g, eris.Wrap(err, "register peer services")
 }
@@ -141,6 +147,7 @@
 	decoder.Endpoints = g.table
 	decoder.Rollouts = g.rollouts
 	g.endpointClient = link.NewEndpointClient(platform.EndpointHeaders{}.Match)
+	g.reachMonitor = upstream.NewReachMonitor(g.table, g.endpointClient, g.counters, g.log)
 	g.quarantine = quarantine.New(g.endpointClient, g.exchange.TriggerRound, g.counters, g.log)
 	g.exchange.Add(g.mirrorTopic)
 	g.exchange.Add(upstream.NewLoadTopic(g.table))
@@ -160,6 +167,8 @@
 		Upstreams:        g.table,
 		Sender:           g.endpointClient,
 		Versions:         g.rollouts,
+		Relay:            link.NewForwardClient(g.relayDialer),
+		Members:          g.membership,
 		Quarantine:       g.quarantine,
 		RetryBudget:      gateway.NewRetryBudget(),
 		EscalationPolicy: gateway.NewEscalationPolicy(),
@@ -197,6 +206,7 @@
 	err := group.Run()
 	g.endpointClient.Close()
 	g.dialer.Close()
+	g.relayDialer.Close()
 	return err
 }
 
@@ -211,6 +221,7 @@
 		g.exchange.Run,
 		g.driver.Run,
 		g.sweep,
+		g.reachMonitor.Run,
 		g.servePeers,
 	}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -90,6 +90,9 @@
 		return failed
 	}
 	exposure.RecordAnswer()
+	if !answer.Origin.Reused {
+		grant.RecordConnection()
+	}
 	defer func() { _ = answer.Body.Close() }()
 	firstByte := time.Since(started)
 	trial.RecordFirstByte(firstByte)
@@ -135,10 +138,7 @@
 func (f *requestState) endpointRequest(grant *upstream.Grant, now time.Time) (out *link.EndpointRequest, model string) {
 	left := f.timeLimit().Sub(now)
 	attempt := &Attempt{Endpoint: grant.Endpoint.ID(), TimeLeft: left, Priority: f.priority(), ResumeAfter: f.call.LastEvent,
-		Model: f.modelName()}
-	if f.customer != nil {
-		attempt.Customer = f.customer.Name
-	}
+		Model: f.modelName(), Customer: f.customerName()}
 	if f.stream != nil && f.stream.lastID != "" {
 		attempt.ResumeAfter = f.stream.lastID
 	}
@@ -236,7 +236,7 @@
 		return failed
 	}
 	if answer.Status == http.StatusOK && strings.HasPrefix(answer.Header.Get("Content-Type"), eventStreamType) {
-		return f.forwardStream(grant, trial, answer)
+		return f.forwardStream(attemptObserver{grant, trial}, answer)
 	}
 	if f.stream != nil && f.stream.headerSent {
 		// Its bytes must not follow the events that the caller already has.
--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -76,9 +76,12 @@
 }
 
 // retryAfter returns the Retry-After for a caller that is refused while the given number of requests is queued.
-// It has a jitter of 25 % either way, so that refused callers do not return together.
 func retryAfter(waiting int) time.Duration {
-	pause := min(minRetryAfter+time.Duration(waiting)*retryAfterPerWaiting, maxRetryAfter)
+	return jittered(min(minRetryAfter+time.Duration(waiting)*retryAfterPerWaiting, maxRetryAfter))
+}
+
+// jittered returns the pause with a jitter of 25 % either way, so that refused callers do not return together.
+func jittered(pause time.Duration) time.Duration {
 	return time.Duration(float64(pause) * (0.75 + 0.5*rand.Float64()))
 }
 
--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -49,6 +49,11 @@
 		f.refuse(verdict.Uncertain(verdict.UpstreamError, "the endpoint answered %d", answer.status))
 		return
 	}
+	f.writeBuffered(answer)
+}
+
+// writeBuffered sends a complete answer to the caller as it is.
+func (f *requestState) writeBuffered(answer *bufferedAnswer) {
 	copyHeader(f.writer.Header(), answer.header)
 	f.writer.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
 	f.status = answer.status
@@ -130,6 +135,9 @@
 	}
 	header := f.writer.Header()
 	f.server.CallerProtocol.Refuse(header, f.call, refusal)
+	if f.declines(refusal) {
+		header.Set(fieldDeclined, string(refusal.Reason))
+	}
 	if refusal.RetryAfter > 0 && promisesNotRun(f.status) {
 		header.Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 2, 64))
 	}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -36,6 +36,11 @@
 	return call, nil
 }
 
+func (plainProtocol) Relay(header http.Header, timeLeft time.Duration, resumeAfter string) {
+	header.Set("Wait-Ms", strconv.FormatInt(timeLeft.Milliseconds(), 10))
+	header.Set("After", resumeAfter)
+}
+
 func (plainProtocol) Refuse(http.Header, *Call, *verdict.Refusal) {}
 
 func (plainProtocol) Prepare(header http.Header, attempt *Attempt) {
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -35,6 +35,7 @@
 	writer   http.ResponseWriter
 	request  *http.Request
 	account  *intake.Account // of the caller's connection
+	origin   *origin         // nil unless a peer has passed the request on
 	arrived  time.Time
 	forecast forecast
 
@@ -50,6 +51,7 @@
 	runs               int                  // attempts that may have run
 	tries              int                  // attempts sent, including those that did not run
 	avoid              []machine.EndpointID // endpoints of failed attempts
+	declinedBy         []machine.InstanceID // peers that the request was passed to
 	newConnection      bool                 // the next attempt needs a new connection
 	retryReserved      bool                 // the retry budget has been charged for the next attempt
 	model              int                  // index of the model for the next attempt
@@ -80,7 +82,9 @@
 	defer cancel()
 	ctx, f.detachFromStop = f.server.inFlight.Attach(ctx)
 	defer f.detachFromStop()
-	f.server.RetryBudget.Deposit(f.service)
+	if f.server.Upstreams.Reachable(f.service) {
+		f.server.RetryBudget.Deposit(f.service) // else the peer that serves it does
+	}
 	f.run(ctx)
 }
 
@@ -95,6 +99,9 @@
 	if f.snapshot == nil {
 		return verdict.Refuse(verdict.NoConfiguration, "this instance has no configuration yet")
 	}
+	if refusal := f.checkOrigin(); refusal != nil {
+		return refusal
+	}
 	if refusal := f.authorize(); refusal != nil {
 		return refusal
 	}
@@ -157,6 +164,9 @@
 
 // readBody reads the request's body into memory, so that retries can send it again.
 func (f *requestState) readBody() *verdict.Refusal {
+	if f.origin != nil {
+		return f.takeBody()
+	}
 	r := f.request
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
@@ -179,6 +189,15 @@
 	return nil
 }
 
+// takeBody takes over the body of a request that a peer has passed on, and the attempts made there.
+func (f *requestState) takeBody() *verdict.Refusal {
+	if f.origin.bodyErr != nil {
+		return f.bodyRefusal(f.origin.bodyErr)
+	}
+	f.body, f.runs = f.origin.body, f.origin.runs
+	return nil
+}
+
 // bodyRefusal returns the refusal of a request whose body was not read to its end.
 func (f *requestState) bodyRefusal(err error) *verdict.Refusal {
 	switch {
@@ -199,12 +218,11 @@
 // run makes attempts until the request is answered or nothing further is allowed.
 func (f *requestState) run(ctx context.Context) {
 	for {
-		grant, refusal := f.acquireEndpoint(ctx)
+		failed, refusal := f.attemptOrRelay(ctx)
 		if refusal != nil {
 			f.fail(ctx, refusal)
 			return
 		}
-		failed := f.attempt(ctx, grant)
 		if failed == nil {
 			return
 		}
@@ -215,6 +233,20 @@
 	}
 }
 
+// attemptOrRelay sends the request to an endpoint once, or to a peer if this instance reaches none. It returns nil and no refusal once the
+// request is answered.
+func (f *requestState) attemptOrRelay(ctx context.Context) (*failedAttempt, *verdict.Refusal) {
+	grant, refusal := f.acquireEndpoint(ctx)
+	switch {
+	case refusal == nil:
+		return f.attempt(ctx, grant), nil
+	case refusal.Reason == verdict.EndpointsUnreachable:
+		return f.relay(ctx)
+	default:
+		return nil, refusal
+	}
+}
+
 // prepareRetry decides whether another attempt follows a failed one. It returns nil and prepares the next attempt
 // if so, else the refusal for the caller.
 func (f *requestState) prepareRetry(ctx context.Context, failed *failedAttempt) *verdict.Refusal {
@@ -242,7 +274,7 @@
 	if failed.newConnection || failed.reason != "" && failed.connFailure() {
 		f.newConnection = true
 	}
-	if failed.reason != verdict.RetryLowQuality {
+	if failed.reason != verdict.RetryLowQuality && failed.endpoint != "" {
 		f.avoid = append(f.avoid, failed.endpoint)
 	}
 	return nil
@@ -263,6 +295,9 @@
 		if refusal := f.outOfTime(0); refusal != nil {
 			return nil, refusal
 		}
+		if !f.server.Upstreams.Reachable(f.service) {
+			return nil, f.unreachable()
+		}
 		need := f.need()
 		grant, blocked := f.server.Upstreams.Place(need)
 		if blocked == upstream.NoneEligible && need.Version != "" {
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -51,6 +51,9 @@
 	// Read decodes a request's line and header. The refusal is nil if the request is valid. The Call of a
 	// refused request may be nil or incomplete.
 	Read(r *http.Request) (*Call, *verdict.Refusal)
+	// Relay sets, in the header of a request that is passed to a peer, what has changed since it arrived: the time left, and the id of the last
+	// event that the caller has, which may be empty.
+	Relay(header http.Header, timeLeft time.Duration, resumeAfter string)
 	// Refuse sets the header fields of the answer to a refused call, which may be nil.
 	Refuse(header http.Header, call *Call, refusal *verdict.Refusal)
 }
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,218 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"plumbarrow.example/plumbarrow/intake"
+	"plumbarrow.example/plumbarrow/link"
+	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/verdict"
+)
+
+// Header fields between instances. Requests to endpoints never carry them, see link.EndToEnd.
+const (
+	// fieldConfiguration is the version of the sender's configuration.
+	fieldConfiguration = "Plumbarrow-Configuration"
+	// fieldRuns is the number of attempts before that may have run the request.
+	fieldRuns = "Plumbarrow-Runs"
+	// fieldDeclined on an answer is the reason for which the peer has not taken the request.
+	fieldDeclined = "Plumbarrow-Declined"
+)
+
+const (
+	// relayMargin is taken off the time that a peer gets, so that its answer at the deadline, which says whether the request has run, arrives.
+	relayMargin = 30 * time.Millisecond
+	// unreachableRetryAfter is the Retry-After, before jitter, of a request for which no instance reaches an endpoint.
+	unreachableRetryAfter = 500 * time.Millisecond
+)
+
+const (
+	relayedRequests = "plumbarrow_relayed_requests_total" // requests passed to a peer, by its reaction
+	relaysServed    = "plumbarrow_relays_served_total"    // requests of peers that this instance has taken
+)
+
+// Relay passes requests to peers. Errors are *link.Failure.
+type Relay interface {
+	Forward(ctx context.Context, member machine.Member, forwarded *link.ForwardedRequest) (*link.Answer, error)
+}
+
+var _ Relay = (*link.ForwardClient)(nil)
+
+// unreachable returns the refusal of a request to whose service this instance has lost all links.
+func (f *requestState) unreachable() *verdict.Refusal {
+	refusal := verdict.Refuse(verdict.EndpointsUnreachable, "no endpoint of service %s can be reached", f.service)
+	refusal.RetryAfter = jittered(unreachableRetryAfter)
+	return refusal
+}
+
+// relay passes the request to a peer once. It returns nil once the request is answered, else the failed attempt. The refusal is set if no peer
+// is left to pass it to.
+func (f *requestState) relay(ctx context.Context) (*failedAttempt, *verdict.Refusal) {
+	now := time.Now()
+	if f.server.Relay == nil || f.origin != nil {
+		return nil, f.unreachable()
+	}
+	peers := &f.server.relayPeers
+	peer, ok := peers.choose(f.server.Members.Live(), f.server.Self.ID, f.declinedBy, now)
+	if !ok {
+		return nil, f.unreachable()
+	}
+	defer peers.done(peer.ID)
+	f.tries++
+	f.declinedBy = append(f.declinedBy, peer.ID)
+	f.server.Log.LogAttrs(context.Background(), slog.LevelInfo, "relay", slog.String("request_id", f.id()), slog.String("peer", string(peer.ID)),
+		slog.String("service", f.service), slog.Uint64("configuration", f.snapshot.Version), slog.Int64("left_ms", time.Until(f.deadline).Milliseconds()))
+	answer, err := f.server.Relay.Forward(ctx, peer, f.forwarded())
+	if err != nil {
+		if ctx.Err() == nil {
+			peers.declined(peer.ID, time.Now())
+		}
+		f.server.Counters.Add(relayedRequests, "reaction", "failed")
+		return f.failedRelay(err), nil
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if reason := answer.Header.Get(fieldDeclined); reason != "" {
+		peers.declined(peer.ID, time.Now())
+		f.server.Counters.Add(relayedRequests, "reaction", "declined")
+		return &failedAttempt{verdict: verdict.NotRun, reason: verdict.RetryNotSent, status: answer.Status, err: fmt.Errorf("peer %s declined: %s", peer.ID, reason)}, nil
+	}
+	peers.took(peer.ID, time.Now())
+	f.server.Counters.Add(relayedRequests, "reaction", "taken")
+	return f.receiveRelayed(answer), nil
+}
+
+// forwarded returns the request as it is passed to a peer.
+func (f *requestState) forwarded() *link.ForwardedRequest {
+	header := link.EndToEnd(f.request.Header)
+	resumeAfter := f.call.LastEvent
+	if f.stream != nil && f.stream.lastID != "" {
+		resumeAfter = f.stream.lastID
+	}
+	f.server.CallerProtocol.Relay(header, time.Until(f.timeLimit())-relayMargin, resumeAfter)
+	header.Set("Host", f.call.Host)
+	header.Set(fieldConfiguration, strconv.FormatUint(f.snapshot.Version, 10))
+	header.Set(fieldRuns, strconv.Itoa(f.runs))
+	return &link.ForwardedRequest{
+		RequestID: f.call.ID, Customer: f.customerName(), Method: f.call.Method, Path: f.call.Target, Header: header, Body: f.body, Hops: 1,
+	}
+}
+
+func (f *requestState) customerName() string {
+	if f.customer == nil {
+		return ""
+	}
+	return f.customer.Name
+}
+
+// failedRelay converts an error of Forward into a failed attempt.
+func (f *requestState) failedRelay(err error) *failedAttempt {
+	failed := &failedAttempt{reason: verdict.RetryConnection, verdict: verdict.MayHaveRun, err: err}
+	var failure *link.Failure
+	if errors.As(err, &failure) {
+		failed.verdict, failed.reason, failed.err = failure.Verdict, failure.Reason, failure.Err
+	}
+	if failed.verdict == verdict.NotRun {
+		failed.reason = verdict.RetryNotSent
+	}
+	f.recordVerdict(failed.verdict)
+	return failed
+}
+
+// receiveRelayed forwards the answer of a peer that has taken the request. It returns nil once the request is answered.
+func (f *requestState) receiveRelayed(answer *link.Answer) *failedAttempt {
+	whole := &link.EndpointAnswer{Status: answer.Status, Header: answer.Header, Body: answer.Body, Length: answer.Length}
+	if answer.Status == http.StatusOK && strings.HasPrefix(answer.Header.Get("Content-Type"), eventStreamType) {
+		failed := f.forwardStream(unobserved{}, whole)
+		if failed != nil {
+			f.recordVerdict(verdict.MayHaveRun)
+		}
+		return failed
+	}
+	failed := &failedAttempt{status: answer.Status, reason: verdict.RetryTruncated}
+	if f.stream != nil && f.stream.headerSent {
+		failed.verdict, failed.reason, failed.err = verdict.MayHaveRun, verdict.RetryServerError, errNotResumed
+		f.recordVerdict(verdict.MayHaveRun)
+		return failed
+	}
+	body, err := intake.ReadAll(f.account, answer.Body, answer.Length, maxBufferedBytes)
+	switch {
+	case errors.Is(err, intake.ErrTooLong), errors.Is(err, intake.ErrFull):
+		f.recordVerdict(verdict.MayHaveRun)
+		return f.forwardLong(whole, body, failed)
+	case err != nil:
+		f.recordVerdict(verdict.MayHaveRun)
+		failed.err = err
+		return failed
+	}
+	f.recordVerdict(link.ForwardVerdict(answer))
+	if promisesNotRun(answer.Status) && f.verdict != verdict.NotRun {
+		f.refuse(verdict.Uncertain(verdict.UpstreamError, "the request may have run before a peer refused it with %d", answer.Status))
+		return nil
+	}
+	f.writeBuffered(&bufferedAnswer{status: answer.Status, header: answer.Header, body: body})
+	return nil
+}
+
+// origin is what the sender of a request that a peer has passed on says of it.
+type origin struct {
+	body          []byte
+	bodyErr       error
+	configuration uint64 // version of the sender's configuration
+	runs          int    // attempts before that may have run
+}
+
+// ServeForwarded serves a request that a peer has passed on, and returns the verdict on it. It implements link.ForwardHandler. What this
+// instance cannot serve either is declined with fieldDeclined.
+func (s *Server) ServeForwarded(ctx context.Context, w http.ResponseWriter, forwarded *link.ForwardedRequest) verdict.Verdict {
+	header := forwarded.Header
+	from := &origin{body: forwarded.Body, bodyErr: forwarded.BodyError}
+	from.configuration, _ = strconv.ParseUint(header.Get(fieldConfiguration), 10, 64)
+	from.runs, _ = strconv.Atoi(header.Get(fieldRuns))
+	host := header.Get("Host")
+	for _, name := range []string{"Host", fieldConfiguration, fieldRuns} {
+		header.Del(name)
+	}
+	request := (&http.Request{
+		Method: forwarded.Method, RequestURI: forwarded.Path, Host: host, Header: header, Body: http.NoBody, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}).WithContext(ctx)
+	request.URL, _ = url.ParseRequestURI(forwarded.Path)
+	if request.URL == nil {
+		request.URL = &url.URL{Path: forwarded.Path}
+	}
+	s.Counters.Inc(relaysServed)
+	return s.serve(w, request, from)
+}
+
+// checkOrigin returns the refusal of a request of a peer that another instance should take, else nil.
+func (f *requestState) checkOrigin() *verdict.Refusal {
+	switch {
+	case f.origin == nil:
+		return nil
+	case f.server.inFlight.Stopping():
+		return stoppingRefusal()
+	case f.snapshot.Version < f.origin.configuration:
+		return verdict.Refuse(verdict.NoConfiguration, "this instance has configuration %d, the sender %d", f.snapshot.Version, f.origin.configuration)
+	}
+	return nil
+}
+
+// declines reports whether a refusal tells a peer to pass the request to another instance.
+func (f *requestState) declines(refusal *verdict.Refusal) bool {
+	if f.origin == nil || refusal.Verdict != verdict.NotRun {
+		return false
+	}
+	switch refusal.Reason {
+	case verdict.EndpointsUnreachable, verdict.Stopping, verdict.InstanceFull, verdict.NoConfiguration, verdict.NoEndpoint:
+		return true
+	default:
+		return false
+	}
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -46,6 +46,8 @@
 	Expect(need *upstream.Need) (time.Duration, bool)
 	// Forecast returns how long a request that begins to wait for the service now is expected to wait; false if that is not known.
 	Forecast(service string, priority int) (time.Duration, bool)
+	// Reachable reports whether this instance reaches any endpoint of the service, as far as it knows.
+	Reachable(service string) bool
 	// Explain returns where Place would send the request now, and why.
 	Explain(need *upstream.Need) upstream.Placement
 }
@@ -79,6 +81,9 @@
 	Upstreams        Upstreams
 	Sender           Sender
 	Versions         Versions
+	// Relay passes requests to Members while this instance reaches no endpoint of their service. A nil Relay passes none.
+	Relay   Relay
+	Members machine.Members
 	// Quarantine knows the prompt parts that crash endpoints.
 	Quarantine *quarantine.Quarantine
 	// RetryBudget is this instance's retry budget, kept per service.
@@ -100,6 +105,7 @@
 	answerTimes    inflight.Durations // of attempts with complete answers, by route
 	answerRests    inflight.Durations // of complete answers from their first byte on, by route
 	streamsRefused atomic.Bool
+	relayPeers     relayPeers
 }
 
 var _ http.Handler = (*Server)(nil)
@@ -108,7 +114,10 @@
 func New(parts Parts) *Server { return &Server{Parts: parts} }
 
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.serve(w, r, nil) }
+
+// serve answers a caller's request, or that of a peer, whose origin is not nil, and returns the verdict on it.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, from *origin) verdict.Verdict {
 	if s.inFlight.Start() {
 		// A stopping instance still serves requests, but closes each connection after the answer.
 		w.Header().Set("Connection", "close")
@@ -116,10 +125,17 @@
 	defer s.inFlight.End()
 	f := &requestState{
 		server: s, writer: w, request: r, account: intake.FromContext(r.Context()), arrived: time.Now(), verdict: verdict.NotRun,
+		origin: from,
 	}
+	f.answer()
+	return f.verdict
+}
+
+// answer serves the request. When it returns, the request is answered.
+func (f *requestState) answer() {
 	defer f.finish()
 	defer f.recovered()
-	f.serve(r.Context())
+	f.serve(f.request.Context())
 }
 
 // recovered turns a panic into a refusal, so that one faulty request does not stop the instance.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -11,6 +11,7 @@
 	"plumbarrow.example/plumbarrow/canary"
 	"plumbarrow.example/plumbarrow/intake"
 	"plumbarrow.example/plumbarrow/link"
+	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/upstream"
 	"plumbarrow.example/plumbarrow/verdict"
 )
@@ -37,16 +38,44 @@
 	held       int    // bytes of buffer that the caller's account holds; a buffer up to readChunk counts as none
 }
 
+// streamObserver is told of a stream's progress.
+type streamObserver interface {
+	endpoint() machine.EndpointID
+	recordFirstEvent()
+	recordEvents(n int)
+}
+
+// attemptObserver records the progress of an attempt's stream with its endpoint and version.
+type attemptObserver struct {
+	grant *upstream.Grant
+	trial *canary.Trial
+}
+
+var _ streamObserver = attemptObserver{}
+
+func (o attemptObserver) endpoint() machine.EndpointID { return o.grant.Endpoint.ID() }
+func (o attemptObserver) recordFirstEvent()            { o.grant.RecordFirstEvent() }
+func (o attemptObserver) recordEvents(n int)           { o.trial.RecordEvents(n) }
+
+// unobserved is the observer of a stream that a peer serves, which records the progress itself.
+type unobserved struct{}
+
+var _ streamObserver = unobserved{}
+
+func (unobserved) endpoint() machine.EndpointID { return "" }
+func (unobserved) recordFirstEvent()            {}
+func (unobserved) recordEvents(int)             {}
+
 // forwardStream forwards an endpoint's events as they arrive, complete events only. Bytes that are no event of the stream break it
 // off. It returns nil once the caller has the whole stream or has left, else the failed attempt, after which another one may resume
 // the stream.
-func (f *requestState) forwardStream(grant *upstream.Grant, trial *canary.Trial, answer *link.EndpointAnswer) *failedAttempt {
+func (f *requestState) forwardStream(observer streamObserver, answer *link.EndpointAnswer) *failedAttempt {
 	if f.stream == nil {
 		f.stream = &eventStream{order: orderAfter(f.call.LastEvent)}
 	}
 	stream := f.stream
 	stream.buffer = stream.buffer[:0]
-	failed := &failedAttempt{endpoint: grant.Endpoint.ID(), status: answer.Status}
+	failed := &failedAttempt{endpoint: observer.endpoint(), status: answer.Status}
 	eventsBefore := stream.events
 	defer func() { failed.events = stream.events - eventsBefore }()
 	chunk := make([]byte, readChunk)
@@ -55,7 +84,7 @@
 		n, err := answer.Body.Read(chunk)
 		if n > 0 && first {
 			first = false
-			grant.RecordFirstEvent()
+			observer.recordFirstEvent()
 		}
 		if !f.holdEvents(len(stream.buffer) + n) {
 			failed.reason, failed.err = verdict.RetryTruncated, intake.ErrFull
@@ -71,7 +100,7 @@
 			if stream.advance(events) > 0 {
 				answer.RecordProgress()
 			}
-			trial.RecordEvents(stream.events - before)
+			observer.recordEvents(stream.events - before)
 		}
 		switch {
 		case invalid != nil:
--- a/link/peer.go
+++ b/link/peer.go
@@ -22,6 +22,8 @@
 	peerIdleTimeout = 30 * time.Second
 	// maxIdlePeerConns bounds the idle connections per member.
 	maxIdlePeerConns = 4
+	// maxIdleRelayConns is the same bound for connections that carry requests of callers.
+	maxIdleRelayConns = 32
 	// maxConcurrentDials bounds the connections being opened to one member at the same time.
 	maxConcurrentDials = 4
 	// maxDialStates bounds the addresses whose dial state is kept.
@@ -62,11 +64,16 @@
 // NewPeerDialer returns a dialer without connections.
 func NewPeerDialer() *PeerDialer { return NewPeerDialerWith(defaultDial()) }
 
+// NewRelayDialer returns a dialer without connections for requests of callers, of which many are in progress at the same time.
+func NewRelayDialer() *PeerDialer { return newPeerDialer(defaultDial(), maxIdleRelayConns) }
+
 // NewPeerDialerWith returns a dialer that opens its connections with dial.
-func NewPeerDialerWith(dial DialFunc) *PeerDialer {
+func NewPeerDialerWith(dial DialFunc) *PeerDialer { return newPeerDialer(dial, maxIdlePeerConns) }
+
+func newPeerDialer(dial DialFunc, maxIdle int) *PeerDialer {
 	return &PeerDialer{
 		dial:   dial,
-		pool:   drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{Expiration: peerIdleTimeout, KeyCapacity: maxIdlePeerConns}),
+		pool:   drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{Expiration: peerIdleTimeout, KeyCapacity: maxIdle}),
 		states: make(map[string]*dialState),
 	}
 }
--- a/upstream/place.go
+++ b/upstream/place.go
@@ -499,8 +499,11 @@
 		g.table.counters.Inc("plumbarrow_breaker_opened_total")
 		g.table.log.Warn("breaker opened", "endpoint", e.id, "service", g.Report.Service, "for_ms", openDuration.Milliseconds())
 	}
-	if outcome == Answered {
+	switch outcome {
+	case Answered:
 		g.table.recordEnd(g.Report.Service, time.Now())
+	case Unreachable:
+		g.table.recordUnreachable(g.Report.Service, e.id)
 	}
 	g.table.WakeNext(g.Report.Service)
 }
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -37,7 +37,9 @@
 	prefillTimes  prefillTimes
 	responseTimes responseTimes
 	statedLoads   StatedLoads
-	paced         sync.Map // names of services whose endpoints state a pace
+	paced         sync.Map      // names of services whose endpoints state a pace
+	reach         sync.Map      // *serviceReach by service
+	reachDue      chan struct{} // has an element if a service has become suspect
 }
 
 // view is an immutable index of the endpoints.
@@ -53,7 +55,7 @@
 ) *Table {
 	t := &Table{
 		self: self, zone: zone, current: current, members: members, counters: counters, log: log,
-		byID: make(map[machine.EndpointID]*Endpoint),
+		byID: make(map[machine.EndpointID]*Endpoint), reachDue: make(chan struct{}, 1),
 	}
 	t.view.Store(&view{})
 	t.evacuated.Store(&map[string]bool{})
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -23,6 +23,7 @@
 	SessionVersionWithdrawn Reason = "session_version_withdrawn"
 	SessionInvalid          Reason = "session_invalid"
 	NoEndpoint              Reason = "no_endpoint"
+	EndpointsUnreachable    Reason = "endpoints_unreachable" // no instance that was asked reaches an endpoint of the service
 	QueueFull               Reason = "queue_full"
 	QueueTimeout            Reason = "queue_timeout"
 	ShedOverload            Reason = "shed_overload"
