link: a single lost keep-alive probe does not end a connection to an endpoint

With 1.5 s beside probes after 1 s, every second, one lost probe ended the connection, and an endpoint suspended for 1.5 s lost the request on the way; callers of work that may not be repeated would get 502.

The user timeout is 2.5 s.

--- a/link/endpointclient.go
+++ b/link/endpointclient.go
@@ -22,10 +22,11 @@
 	// within a region and is shorter than the retransmission timeout of a lost packet.
 	endpointDialTimeout = 250 * time.Millisecond
 	// endpointUserTimeout is how long sent bytes may stay unacknowledged (TCP_USER_TIMEOUT) before the
-	// kernel closes the connection, as the path or the machine is down.
-	endpointUserTimeout = 1500 * time.Millisecond
+	// kernel closes the connection, as the path or the machine is down. It also decides how many keep-alive
+	// probes may stay unanswered, and is longer than an endpoint may be suspended.
+	endpointUserTimeout = 2500 * time.Millisecond
 	// endpointProbeIdle and endpointProbeInterval pace the TCP keep-alive probes during the wait for an
-	// answer. endpointProbeCount unanswered probes close the connection.
+	// answer. endpointProbeCount unanswered probes close the connection where there is no user timeout.
 	endpointProbeIdle     = time.Second
 	endpointProbeInterval = time.Second
 	endpointProbeCount    = 2
@@ -100,6 +101,9 @@
 	return &EndpointClient{dial: dial, match: match, idle: make(map[string][]*endpointConn)}
 }
 
+// tcpUserTimeout is TCP_USER_TIMEOUT of linux/tcp.h.
+const tcpUserTimeout = 18
+
 func endpointDialer() DialFunc {
 	dialer := &net.Dialer{
 		Timeout: endpointDialTimeout,
@@ -109,7 +113,6 @@
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var err error
 			controlErr := raw.Control(func(fd uintptr) {
-				const tcpUserTimeout = 18 // TCP_USER_TIMEOUT of linux/tcp.h
 				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(endpointUserTimeout.Milliseconds()))
 			})
 			return errors.Join(err, controlErr)
