link, gateway: logs say what ends an answer's body

Callers saw streams that ended as complete before their last event. The logs could not tell the hypotheses apart (a last chunk too early, a length too short, an end of the connection taken for the end of the answer): the line of a whole stream did not say how its answer was framed.

Change: AnswerOrigin.Framing (length, chunks, connection). The line of a stream's request and the answer of a failed attempt carry it. No behaviour changes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -54,7 +54,7 @@
 		return slog.Group("answer")
 	}
 	return slog.Group("answer", "connection", a.origin.Connection, "reused", a.origin.Reused, "skipped", a.origin.Skipped,
-		"match", a.origin.Match.String())
+		"match", a.origin.Match.String(), "framing", a.origin.Framing.String())
 }
 
 func (a *failedAttempt) connFailure() bool {
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -434,7 +434,8 @@
 		attrs = append(attrs, slog.String("reason", string(f.refusal.Reason)), slog.String("detail", f.refusal.Detail))
 	}
 	if f.stream != nil {
-		attrs = append(attrs, slog.Int("events", f.stream.events), slog.String("last_event", f.stream.lastID), slog.Bool("whole", f.stream.complete))
+		attrs = append(attrs, slog.Int("events", f.stream.events), slog.String("last_event", f.stream.lastID), slog.Bool("whole", f.stream.complete),
+			slog.String("framing", f.stream.framing.String()))
 	}
 	attrs = append(attrs, slog.String("verdict", f.verdict.String()), slog.Int("tries", f.tries), slog.Any("first_byte_ms", f.firstByteMS))
 	f.server.Log.LogAttrs(context.Background(), slog.LevelInfo, "request", attrs...)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -28,9 +28,10 @@
 
 // eventStream is the state of an event stream to the caller. It outlasts the attempts that feed the stream.
 type eventStream struct {
-	headerSent bool   // the header has been sent
-	complete   bool   // the stream has been forwarded to its end
-	lastID     string // id of the last event forwarded
+	headerSent bool         // the header has been sent
+	complete   bool         // the stream has been forwarded to its end
+	framing    link.Framing // of the last answer
+	lastID     string       // id of the last event forwarded
 	order      eventOrder
 	events     int    // number of events forwarded
 	buffer     []byte // bytes that do not form a complete event yet
@@ -45,6 +46,7 @@
 		f.stream = &eventStream{order: orderAfter(f.call.LastEvent)}
 	}
 	stream := f.stream
+	stream.framing = answer.Origin.Framing
 	stream.buffer = stream.buffer[:0]
 	failed := &failedAttempt{endpoint: grant.Endpoint.ID(), status: answer.Status}
 	eventsBefore := stream.events
--- a/link/endpointclient.go
+++ b/link/endpointclient.go
@@ -202,6 +202,35 @@
 	Reused     bool   // the connection carried other requests before
 	Skipped    int    // answers to other requests that preceded this one
 	Match      Match
+	Framing    Framing
+}
+
+// Framing is what marks the end of an answer's body.
+type Framing uint8
+
+const (
+	// ByConnection means that the end of the connection ends the body.
+	ByConnection Framing = iota
+	// ByLength means that the answer declares the body's length.
+	ByLength
+	// ByChunks means that the body ends with its last chunk.
+	ByChunks
+)
+
+var framingNames = [...]string{ByConnection: "connection", ByLength: "length", ByChunks: "chunks"}
+
+// String returns the name for logs.
+func (f Framing) String() string { return framingNames[f] }
+
+func framingOf(response *http.Response) Framing {
+	switch {
+	case len(response.TransferEncoding) > 0:
+		return ByChunks
+	case response.ContentLength >= 0:
+		return ByLength
+	default:
+		return ByConnection
+	}
 }
 
 // RecordProgress restarts the request's ProgressTimeout. The receiver calls it for each unit of the answer that is
@@ -257,13 +286,14 @@
 	}
 	_ = conn.SetReadDeadline(time.Time{})
 	conn.maxIdleConns = request.MaxIdleConns
+	origin.Framing = framingOf(response)
 	body := &endpointBody{
 		ctx: ctx, client: c, conn: conn, body: response.Body, response: response, progress: request.ProgressTimeout, progressAt: time.Now(),
-		detach: stop, written: written, ordered: origin.Skipped == 0,
+		detach: stop, written: written, ordered: origin.Skipped == 0, framing: origin.Framing,
 	}
 	return &EndpointAnswer{
-		Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength, Unframed: !body.framed(),
-		Origin: origin,
+		Status: response.StatusCode, Header: response.Header, Body: body, Length: response.ContentLength,
+		Unframed: origin.Framing == ByConnection, Origin: origin,
 	}, nil
 }
 
--- a/link/endpointclient_test.go
+++ b/link/endpointclient_test.go
@@ -239,6 +239,7 @@
 		for _, id := range []string{"a", "b"} {
 			answer, err := client.Send(t.Context(), newEndpointRequest(id, "/"))
 			c.Assert(err, qt.IsNil)
+			c.Check(answer.Origin.Framing, qt.Equals, ByConnection)
 			c.Check(readAndClose(c, answer), qt.Equals, "to the end")
 		}
 		c.Check(endpoint.conns.Load(), qt.Equals, int64(2))
--- a/link/endpointclientbody.go
+++ b/link/endpointclientbody.go
@@ -22,7 +22,8 @@
 	detach     func() bool   // detaches the connection from ctx
 	written    chan error    // the result of writing the request
 	ordered    bool          // no answer to another request preceded this one
-	ended      bool          // read to its end
+	framing    Framing
+	ended      bool // read to its end
 	closed     bool
 }
 
@@ -70,12 +71,7 @@
 
 // delimited reports whether the answer ends by its length or last chunk, not by the end of the
 // connection.
-func (b *endpointBody) delimited() bool { return !b.response.Close && b.framed() }
-
-// framed reports whether the answer has a length or chunks.
-func (b *endpointBody) framed() bool {
-	return len(b.response.TransferEncoding) > 0 || b.response.ContentLength >= 0
-}
+func (b *endpointBody) delimited() bool { return !b.response.Close && b.framing != ByConnection }
 
 // requestWritten reports whether the whole request was written. It waits up to writeGrace.
 func (b *endpointBody) requestWritten() bool {
