link: a reset that arrives while the process is suspended is no end of an answer

Cause: while a process is suspended, the deadline of a read passes and a reset arrives. Afterwards the read reports the deadline, and readAvailable asks the kernel for bytes that have arrived. The kernel reports the error of a broken connection once: recvfrom returned ECONNRESET, readAvailable dropped it as "none available", and if the attempt was not given up, the next read returned the end of the stream. For an answer that ends with its connection that is a whole answer.

Evidence: TestResetWhileSuspended, before: resetanswer_test.go:64: error: value is not true comment: the answer ended with <nil>

Fix: readAvailable returns the socket's error and the end of the stream, so that neither is read a second time. The attempt fails as truncated; the stream is resumed, or cut for the caller.

--- a/link/answersource.go
+++ b/link/answersource.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"syscall"
@@ -38,8 +39,8 @@
 	}
 	n, err := s.conn.Read(p)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		if available := s.readAvailable(p); available > 0 {
-			n, err = available, nil
+		if available, ended := s.readAvailable(p); available > 0 || ended != nil {
+			n, err = available, ended
 			break
 		}
 		if s.shouldGiveUp == nil || s.shouldGiveUp(time.Since(s.silentSince)) {
@@ -52,24 +53,33 @@
 	return n, err
 }
 
-// readAvailable reads bytes that have already arrived, without blocking. It returns 0 if there are none.
-func (s *answerSource) readAvailable(p []byte) int {
+// readAvailable reads bytes that have already arrived, without blocking. It returns 0 and no error if there are none. The error of a broken
+// connection must not be dropped: the kernel reports it once, and later reads return the end of the stream.
+func (s *answerSource) readAvailable(p []byte) (int, error) {
 	source, ok := s.conn.(syscall.Conn)
 	if !ok {
-		return 0
+		return 0, nil
 	}
 	rawConn, err := source.SyscallConn()
 	if err != nil {
-		return 0
+		return 0, err
 	}
 	_ = s.conn.SetReadDeadline(time.Time{})
 	n := 0
+	var readErr error
 	err = rawConn.Read(func(fd uintptr) bool {
-		n, _, _ = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT)
+		n, _, readErr = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT)
 		return true
 	})
-	if err != nil {
-		return 0
+	switch {
+	case err != nil:
+		return 0, err
+	case errors.Is(readErr, syscall.EAGAIN), errors.Is(readErr, syscall.EINTR):
+		return 0, nil
+	case readErr != nil:
+		return 0, os.NewSyscallError("recvfrom", readErr)
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
 	}
-	return max(n, 0)
+	return n, nil
 }
