--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -29,9 +29,10 @@
 
 // eventStream is the state of an event stream to the caller. It outlasts the attempts that feed the stream.
 type eventStream struct {
-	headerSent bool   // the header has been sent
-	complete   bool   // the stream has been forwarded to its end
-	lastID     string // id of the last event forwarded
+	headerSent bool         // the header has been sent
+	complete   bool         // the stream has been forwarded to its end
+	framing    link.Framing // of the last answer
+	lastID     string       // id of the last event forwarded
 	order      eventOrder
 	events     int    // number of events forwarded
 	buffer     []byte // bytes that do not form a complete event yet
@@ -74,6 +75,7 @@
 		f.stream = &eventStream{order: orderAfter(f.call.LastEvent)}
 	}
 	stream := f.stream
+	stream.framing = answer.Origin.Framing
 	stream.buffer = stream.buffer[:0]
 	failed := &failedAttempt{endpoint: observer.endpoint(), status: answer.Status}
 	eventsBefore := stream.events
