link: answers whose status line is none of the protocol fail the attempt

What callers saw: an answer of an engine in trouble whose status was 000 came to them as an answer. Cause: net/http takes any three characters that make a number from 0, and any version HTTP/d.d. The gateway's client skipped 000 to 099 as informational and took the bytes after them for a head, and passed on 600 to 999; the client of entry passed on both, and ForwardClient any number of the serving instance. Why this works: answercheck follows the bytes of a connection from the status line to the end of each answer and ends the read before a line that is invalid, so that no parser sees its end.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"plumbarrow.example/plumbarrow/entry"
 	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/intake"
+	"plumbarrow.example/plumbarrow/internal/answercheck"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/ledger"
 	"plumbarrow.example/plumbarrow/limit"
@@ -153,7 +154,7 @@
 		Log:             d.log,
 	})
 	d.exchange.Add(machine.NewStateTopic(d.permits))
-	d.poller = machine.NewPoller(d.permits, machine.HTTPLoadFetch(&http.Client{Timeout: pollTimeout}))
+	d.poller = machine.NewPoller(d.permits, machine.HTTPLoadFetch(&http.Client{Transport: answercheck.NewTransport(), Timeout: pollTimeout}))
 	d.loads = zone.NewLoads(d.membership, d.effective, d.table.SpareCapacity, d.log)
 	d.exchange.Add(d.loads)
 }
--- a/infra/httplist.go
+++ b/infra/httplist.go
@@ -9,6 +9,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"plumbarrow.example/plumbarrow/internal/answercheck"
 )
 
 const listCallTimeout = 2 * time.Second
@@ -32,7 +34,8 @@
 	if count == nil {
 		count = func(string) {}
 	}
-	return &HTTPList{url: "http://" + address + "/instances", client: &http.Client{Timeout: listCallTimeout}, count: count}
+	client := &http.Client{Transport: answercheck.NewTransport(), Timeout: listCallTimeout}
+	return &HTTPList{url: "http://" + address + "/instances", client: client, count: count}
 }
 
 // Instances implements InstanceList.
--- a/infra/serviceclient.go
+++ b/infra/serviceclient.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -14,6 +15,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"plumbarrow.example/plumbarrow/internal/answercheck"
 )
 
 const (
@@ -42,7 +45,8 @@
 	if count == nil {
 		count = func(string) {}
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout}
+	dial := answercheck.Dial(new(net.Dialer).DialContext)
+	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	client := &http.Client{Transport: transport, CheckRedirect: noRedirect}
 	return &serviceClient{base: url.URL{Scheme: "http", Host: address}, http: client, count: count}
--- /dev/null
+++ b/internal/answercheck/conn.go
@@ -0,0 +1,43 @@
+package answercheck
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// Conn is a connection to a server whose reads fail at the first byte that is not of a valid answer.
+type Conn struct {
+	net.Conn
+	Answers Checker
+}
+
+// NewConn returns the connection with a checker.
+func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	return c.Answers.Filter(p[:n], err)
+}
+
+// DialFunc opens a connection, as of http.Transport.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial returns a function that opens checked connections with dial. It is for clients that send no HEAD.
+func Dial(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
+	}
+}
+
+// NewTransport returns a transport like http.DefaultTransport with checked connections.
+func NewTransport() *http.Transport {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DialContext = Dial(transport.DialContext)
+	return transport
+}
--- a/link/answersource.go
+++ b/link/answersource.go
@@ -6,16 +6,19 @@
 	"os"
 	"syscall"
 	"time"
+
+	"plumbarrow.example/plumbarrow/internal/answercheck"
 )
 
 // giveUpInterval is the time between two calls of shouldGiveUp.
 const giveUpInterval = 100 * time.Millisecond
 
-// answerSource reads from a connection to an endpoint. It can bound the bytes read, and it returns bytes that had
-// arrived before a read timed out: while this process was suspended, the deadline passes though the endpoint was
-// not silent.
+// answerSource reads from a connection to an endpoint. It returns only bytes of valid answers, it can bound the bytes read, and it returns
+// bytes that had arrived before a read timed out: while this process was suspended, the deadline passes though the endpoint was not
+// silent.
 type answerSource struct {
-	conn net.Conn
+	conn    net.Conn
+	answers answercheck.Checker
 	// shouldGiveUp is called when a read has timed out; while it returns false, the read goes on. nil means that the read ends.
 	shouldGiveUp func(silent time.Duration) bool
 	silentSince  time.Time // see EndpointRequest.ShouldGiveUp
@@ -49,7 +52,7 @@
 		n, err = s.conn.Read(p)
 	}
 	s.left -= int64(n)
-	return n, err
+	return s.answers.Filter(p[:n], err)
 }
 
 // readAvailable reads bytes that have already arrived, without blocking. It returns 0 if there are none.
--- a/link/dispatcher.go
+++ b/link/dispatcher.go
@@ -66,7 +66,7 @@
 	timer := time.AfterFunc(attempt.FirstByteTimeout, func() { cancel(errSilent) })
 	defer timer.Stop()
 	sent := &sendTracker{}
-	trace := sent.trace(func() {
+	trace := sent.trace(attempt.Method, func() {
 		if attempt.ReusedFirstByteTimeout > 0 {
 			timer.Reset(min(attempt.ReusedFirstByteTimeout, attempt.FirstByteTimeout))
 		}
--- a/link/endpointclient.go
+++ b/link/endpointclient.go
@@ -236,6 +236,7 @@
 			Refused: errors.Is(err, syscall.ECONNREFUSED),
 		}
 	}
+	conn.source.answers.Begin(request.Method)
 	// Aborting the connection unblocks its reads and writes at once.
 	stop := context.AfterFunc(ctx, conn.abort)
 	written := make(chan error, 1)
--- a/link/endpointclientpool.go
+++ b/link/endpointclientpool.go
@@ -72,7 +72,7 @@
 // reusable reports whether an idle connection is open and holds no unread bytes. Bytes that arrive while
 // no request is in flight belong to no answer.
 func (c *endpointConn) reusable() bool {
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || c.source.answers.Err() != nil {
 		return false
 	}
 	source, ok := c.Conn.(syscall.Conn)
--- a/link/forwardclient.go
+++ b/link/forwardclient.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"plumbarrow.example/plumbarrow/internal/answercheck"
 	"plumbarrow.example/plumbarrow/link/linkpb"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/verdict"
@@ -95,6 +97,9 @@
 			return nil, err
 		}
 		if answer := frame.GetAnswer(); answer != nil {
+			if status := int(answer.GetStatus()); !answercheck.ValidStatus(status) || status < http.StatusOK {
+				return nil, fmt.Errorf("the answer has the status %d", status)
+			}
 			return &Answer{Status: int(answer.GetStatus()), Header: fromHeaders(answer.GetHeaders()), Body: c, Length: -1}, nil
 		}
 		if frame.GetEnd() != nil {
--- a/link/peer_test.go
+++ b/link/peer_test.go
@@ -102,6 +102,10 @@
 		{"unreachable", complete, true, nil, verdict.NotRun, verdict.RetrySilent},
 		{"path lost within the answer", complete, false, func(n *pipeNetwork, _ func()) { n.lastConn.Load().silent.Store(true) }, verdict.MayHaveRun, verdict.RetrySilent},
 		{"link reset within the answer", complete, false, func(n *pipeNetwork, _ func()) { n.lastConn.Load().Close() }, verdict.MayHaveRun, verdict.RetryConnection},
+		{"status of no answer", func(_ context.Context, w http.ResponseWriter, _ *ForwardedRequest) verdict.Verdict {
+			w.WriteHeader(0)
+			return verdict.Ran
+		}, false, nil, verdict.MayHaveRun, verdict.RetryConnection},
 		{"aborted", func(_ context.Context, w http.ResponseWriter, _ *ForwardedRequest) verdict.Verdict {
 			_, _ = io.WriteString(w, "part")
 			panic(http.ErrAbortHandler)
--- a/link/sent.go
+++ b/link/sent.go
@@ -25,9 +25,9 @@
 	writtenBefore int64
 }
 
-// trace returns a trace that records each connection the request uses. It calls onReused for each
+// trace returns a trace of a request with the method, which records each connection the request uses. It calls onReused for each
 // reused connection.
-func (s *sendTracker) trace(onReused func()) *httptrace.ClientTrace {
+func (s *sendTracker) trace(method string, onReused func()) *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if info.Reused {
 			onReused()
@@ -36,6 +36,7 @@
 		defer s.mu.Unlock()
 		s.reused = s.reused || info.Reused
 		if conn, ok := info.Conn.(*countedConn); ok {
+			conn.Answers.Begin(method)
 			s.conns = append(s.conns, trackedConn{conn: conn, writtenBefore: conn.written.Load()})
 		}
 	}}
--- a/link/transport.go
+++ b/link/transport.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"plumbarrow.example/plumbarrow/internal/answercheck"
 )
 
 const (
@@ -42,7 +44,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: conn}, nil
+			return &countedConn{Conn: answercheck.NewConn(conn)}, nil
 		},
 		MaxIdleConnsPerHost: maxIdlePerEndpoint,
 		IdleConnTimeout:     idle,
@@ -53,10 +55,10 @@
 	}
 }
 
-// countedConn counts the bytes passed to the kernel. It counts before the write, so that a write in
+// countedConn passes bytes of valid answers only, and counts the bytes passed to the kernel. It counts before the write, so that a write in
 // progress never counts as nothing sent.
 type countedConn struct {
-	net.Conn
+	*answercheck.Conn
 	written atomic.Int64
 }
 
--- a/rollout/httporders.go
+++ b/rollout/httporders.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/infra"
+	"plumbarrow.example/plumbarrow/internal/answercheck"
 	"plumbarrow.example/plumbarrow/machine"
 )
 
@@ -32,7 +34,8 @@
 // NewHTTPOrderer returns an orderer for the engines in the platform's list; listed returns its
 // latest copy.
 func NewHTTPOrderer(listed func() []infra.Instance) *HTTPOrderer {
-	return &HTTPOrderer{client: &http.Client{Transport: &http.Transport{IdleConnTimeout: orderIdleTimeout}}, listed: listed}
+	transport := &http.Transport{DialContext: answercheck.Dial(new(net.Dialer).DialContext), IdleConnTimeout: orderIdleTimeout}
+	return &HTTPOrderer{client: &http.Client{Transport: transport}, listed: listed}
 }
 
 // orderMessage is the JSON body of orders and their replies.
