link: answers with lines that are no fields fail the attempt

What callers saw: an answer in whose head the name of a field held a blank came to them with that line passed on ("X Foo: 1"), without its length ("Content- Length : 2"), or with the lines of the chunks as its body ("Transfer-Encoding : chunked"). Cause: net/textproto keeps a name with a blank as it stands, joins a line that begins with a blank with the one before, and skips a bare line feed; net/http ignores a coding in HTTP/1.0 and a length beside chunks. Why this works: the checker refuses a line of a head or trailer unless it is a token, a colon and a value without control bytes, before the parser sees its end; forwarded heads pass the same check.

--- a/internal/answercheck/syntax.go
+++ b/internal/answercheck/syntax.go
@@ -40,12 +40,18 @@
 // ValidStatus reports whether a number is a status of the protocol (RFC 9110, 15).
 func ValidStatus(status int) bool { return status >= 100 && status <= 599 }
 
+// ValidField reports whether a field may be in an answer.
+func ValidField(name, value string) bool { return isToken([]byte(name)) && isValue([]byte(value)) }
+
 // parseField returns the field's name and its value without the blanks around it.
 func parseField(line []byte) (name, value string, err error) {
 	before, after, found := bytes.Cut(line, []byte(":"))
-	if !found {
+	if !found || !isToken(before) {
 		return "", "", invalid("field name", line)
 	}
+	if !isValue(after) {
+		return "", "", invalid("field value", line)
+	}
 	return string(before), string(bytes.Trim(after, " \t")), nil
 }
 
@@ -85,12 +91,12 @@
 
 // parseChunkLine returns the size of a chunk.
 func parseChunkLine(line []byte) (int64, error) {
-	digits, _, found := bytes.Cut(line, []byte(";"))
+	digits, extension, found := bytes.Cut(line, []byte(";"))
 	if found {
 		digits = bytes.TrimRight(digits, " \t")
 	}
 	size, err := strconv.ParseUint(string(digits), 16, 64)
-	if err != nil || len(digits) > maxChunkDigits {
+	if err != nil || len(digits) > maxChunkDigits || !isValue(extension) {
 		return 0, invalid("chunk size", line)
 	}
 	return int64(size), nil
@@ -100,6 +106,18 @@
 	return text != "" && strings.Trim(text, "0123456789") == ""
 }
 
+// isToken reports whether the text is a token (RFC 9110, 5.6.2).
+func isToken(text []byte) bool {
+	for _, b := range text {
+		letter := b|0x20 >= 'a' && b|0x20 <= 'z'
+		digit := b >= '0' && b <= '9'
+		if !letter && !digit && strings.IndexByte("!#$%&'*+-.^_`|~", b) < 0 {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
 // isValue reports whether the text has no control bytes other than tabs (RFC 9110, 5.5).
 func isValue(text []byte) bool {
 	for _, b := range text {
--- a/link/forwardclient.go
+++ b/link/forwardclient.go
@@ -97,8 +97,8 @@
 			return nil, err
 		}
 		if answer := frame.GetAnswer(); answer != nil {
-			if status := int(answer.GetStatus()); !answercheck.ValidStatus(status) || status < http.StatusOK {
-				return nil, fmt.Errorf("the answer has the status %d", status)
+			if err := checkHead(answer); err != nil {
+				return nil, err
 			}
 			return &Answer{Status: int(answer.GetStatus()), Header: fromHeaders(answer.GetHeaders()), Body: c, Length: -1}, nil
 		}
@@ -108,6 +108,19 @@
 	}
 }
 
+// checkHead returns an error for a head that could not be passed on.
+func checkHead(head *linkpb.AnswerHead) error {
+	if status := int(head.GetStatus()); !answercheck.ValidStatus(status) || status < http.StatusOK {
+		return fmt.Errorf("the answer has the status %d", status)
+	}
+	for _, field := range head.GetHeaders() {
+		if !answercheck.ValidField(field.GetName(), field.GetValue()) {
+			return fmt.Errorf("the answer has an invalid field %.80q", field.GetName())
+		}
+	}
+	return nil
+}
+
 func (c *forwardCall) send(forwarded *ForwardedRequest) error {
 	request := &linkpb.RequestHead{
 		RequestId: forwarded.RequestID,
--- a/link/peer_test.go
+++ b/link/peer_test.go
@@ -106,6 +106,11 @@
 			w.WriteHeader(0)
 			return verdict.Ran
 		}, false, nil, verdict.MayHaveRun, verdict.RetryConnection},
+		{"field of no answer", func(_ context.Context, w http.ResponseWriter, _ *ForwardedRequest) verdict.Verdict {
+			w.Header()["X Foo"] = []string{"1"}
+			w.WriteHeader(http.StatusOK)
+			return verdict.Ran
+		}, false, nil, verdict.MayHaveRun, verdict.RetryConnection},
 		{"aborted", func(_ context.Context, w http.ResponseWriter, _ *ForwardedRequest) verdict.Verdict {
 			_, _ = io.WriteString(w, "part")
 			panic(http.ErrAbortHandler)
