link: bounds on the fields of an answer's head, and on the heads of all answers

What callers saw: an engine sent bytes that were no answer, in a head; the instance ran out of memory, and the requests of others on it ended. Cause: the bounds of 256 KiB (gateway) and 10 MiB (entry, net/http's own) count the bytes of one head. What is kept grows with its fields, and nothing bounds the sum over the attempts. Why this works: the checker ends a head, with the informational answers before it, and a trailer at 32 KiB or 128 fields. Heads of up to 12 KiB, fields counted, are free; what lies above is charged to one budget of the process, 6 % of its memory, before the parser keeps it. So ordinary answers pass while a crowd of long heads uses the budget up, and those attempts fail and may have run.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -89,6 +89,7 @@
 	if settings.MemoryMB > 0 {
 		setMemoryLimit(settings.MemoryMB)
 	}
+	d.dispatcher.BoundHeads(headBudget(settings.MemoryMB, d.counters))
 	d.callers = intake.New(settings.callers().limits(), d.counters, log)
 	d.table = machine.NewTable(settings.Machine, d.self.ID)
 	d.assembleFleet()
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -141,6 +141,7 @@
 	decoder.Endpoints = g.table
 	decoder.Rollouts = g.rollouts
 	g.endpointClient = link.NewEndpointClient(platform.EndpointHeaders{}.Match)
+	g.endpointClient.BoundHeads(headBudget(g.settings.MemoryMB, g.counters))
 	g.quarantine = quarantine.New(g.endpointClient, g.exchange.TriggerRound, g.counters, g.log)
 	g.exchange.Add(g.mirrorTopic)
 	g.exchange.Add(upstream.NewLoadTopic(g.table))
--- a/internal/answercheck/checker.go
+++ b/internal/answercheck/checker.go
@@ -9,11 +9,21 @@
 	"sync/atomic"
 )
 
-// maxQuoted bounds the bytes of an answer that an error quotes.
-const maxQuoted = 80
+const (
+	// maxHeadBytes bounds the bytes of an answer's head with the informational answers before it, of a trailer, and of the line before a chunk.
+	maxHeadBytes = 32 << 10
+	// maxFields bounds the fields of an answer's head with the informational answers before it, and of a trailer.
+	maxFields = 128
+	// maxQuoted bounds the bytes of an answer that an error quotes.
+	maxQuoted = 80
+)
 
-// ErrInvalid is the error of Checker.Check.
-var ErrInvalid = errors.New("not a valid HTTP/1.1 answer")
+// Errors of Checker.Check.
+var (
+	ErrInvalid = errors.New("not a valid HTTP/1.1 answer")
+	ErrLong    = fmt.Errorf("%w: more than %d bytes or %d fields in a head or trailer", ErrInvalid, maxHeadBytes, maxFields)
+	ErrFull    = errors.New("the memory for the heads of answers is used up")
+)
 
 // part is what the next byte belongs to.
 type part uint8
@@ -29,19 +39,35 @@
 	trailerLine
 )
 
-// Checker checks the answers that arrive on one connection. Its zero value is ready. Only Begin may be called concurrently.
+// Checker checks the answers that arrive on one connection. Its zero value has no budget. Check and Err must not be called concurrently; the other
+// methods may be, at any time.
 type Checker struct {
+	hold     hold
 	bodyless atomic.Bool // answers have no body, as to HEAD
 
-	part part
-	left int64  // of bodyBytes or chunkBytes
-	line []byte // start of a line whose end has not arrived
-	head head
-	err  error
+	part   part
+	left   int64  // of bodyBytes or chunkBytes
+	line   []byte // start of a line whose end has not arrived
+	head   head
+	size   int // bytes of the head, trailer or chunk line that has not ended
+	fields int // of the head or trailer that has not ended
+	err    error
 }
 
-// Begin says that a request with the method is sent on the connection.
-func (c *Checker) Begin(method string) { c.bodyless.Store(method == "HEAD") }
+// SetBudget sets the budget for heads, before any other call.
+func (c *Checker) SetBudget(budget *Budget) { c.hold.budget = budget }
+
+// Release says that the heads of the answers so far are not held any more.
+func (c *Checker) Release() { c.hold.release(false) }
+
+// Close says that the connection is closed.
+func (c *Checker) Close() { c.hold.release(true) }
+
+// Begin says that a request with the method is sent on the connection, and that the head of the answer before is not held any more.
+func (c *Checker) Begin(method string) {
+	c.bodyless.Store(method == "HEAD")
+	c.Release()
+}
 
 // Check checks the bytes that arrived after those of the call before. It returns the number of bytes that may be used; if these are not
 // all, the error says why. All calls after an error return that error.
@@ -104,6 +130,13 @@
 
 // take adds a piece of a line; whole says that it ends the line.
 func (c *Checker) take(piece []byte, whole bool) error {
+	c.size += len(piece)
+	if c.size > maxHeadBytes {
+		return ErrLong
+	}
+	if c.part != chunkLine && c.part != chunkEnd && !c.hold.grow(len(piece), whole) {
+		return ErrFull
+	}
 	line := piece
 	if !whole || len(c.line) > 0 {
 		c.line = append(c.line, piece...)
@@ -136,10 +169,10 @@
 		if len(line) > 0 {
 			return c.field(line)
 		}
-		c.part = statusLine
+		c.endPart(statusLine)
 	case chunkLine:
 		c.left, err = parseChunkLine(line)
-		c.part = chunkBytes
+		c.endPart(chunkBytes)
 		if c.left == 0 {
 			c.part = trailerLine
 		}
@@ -147,13 +180,18 @@
 		if len(line) > 0 {
 			return invalid("end of a chunk", line)
 		}
-		c.part = chunkLine
+		c.endPart(chunkLine)
 	}
 	return err
 }
 
+func (c *Checker) endPart(next part) { c.part, c.size, c.fields = next, 0, 0 }
+
 // field checks a line of a head or trailer.
 func (c *Checker) field(line []byte) error {
+	if c.fields++; c.fields > maxFields {
+		return ErrLong
+	}
 	name, value, err := parseField(line)
 	if err != nil || c.part == trailerLine {
 		return err
@@ -167,21 +205,21 @@
 		return err
 	}
 	if c.head.informational() {
-		c.part = statusLine
+		c.part = statusLine // its bytes and fields count towards the head that follows
 		return nil
 	}
 	switch {
 	case c.head.switches():
-		c.part = restBytes
+		c.endPart(restBytes)
 	case c.bodyless.Load() || c.head.bodyless() || c.head.length == 0:
-		c.part = statusLine
+		c.endPart(statusLine)
 	case c.head.chunked:
-		c.part = chunkLine
+		c.endPart(chunkLine)
 	case c.head.length > 0:
 		c.left = c.head.length
-		c.part = bodyBytes
+		c.endPart(bodyBytes)
 	default:
-		c.part = restBytes
+		c.endPart(restBytes)
 	}
 	return nil
 }
--- a/internal/answercheck/conn.go
+++ b/internal/answercheck/conn.go
@@ -12,8 +12,12 @@
 	Answers Checker
 }
 
-// NewConn returns the connection with a checker.
-func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
+// NewConn returns the connection with a checker that has the budget.
+func NewConn(conn net.Conn, budget *Budget) *Conn {
+	c := &Conn{Conn: conn}
+	c.Answers.SetBudget(budget)
+	return c
+}
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
@@ -21,6 +25,12 @@
 	return c.Answers.Filter(p[:n], err)
 }
 
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.Answers.Close()
+	return c.Conn.Close()
+}
+
 // DialFunc opens a connection, as of http.Transport.
 type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -31,7 +41,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return NewConn(conn), nil
+		return NewConn(conn, nil), nil
 	}
 }
 
--- a/link/dispatcher.go
+++ b/link/dispatcher.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"plumbarrow.example/plumbarrow/internal/answercheck"
 	"plumbarrow.example/plumbarrow/verdict"
 )
 
@@ -20,6 +21,7 @@
 	recent   *http.Transport // for other attempts
 	fresh    *http.Transport // for attempts that need a new connection
 	silences *silenceCounter
+	heads    *answercheck.Budget // for the heads of answers; nil bounds nothing
 }
 
 // NewDispatcher returns a dispatcher with empty connection pools.
@@ -27,14 +29,16 @@
 
 // NewDispatcherWith returns a dispatcher that opens its connections with dial.
 func NewDispatcherWith(dial DialFunc) *Dispatcher {
-	return &Dispatcher{
-		pooled:   newTransport(dial, pooledIdleTimeout),
-		recent:   newTransport(dial, recentIdleTimeout),
-		fresh:    newTransport(dial, 0),
-		silences: newSilenceCounter(),
-	}
+	d := &Dispatcher{silences: newSilenceCounter()}
+	d.pooled = d.newTransport(dial, pooledIdleTimeout)
+	d.recent = d.newTransport(dial, recentIdleTimeout)
+	d.fresh = d.newTransport(dial, 0)
+	return d
 }
 
+// BoundHeads sets the budget for the heads of answers, before the dispatcher is used.
+func (d *Dispatcher) BoundHeads(budget *answercheck.Budget) { d.heads = budget }
+
 // Close closes the idle connections.
 func (d *Dispatcher) Close() {
 	d.pooled.CloseIdleConnections()
--- a/link/endpointclient.go
+++ b/link/endpointclient.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"plumbarrow.example/plumbarrow/internal/answercheck"
 	"plumbarrow.example/plumbarrow/verdict"
 )
 
@@ -64,6 +65,7 @@
 type EndpointClient struct {
 	dial  DialFunc
 	match MatchFunc
+	heads *answercheck.Budget // for the heads of answers; nil bounds nothing
 
 	mu     sync.Mutex
 	idle   map[string][]*endpointConn // by address, most recently used last
@@ -100,6 +102,9 @@
 	return &EndpointClient{dial: dial, match: match, idle: make(map[string][]*endpointConn)}
 }
 
+// BoundHeads sets the budget for the heads of answers, before the client is used.
+func (c *EndpointClient) BoundHeads(budget *answercheck.Budget) { c.heads = budget }
+
 func endpointDialer() DialFunc {
 	dialer := &net.Dialer{
 		Timeout: endpointDialTimeout,
@@ -149,6 +154,12 @@
 	return c.Conn.Write(p)
 }
 
+// Close implements net.Conn.
+func (c *endpointConn) Close() error {
+	c.source.answers.Close()
+	return c.Conn.Close()
+}
+
 // abort closes the connection of an attempt that is given up, and discards the bytes that have not reached the endpoint: after a
 // partition they would start a request that is no longer allowed there.
 func (c *endpointConn) abort() {
--- a/link/endpointclientpool.go
+++ b/link/endpointclientpool.go
@@ -34,6 +34,7 @@
 	number := c.opened
 	c.mu.Unlock()
 	conn := newEndpointConn(netConn, request.Address, number)
+	conn.source.answers.SetBudget(c.heads)
 	conn.carried = append(conn.carried, id)
 	return conn, nil
 }
@@ -99,6 +100,7 @@
 		_ = conn.Close()
 		return
 	}
+	conn.source.answers.Release()
 	conn.expiresAt = time.Now().Add(keepAliveTimeout(header))
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/link/transport.go
+++ b/link/transport.go
@@ -35,16 +35,16 @@
 	return dialer.DialContext
 }
 
-// newTransport returns a transport whose connections count the bytes written. It keeps a connection
+// newTransport returns a transport whose connections count the bytes written, and charge the dispatcher's budget for heads. It keeps a connection
 // for reuse for at most idle after an answer; 0 means that each request uses a new connection.
-func newTransport(dial DialFunc, idle time.Duration) *http.Transport {
+func (d *Dispatcher) newTransport(dial DialFunc, idle time.Duration) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: answercheck.NewConn(conn)}, nil
+			return &countedConn{Conn: answercheck.NewConn(conn, d.heads)}, nil
 		},
 		MaxIdleConnsPerHost: maxIdlePerEndpoint,
 		IdleConnTimeout:     idle,
