--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"plumbarrow.example/plumbarrow/entry"
 	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/intake"
+	"plumbarrow.example/plumbarrow/internal/answercheck"
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/ledger"
 	"plumbarrow.example/plumbarrow/limit"
@@ -88,6 +89,7 @@
 	if settings.MemoryMB > 0 {
 		setMemoryLimit(settings.MemoryMB)
 	}
+	d.dispatcher.BoundHeads(headBudget(settings.MemoryMB, d.counters))
 	d.callers = intake.New(settings.callers().limits(), d.counters, log)
 	d.table = machine.NewTable(settings.Machine, d.self.ID)
 	d.assembleFleet()
@@ -153,7 +155,7 @@
 		Log:             d.log,
 	})
 	d.exchange.Add(machine.NewStateTopic(d.permits))
-	d.poller = machine.NewPoller(d.permits, machine.HTTPLoadFetch(&http.Client{Timeout: pollTimeout}))
+	d.poller = machine.NewPoller(d.permits, machine.HTTPLoadFetch(&http.Client{Transport: answercheck.NewTransport(), Timeout: pollTimeout}))
 	d.loads = zone.NewLoads(d.membership, d.effective, d.table.SpareCapacity, d.log)
 	d.exchange.Add(d.loads)
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -148,6 +148,7 @@
 	decoder.Rollouts = g.rollouts
 	g.endpointClient = link.NewEndpointClient(platform.EndpointHeaders{}.Match)
 	g.reachMonitor = upstream.NewReachMonitor(g.table, g.endpointClient, g.counters, g.log)
+	g.endpointClient.BoundHeads(headBudget(g.settings.MemoryMB, g.counters))
 	g.quarantine = quarantine.New(g.endpointClient, g.exchange.TriggerRound, g.counters, g.log)
 	g.exchange.Add(g.mirrorTopic)
 	g.exchange.Add(upstream.NewLoadTopic(g.table))
--- a/link/endpointclientpool.go
+++ b/link/endpointclientpool.go
@@ -34,6 +34,7 @@
 	number := c.opened
 	c.mu.Unlock()
 	conn := newEndpointConn(netConn, request.Address, number)
+	conn.source.answers.SetBudget(c.heads)
 	conn.carried = append(conn.carried, id)
 	return conn, nil
 }
@@ -72,7 +73,7 @@
 // reusable reports whether an idle connection is open and holds no unread bytes. Bytes that arrive while
 // no request is in flight belong to no answer.
 func (c *endpointConn) reusable() bool {
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || c.source.answers.Err() != nil {
 		return false
 	}
 	source, ok := c.Conn.(syscall.Conn)
@@ -99,6 +100,7 @@
 		_ = conn.Close()
 		return
 	}
+	conn.source.answers.Release()
 	conn.expiresAt = time.Now().Add(keepAliveTimeout(header))
 	c.mu.Lock()
 	defer c.mu.Unlock()
