--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -102,7 +102,7 @@
 	if refusal := f.checkOrigin(); refusal != nil {
 		return refusal
 	}
-	if refusal := f.authorize(); refusal != nil {
+	if f.route, f.customer, refusal = authorize(f.snapshot, f.call); refusal != nil {
 		return refusal
 	}
 	if refusal := f.readBody(); refusal != nil {
@@ -126,42 +126,59 @@
 }
 
 // authorize finds the request's route and customer in the snapshot.
-func (f *requestState) authorize() *verdict.Refusal {
-	f.route = f.snapshot.Route(f.call.Host, f.call.Path)
-	if f.route == nil {
-		return verdict.Refuse(verdict.UnknownRoute, "no route leads to %s", f.call.Path)
+func authorize(snapshot *catalog.Snapshot, call *Call) (*catalog.Route, *catalog.Customer, *verdict.Refusal) {
+	route := snapshot.Route(call.Host, call.Path)
+	if route == nil {
+		return nil, nil, verdict.Refuse(verdict.UnknownRoute, "no route leads to %s", call.Path)
 	}
-	f.customer = nil
-	if !f.snapshot.NeedsKey(f.route) {
-		return nil
+	if !snapshot.NeedsKey(route) {
+		return route, nil, nil
 	}
-	if f.call.Key == "" {
-		return verdict.Refuse(verdict.MissingKey, "the request carries no key")
+	if call.Key == "" {
+		return route, nil, verdict.Refuse(verdict.MissingKey, "the request carries no key")
 	}
-	f.customer = f.snapshot.Customer(f.call.Key)
-	if f.customer == nil {
-		return verdict.Refuse(verdict.UnknownKey, "no customer holds the key")
+	customer := snapshot.Customer(call.Key)
+	if customer == nil {
+		return route, nil, verdict.Refuse(verdict.UnknownKey, "no customer holds the key")
 	}
-	return nil
+	return route, customer, nil
 }
 
-// refresh checks the request against the newest configuration before it is dispatched. The request's deadline
-// does not change.
+// refresh checks the request against the newest configuration before it is dispatched. A request that the configuration does not allow any more
+// keeps the state under which it was admitted. The request's deadline does not change.
 func (f *requestState) refresh() *verdict.Refusal {
 	newest := f.server.Current.Get()
 	if newest == f.snapshot {
 		return nil
 	}
-	f.snapshot = newest
-	if refusal := f.authorize(); refusal != nil {
+	route, customer, refusal := authorize(newest, f.call)
+	if refusal == nil {
+		refusal = f.stillAllowed(route)
+	}
+	if refusal != nil {
 		return refusal
 	}
-	if !f.route.Allows(f.service) {
-		f.service = f.route.Service(hashShare(f.call.ID))
+	f.snapshot, f.route, f.customer = newest, route, customer
+	if !route.Allows(f.service) {
+		f.service = route.Service(hashShare(f.call.ID))
 	}
 	return nil
 }
 
+// stillAllowed returns the refusal of a request whose attempts so far leave no room for another one on the route, else nil.
+func (f *requestState) stillAllowed(route *catalog.Route) *verdict.Refusal {
+	switch {
+	case f.runs == 0:
+		return nil
+	case !route.Repeatable() || f.runs >= route.MaxAttempts:
+		return verdict.Uncertain(verdict.UpstreamError, "the newest configuration allows no further attempt after %d", f.runs)
+	case f.stream != nil && f.stream.headerSent && !route.Allows(f.service):
+		return verdict.Uncertain(verdict.UpstreamError, "the stream cannot go on: its route has left service %s", f.service)
+	default:
+		return nil
+	}
+}
+
 // readBody reads the request's body into memory, so that retries can send it again.
 func (f *requestState) readBody() *verdict.Refusal {
 	if f.origin != nil {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -133,7 +133,7 @@
 
 // answer serves the request. When it returns, the request is answered.
 func (f *requestState) answer() {
-	defer f.finish()
+	defer f.finishSafely()
 	defer f.recovered()
 	f.serve(f.request.Context())
 }
@@ -147,7 +147,22 @@
 	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 		panic(http.ErrAbortHandler)
 	}
-	f.server.Log.Error("panic", "request_id", f.id(), "cause", fmt.Sprint(cause))
+	f.recordPanic(cause)
 	f.verdict = verdict.Worst(f.verdict, verdict.MayHaveRun)
 	f.refuse(verdict.Uncertain(verdict.Internal, "the request failed within the router"))
 }
+
+// finishSafely finishes the request. Its answer is written by then and must reach the caller even if the records of the request cannot be made.
+func (f *requestState) finishSafely() {
+	defer func() {
+		if cause := recover(); cause != nil {
+			f.recordPanic(cause)
+		}
+	}()
+	f.finish()
+}
+
+func (f *requestState) recordPanic(cause any) {
+	f.server.Counters.Inc("plumbarrow_panics_total")
+	f.server.Log.Error("panic", "request_id", f.id(), "cause", fmt.Sprint(cause))
+}
