link: the error of a connection survives the write that meets it

Callers saw a part of an answer as a complete one (MIXED): an engine answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports the error of a broken connection once. The write of the upload, beside the read of the answer, received it; the read then returned the bytes that had arrived and the end of the stream, which completes an answer without a length.

Evidence: before, --- FAIL: TestResetDuringUpload the answer ended with <nil> after the write: write tcp 127.0.0.1:35112->127.0.0.1:37767: write: connection reset by peer --- FAIL: TestResetBeforeWriteReturns/client,_connection_reset_by_peer the answer ended with <nil> --- FAIL: TestResetBeforeWriteReturns/dispatcher,_connection_reset_by_peer the answer ended with <nil>

Fix: stickyConn returns the first error of a connection, met by a read or a write, in place of a later end of the stream. At the end of the stream it interrupts a write in progress and waits for it, so that the error is known before the answer counts as whole. Both clients use it. An orderly end during an upload still completes the answer; answers with a length or chunks never depended on it.

--- a/link/answersource.go
+++ b/link/answersource.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"os"
 	"syscall"
 	"time"
@@ -16,7 +15,7 @@
 // arrived before a read timed out: while this process was suspended, the deadline passes though the endpoint was
 // not silent.
 type answerSource struct {
-	conn net.Conn
+	conn *stickyConn
 	// shouldGiveUp is called when a read has timed out; while it returns false, the read goes on. nil means that the read ends.
 	shouldGiveUp func(silent time.Duration) bool
 	silentSince  time.Time // see EndpointRequest.ShouldGiveUp
@@ -40,7 +39,7 @@
 	n, err := s.conn.Read(p)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		if available, ended := s.readAvailable(p); available > 0 || ended != nil {
-			n, err = available, ended
+			n, err = available, s.conn.readError(ended)
 			break
 		}
 		if s.shouldGiveUp == nil || s.shouldGiveUp(time.Since(s.silentSince)) {
@@ -53,10 +52,9 @@
 	return n, err
 }
 
-// readAvailable reads bytes that have already arrived, without blocking. It returns 0 and no error if there are none. The error of a broken
-// connection must not be dropped: the kernel reports it once, and later reads return the end of the stream.
+// readAvailable reads bytes that have already arrived, without blocking. It returns 0 and no error if there are none.
 func (s *answerSource) readAvailable(p []byte) (int, error) {
-	source, ok := s.conn.(syscall.Conn)
+	source, ok := s.conn.Conn.(syscall.Conn)
 	if !ok {
 		return 0, nil
 	}
--- a/link/endpointclient.go
+++ b/link/endpointclient.go
@@ -137,7 +137,7 @@
 
 func newEndpointConn(conn net.Conn, address string, number uint64) *endpointConn {
 	c := &endpointConn{Conn: conn, address: address, number: number}
-	c.source.conn = conn
+	c.source.conn = &stickyConn{Conn: conn}
 	c.reader = bufio.NewReaderSize(&c.source, 4<<10)
 	return c
 }
@@ -146,7 +146,7 @@
 // nothing sent.
 func (c *endpointConn) Write(p []byte) (int, error) {
 	c.sent.Add(int64(len(p)))
-	return c.Conn.Write(p)
+	return c.source.conn.Write(p)
 }
 
 // abort closes the connection of an attempt that is given up, and discards the bytes that have not reached the endpoint: after a
--- a/link/resetanswer_test.go
+++ b/link/resetanswer_test.go
@@ -1,10 +1,14 @@
 package link
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
+	"os"
 	"runtime"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -64,3 +68,87 @@
 	c.Check(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("the answer ended with %v", err))
 	c.Check(answer.Body.Close(), qt.IsNil)
 }
+
+// TestResetDuringUpload guards against an early answer without a length that counts as whole though its connection was reset within it:
+// the write of the request's body receives the socket's error, and reads return the end of the stream.
+func TestResetDuringUpload(t *testing.T) {
+	c := qt.New(t)
+	client := NewEndpointClient(matchID)
+	defer client.Close()
+	request := newEndpointRequest("a", "/")
+	request.Address, request.Body = resettingEndpoint(t, "part"), make([]byte, 64<<20)
+	answer, err := client.Send(t.Context(), request)
+	c.Assert(err, qt.IsNil)
+	body := answer.Body.(*endpointBody)
+	writeErr := <-body.written
+	c.Assert(writeErr, qt.IsNotNil)
+	body.written <- writeErr
+	text, err := io.ReadAll(answer.Body)
+	c.Check(string(text), qt.Equals, "part")
+	c.Check(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("the answer ended with %v after the write: %v", err, writeErr))
+	c.Check(answer.Body.Close(), qt.IsNil)
+}
+
+// uploadConn answers as soon as it is written to, and then returns the end of the stream. The write in progress holds the error until it
+// is interrupted, as if the kernel had reported it to that write first.
+type uploadConn struct {
+	net.Conn
+	answer      io.Reader
+	writeErr    error
+	written     chan struct{}
+	interrupted chan struct{}
+	write, stop sync.Once
+}
+
+func (c *uploadConn) Read(p []byte) (int, error) {
+	<-c.written
+	return c.answer.Read(p)
+}
+
+func (c *uploadConn) Write([]byte) (int, error) {
+	c.write.Do(func() { close(c.written) })
+	<-c.interrupted
+	return 0, c.writeErr
+}
+
+func (c *uploadConn) SetWriteDeadline(time.Time) error {
+	c.stop.Do(func() { close(c.interrupted) })
+	return nil
+}
+
+func (c *uploadConn) SetReadDeadline(time.Time) error { return nil }
+
+func (c *uploadConn) Close() error { return c.SetWriteDeadline(time.Time{}) }
+
+// TestResetBeforeWriteReturns guards against the same where the read returns before the write, for both clients. An orderly end during the
+// upload still completes the answer.
+func TestResetBeforeWriteReturns(t *testing.T) {
+	for _, writeErr := range []error{syscall.ECONNRESET, os.ErrDeadlineExceeded} {
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			return &uploadConn{
+				answer:   strings.NewReader("HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\npart"),
+				writeErr: writeErr, written: make(chan struct{}), interrupted: make(chan struct{}),
+			}, nil
+		}
+		check := func(c *qt.C, body io.ReadCloser) {
+			text, err := io.ReadAll(body)
+			c.Check(string(text), qt.Equals, "part")
+			c.Check(errors.Is(err, syscall.ECONNRESET), qt.Equals, writeErr == syscall.ECONNRESET, qt.Commentf("the answer ended with %v", err))
+			c.Check(body.Close(), qt.IsNil)
+		}
+		t.Run("client, "+writeErr.Error(), func(t *testing.T) {
+			request := newEndpointRequest("a", "/")
+			request.Body = make([]byte, maxInlineBody+1)
+			answer, err := NewEndpointClientWith(dial, matchID).Send(t.Context(), request)
+			qt.Assert(t, err, qt.IsNil)
+			check(qt.New(t), answer.Body)
+		})
+		t.Run("dispatcher, "+writeErr.Error(), func(t *testing.T) {
+			attempt := newAttempt("e:1", true)
+			attempt.Body = make([]byte, 1<<20)
+			answer, err := NewDispatcherWith(dial).Do(t.Context(), attempt)
+			qt.Assert(t, err, qt.IsNil)
+			check(qt.New(t), answer.Body)
+		})
+	}
+}
--- a/link/transport.go
+++ b/link/transport.go
@@ -42,7 +42,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: conn}, nil
+			return &countedConn{Conn: &stickyConn{Conn: conn}}, nil
 		},
 		MaxIdleConnsPerHost: maxIdlePerEndpoint,
 		IdleConnTimeout:     idle,
