--- a/link/endpointclient.go
+++ b/link/endpointclient.go
@@ -145,7 +145,7 @@
 
 func newEndpointConn(conn net.Conn, address string, number uint64) *endpointConn {
 	c := &endpointConn{Conn: conn, address: address, number: number}
-	c.source.conn = conn
+	c.source.conn = &stickyConn{Conn: conn}
 	c.reader = bufio.NewReaderSize(&c.source, 4<<10)
 	return c
 }
@@ -154,7 +154,7 @@
 // nothing sent.
 func (c *endpointConn) Write(p []byte) (int, error) {
 	c.sent.Add(int64(len(p)))
-	return c.Conn.Write(p)
+	return c.source.conn.Write(p)
 }
 
 // Close implements net.Conn.
--- a/link/transport.go
+++ b/link/transport.go
@@ -44,7 +44,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: answercheck.NewConn(conn, d.heads)}, nil
+			return &countedConn{Conn: answercheck.NewConn(&stickyConn{Conn: conn}, d.heads)}, nil
 		},
 		MaxIdleConnsPerHost: maxIdlePerEndpoint,
 		IdleConnTimeout:     idle,
