intake: charge a head's fields as they are received, and bound them

With 16,000 bytes, inside header_bytes, 1,700 clients made it hold 455 MB.

Cause: an account was charged for the bytes of a head, while net/http keeps a place in a map, a list and a value for each field: measured 80 to 150 bytes in use and up to 200 allocated for 6 bytes received. The number of fields had no bound; that of the bytes was fixed whatever header_bytes of the configuration in force said.

Change: the connection follows the requests on it, counts lines before net/http sees them and charges 256 bytes for each besides its bytes. Bytes behind the end of a head or of a request are held back, so that a head behind a whole request is charged too, and line breaks of bodies are not; the body's length is net/http's own reading of the head. A head with more than header_bytes and 4 KiB (64 KiB at entry or without a configuration), or with more than a field for 16 of these bytes, is answered with 431 by the connection and closed, after what is left was read for a second so that the answer is not lost to a reset. A trailer may have 256 fields; beyond them the request is refused with the new reason head_too_large, 431.

Remains: whole heads with many fields stay while their requests are in service.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -117,6 +117,8 @@
 
 // Limits bound what callers may send.
 type Limits struct {
+	// HeaderBytes bounds a request's header fields; 0 if they have no bound.
+	HeaderBytes int64
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -57,7 +57,7 @@
 	// gatewayIdleTimeout is the idle timeout of callers' connections. It is longer than the operators' limits
 	// for callers, so that no connection is closed while a request is arriving on it.
 	gatewayIdleTimeout = 120 * time.Second
-	// maxHeaderBytes is the limit of a request's header, well above the operators' limit for callers.
+	// maxHeaderBytes is the limit of a request's header at the servers that are not for callers.
 	maxHeaderBytes = 64 << 10
 )
 
@@ -108,7 +108,9 @@
 		dialer:  link.NewPeerDialer(),
 		peers:   drpcmux.New(),
 	}
-	g.callers = intake.New(settings.callers().limits(), g.counters, log)
+	limits := settings.callers().limits()
+	limits.HeadBytes = g.headBytes
+	g.callers = intake.New(limits, g.counters, log)
 	g.assembleStore()
 	g.assembleServing()
 	err := errors.Join(
@@ -119,6 +121,14 @@
 	return g, eris.Wrap(err, "register peer services")
 }
 
+// headBytes returns the limit of a caller's header in the configuration in force; 0 without one.
+func (g *Gateway) headBytes() int64 {
+	if snapshot := g.current.Get(); snapshot != nil {
+		return snapshot.Limits.HeaderBytes
+	}
+	return 0
+}
+
 // assembleStore creates the store's client, the mirror of its documents, and the state that is exchanged with
 // peers.
 func (g *Gateway) assembleStore() {
--- a/entry/body.go
+++ b/entry/body.go
@@ -45,6 +45,8 @@
 	switch {
 	case errors.Is(err, intake.ErrTooLong):
 		return verdict.Refuse(verdict.BodyTooLarge, "the body is larger than %d bytes", s.MaxBodyBytes)
+	case errors.Is(err, intake.ErrHeadTooLarge):
+		return verdict.Refuse(verdict.HeadTooLarge, "%v", err)
 	case errors.Is(err, intake.ErrFull), errors.Is(err, intake.ErrEvicted):
 		refusal := verdict.Refuse(verdict.InstanceFull, "%v", err)
 		refusal.RetryAfter = fullRetryAfter
--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -147,7 +147,7 @@
 
 // closesConnection reports whether a refusal for the reason leaves a body unread that has not ended.
 func closesConnection(reason verdict.Reason) bool {
-	return reason == verdict.BodyTooLarge || reason == verdict.CallerTooSlow || reason == verdict.InstanceFull
+	return reason == verdict.BodyTooLarge || reason == verdict.HeadTooLarge || reason == verdict.CallerTooSlow || reason == verdict.InstanceFull
 }
 
 // statusOf returns the HTTP status of a refusal. If the request has not run, every server error becomes 503. If it
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -184,6 +184,8 @@
 	switch {
 	case errors.Is(err, intake.ErrTooLong):
 		return verdict.Refuse(verdict.BodyTooLarge, "the body is longer than %d bytes", f.snapshot.Limits.MaxBodyBytes)
+	case errors.Is(err, intake.ErrHeadTooLarge):
+		return verdict.Refuse(verdict.HeadTooLarge, "%v", err)
 	case errors.Is(err, intake.ErrFull), errors.Is(err, intake.ErrEvicted):
 		refusal := verdict.Refuse(verdict.InstanceFull, "%v", err)
 		refusal.RetryAfter = retryAfter(0)
--- a/intake/body.go
+++ b/intake/body.go
@@ -27,6 +27,9 @@
 	case evicted != nil:
 		account.refuse()
 		return nil, evicted
+	case account.isTooLarge():
+		account.refuse()
+		return nil, ErrHeadTooLarge // net/http has another error for a trailer whose end it does not find
 	case err != nil:
 		account.refuse()
 		return nil, err
--- a/intake/guard.go
+++ b/intake/guard.go
@@ -36,18 +36,22 @@
 	logInterval = time.Second
 )
 
-// Errors of Account.Grow.
+// Reasons for which a request is not taken.
 var (
 	// ErrFull means that the bytes are used up by connections that do not yield.
 	ErrFull = errors.New("the memory for callers' requests is used up")
 	// ErrEvicted means that the connection had to yield.
 	ErrEvicted = errors.New("the request yielded its memory to others before it was whole")
+	// ErrHeadTooLarge means that the head or the trailer has too many bytes or fields.
+	ErrHeadTooLarge = errors.New("the request's head or trailer is larger than allowed")
 )
 
 // Limits bound what all callers together may make the instance hold.
 type Limits struct {
 	Bytes       int64
 	Connections int
+	// HeadBytes returns the greatest length of a head's fields in force, or 0 if there is none. It may be nil.
+	HeadBytes func() int64
 }
 
 // Guard keeps the accounts of all connections. Safe for concurrent use.
@@ -88,6 +92,18 @@
 	return g.bytes
 }
 
+// headBytes returns the greatest length of a head, request line included.
+func (g *Guard) headBytes() int64 {
+	inForce := int64(0)
+	if g.limits.HeadBytes != nil {
+		inForce = g.limits.HeadBytes()
+	}
+	if inForce <= 0 {
+		inForce = defaultHeadBytes
+	}
+	return min(inForce+requestLineBytes, maxHeadBytes)
+}
+
 // Account is what one connection makes the instance hold. All methods accept nil, an account without bounds, for requests that come by
 // other ways than a connection of the guard.
 type Account struct {
@@ -100,6 +116,7 @@
 	owner      string
 	ownerBytes int64 // of bytes, counted for owner
 	wholeBody  bool  // the body of the present request was read to its end
+	tooLarge   bool  // the trailer of the present request is too large
 	evicted    bool
 	unwinding  int64 // part of guard.unwinding
 	closed     bool
@@ -114,7 +131,10 @@
 	return &Account{guard: g, holding: holding{stage: inService, progressAt: time.Now()}}
 }
 
-type contextKey struct{}
+type (
+	contextKey     struct{}
+	connContextKey struct{}
+)
 
 // NewContext returns a context of a request that the account is charged for.
 func NewContext(ctx context.Context, account *Account) context.Context {
@@ -127,12 +147,13 @@
 	return account
 }
 
-// Attach sets the hooks of a server whose listener is of Guard.Listen, and wraps its handler.
+// Attach sets the hooks and the bound on heads of a server whose listener is of Guard.Listen, and wraps its handler.
 func (g *Guard) Attach(server *http.Server) {
 	server.Handler = handler{server.Handler}
+	server.MaxHeaderBytes = maxHeadBytes // the guard has the bound in force
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		if c, ok := conn.(*guardedConn); ok {
-			return NewContext(ctx, c.account)
+			return NewContext(context.WithValue(ctx, connContextKey{}, c), c.account)
 		}
 		return ctx
 	}
@@ -152,6 +173,9 @@
 	if account.Begin() != nil {
 		panic(http.ErrAbortHandler) // evicted since the head was read
 	}
+	if c, ok := r.Context().Value(connContextKey{}).(*guardedConn); ok && r.Body != nil && r.Body != http.NoBody {
+		c.framing.setBody(r.ContentLength)
+	}
 	h.next.ServeHTTP(w, r)
 	if r.Body != nil && r.Body != http.NoBody && !account.hasWholeBody() {
 		// net/http reads on, so that the caller gets the answer before its connection is closed.
@@ -260,6 +284,12 @@
 	g.turnedOff, g.loggedAt = 0, now
 }
 
+func (g *Guard) countRefused() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.count("refused", time.Now())
+}
+
 // charge adds n bytes. The caller holds the guard's lock.
 func (a *Account) charge(n int64) {
 	a.bytes += n
@@ -387,12 +417,13 @@
 		return
 	}
 	a.release(a.bytes - connectionBytes)
-	a.owner, a.wholeBody = "", false
+	a.owner, a.wholeBody, a.tooLarge = "", false, false
 	a.stage, a.progressAt, a.served = idle, time.Now(), true
 }
 
-// received records n bytes that were read from the connection. It returns an error if the connection has to be closed for them.
-func (a *Account) received(n int) error {
+// received records n bytes that were read from the connection, and the bytes that net/http will allocate for their fields besides. It returns
+// an error if the connection has to be closed for them.
+func (a *Account) received(n, parsed int64) error {
 	g := a.guard
 	g.mu.Lock()
 	if a.evicted {
@@ -401,12 +432,16 @@
 	}
 	if a.stage != idle && a.stage != inHead {
 		a.progressAt = time.Now()
+		inTrailer := a.stage == inBody && parsed > 0
 		g.mu.Unlock()
+		if inTrailer {
+			return a.Grow(n + parsed)
+		}
 		return nil
 	}
 	a.stage = inHead
 	g.mu.Unlock()
-	return a.Grow(int64(n))
+	return a.Grow(n + parsed)
 }
 
 // Close ends the account.
@@ -448,6 +483,21 @@
 	a.wholeBody = true
 }
 
+func (a *Account) setTooLarge() {
+	a.guard.mu.Lock()
+	defer a.guard.mu.Unlock()
+	a.tooLarge = true
+}
+
+func (a *Account) isTooLarge() bool {
+	if a == nil {
+		return false
+	}
+	a.guard.mu.Lock()
+	defer a.guard.mu.Unlock()
+	return a.tooLarge
+}
+
 func (a *Account) hasWholeBody() bool {
 	if a == nil {
 		return false
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -116,9 +116,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newPipeGuard(t, Limits{Bytes: 10 << 20, Connections: 2})
 		first, second := g.connect(), g.connect()
-		g.c.Assert(second.received(1), qt.IsNil)
+		g.c.Assert(second.received(1, 0), qt.IsNil)
 		third := g.connect()
-		g.c.Check(first.received(1), qt.ErrorIs, ErrEvicted)
+		g.c.Check(first.received(1, 0), qt.ErrorIs, ErrEvicted)
 		g.c.Check(second.Begin(), qt.IsNil)
 		g.c.Check(third.Begin(), qt.IsNil)
 		g.c.Check(g.connect(), qt.IsNil)
@@ -182,7 +182,7 @@
 			g.c.Assert(g.connect(), qt.IsNotNil)
 			time.Sleep(10 * time.Millisecond)
 		}
-		g.c.Check(ordinary.received(100), qt.IsNil)
+		g.c.Check(ordinary.received(100, 0), qt.IsNil)
 		g.c.Check(ordinary.Begin(), qt.IsNil)
 	})
 }
@@ -194,7 +194,7 @@
 		account, err := g.upload(1 << 20)
 		g.c.Assert(err, qt.IsNil)
 		account.refuse()
-		g.c.Check(account.received(100), qt.IsNil)
+		g.c.Check(account.received(100, 0), qt.IsNil)
 	}
 	g.c.Check(g.held(), qt.Equals, int64(2*connectionBytes))
 	g.c.Check(g.connect(), qt.IsNotNil)
@@ -256,7 +256,7 @@
 		}
 		ordinary := g.connect()
 		g.c.Check(largest.Grow(1<<20), qt.ErrorIs, ErrFull)
-		g.c.Check(ordinary.received(100), qt.IsNil)
+		g.c.Check(ordinary.received(100, 0), qt.IsNil)
 		g.c.Check(ordinary.Begin(), qt.IsNil)
 	})
 }
--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -48,6 +48,7 @@
 	{"announced body over the limit", "Content-Length: 1073741824", func() []byte { return make([]byte, 8*BodyBytes) }, "x", false},
 	{"chunked body over the limit", "Transfer-Encoding: chunked", func() []byte { return chunks(8*BodyBytes, 64<<10) }, "x", false},
 	{"head without an end", "X-Padding: " + strings.Repeat("x", 60<<10), nil, "x", false},
+	{"many fields without an end", manyFields(60 << 10), nil, "x", false},
 	{"answers that nobody reads", "Content-Length: 2", func() []byte { return []byte("{}") }, Long, true},
 }
 
@@ -57,6 +58,15 @@
 	return bytes.Repeat(chunk, total/size)
 }
 
+// manyFields returns short fields with different names, about n bytes in all.
+func manyFields(n int) string {
+	var fields []string
+	for i := range n / len("1000:\r\n") {
+		fields = append(fields, fmt.Sprintf("%x:", 0x1000+i))
+	}
+	return strings.Join(fields, "\r\n")
+}
+
 // Send opens Size connections to the address (IP:port) and sends on each what a client of the kind sends, as far as the server takes it.
 // head is the request line and fields, each ended by a line break. Send returns once all clients have ended sending; their connections
 // stay open until leave is called.
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -10,6 +10,7 @@
 const (
 	BadRequest              Reason = "bad_request"
 	BodyTooLarge            Reason = "body_too_large"
+	HeadTooLarge            Reason = "head_too_large" // the head or the trailer
 	CallerGone              Reason = "caller_gone"
 	CallerTooSlow           Reason = "caller_too_slow"
 	MissingKey              Reason = "missing_api_key"
@@ -70,6 +71,7 @@
 var statusByReason = map[Reason]int{
 	BadRequest:              http.StatusBadRequest,
 	BodyTooLarge:            http.StatusRequestEntityTooLarge,
+	HeadTooLarge:            http.StatusRequestHeaderFieldsTooLarge,
 	CallerGone:              499, // nginx's status for a connection closed by the client; the client never receives it
 	CallerTooSlow:           http.StatusRequestTimeout,
 	MissingKey:              http.StatusUnauthorized,
