--- a/upstream/reach.go
+++ b/upstream/reach.go
@@ -41,8 +41,8 @@
 	testedAt    time.Time
 }
 
-// recordFailure records that a connection to the endpoint could not be made or was lost. known is the number of the service's endpoints. It
-// reports whether the service has just become suspect.
+// recordFailure records that a connection to the endpoint could not be made or was lost. known is the number of the service's usable endpoints.
+// It reports whether the service has just become suspect.
 func (r *reach) recordFailure(endpoint machine.EndpointID, known int, now time.Time) bool {
 	if r.suspected || r.unreachable {
 		return false
@@ -112,7 +112,7 @@
 func (t *Table) recordUnreachable(service string, endpoint machine.EndpointID) {
 	s := t.reachOf(service)
 	s.mu.Lock()
-	suspected := s.reach.recordFailure(endpoint, len(t.view.Load().byService[service]), time.Now())
+	suspected := s.reach.recordFailure(endpoint, len(t.usableAddresses(service)), time.Now())
 	s.mu.Unlock()
 	if !suspected {
 		return
@@ -249,18 +249,24 @@
 	return false
 }
 
-// sampleAddresses returns the addresses of endpoints of the service that may be used, drawn at random: proofEndpoints, or returnEndpoints if
-// the service is known to be unreachable.
-func (t *Table) sampleAddresses(service string, unreachable bool) []string {
-	now := time.Now()
+// usableAddresses returns the addresses of the service's endpoints that may get requests.
+func (t *Table) usableAddresses(service string) []string {
+	now, evacuated := time.Now(), *t.evacuated.Load()
 	var addresses []string
 	for _, endpoint := range t.view.Load().byService[service] {
 		endpoint.mu.Lock()
-		if endpoint.available(now) {
+		if endpoint.available(now) && !evacuated[endpoint.report.Zone] {
 			addresses = append(addresses, endpoint.report.Address)
 		}
 		endpoint.mu.Unlock()
 	}
+	return addresses
+}
+
+// sampleAddresses returns addresses of usable endpoints of the service, drawn at random: proofEndpoints, or returnEndpoints if the service is
+// known to be unreachable.
+func (t *Table) sampleAddresses(service string, unreachable bool) []string {
+	addresses := t.usableAddresses(service)
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	limit := proofEndpoints
 	if unreachable {
--- a/upstream/reach_test.go
+++ b/upstream/reach_test.go
@@ -112,3 +112,34 @@
 	c.Check(r.recordTest(false), qt.IsFalse)
 	c.Check(r.recordTest(true), qt.IsTrue)
 }
+
+// TestUsableEndpointsUnreachable guards against callers of an instance that reaches only endpoints that may not be used: they drain, or their
+// zone is evacuated. The usable ones are out of reach, be it a single one.
+func TestUsableEndpointsUnreachable(t *testing.T) {
+	for name, exclude := range map[string]func(table *Table){
+		"draining": func(table *Table) {
+			draining := report("a2", "app", "b")
+			draining.Draining = true
+			table.Apply(draining)
+		},
+		"evacuated": func(table *Table) { table.Evacuate(map[string]bool{"b": true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				table := newTable(report("a1", "app", "a"), report("a2", "app", "b"))
+				exclude(table)
+				network := &cuttableNetwork{reachable: func(address string) bool { return address == "a2:80" }}
+				monitor := NewReachMonitor(table, network, telemetry.New(), slog.New(slog.DiscardHandler))
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan error, 1)
+				go func() { done <- monitor.Run(ctx) }()
+				grantsAt(c, table, []string{"a1"})[0].Done(Unreachable)
+				time.Sleep(2 * reachTestInterval)
+				c.Check(table.Reachable("app"), qt.IsFalse)
+				cancel()
+				<-done
+			})
+		})
+	}
+}
