link: a panic in a forwarded request does not end the process

ForwardServer repanicked for everything but http.ErrAbortHandler.

Any panic ends the answer as aborted, may have run. TestForward/panic ends its test process before (panic: a fault).

--- a/link/forwardserver.go
+++ b/link/forwardserver.go
@@ -16,7 +16,7 @@
 )
 
 // ForwardHandler serves a forwarded request like one received from the caller directly, and returns
-// the verdict on it. A panic with http.ErrAbortHandler aborts the answer.
+// the verdict on it. A panic aborts the answer.
 type ForwardHandler interface {
 	ServeForwarded(ctx context.Context, w http.ResponseWriter, forwarded *ForwardedRequest) verdict.Verdict
 }
@@ -103,10 +103,7 @@
 func (s *ForwardServer) serve(ctx context.Context, out *frameSender, forwarded *ForwardedRequest) (end *linkpb.End) {
 	writer := newFrameWriter(out)
 	defer func() {
-		if cause := recover(); cause != nil {
-			if cause != http.ErrAbortHandler {
-				panic(cause)
-			}
+		if cause := recover(); cause != nil { // drpc recovers from nothing: any panic would end the process
 			end = &linkpb.End{Verdict: verdict.MayHaveRun.String(), Aborted: true}
 		}
 	}()
--- a/link/peer_test.go
+++ b/link/peer_test.go
@@ -115,6 +115,10 @@
 			_, _ = io.WriteString(w, "part")
 			panic(http.ErrAbortHandler)
 		}, false, nil, verdict.MayHaveRun, verdict.RetryConnection},
+		{"panic", func(_ context.Context, w http.ResponseWriter, _ *ForwardedRequest) verdict.Verdict { // must not end the process
+			_, _ = io.WriteString(w, "part")
+			panic("a fault")
+		}, false, nil, verdict.MayHaveRun, verdict.RetryConnection},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
