gateway, link: the attempts of all peers keep to the route's bound (BUDGET)

Found by the review of: a resumable stream that broke off at every endpoint ran six times on a route that allows three, since an answer that a peer aborts counted as one attempt and the next peer began anew.

A peer that aborts its answer has used up the attempts or the time: the request is not passed on again. An answer that is lost with its peer counts as one attempt. TestAttemptsOverPeers: 6 attempts before, 3 now.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -121,8 +121,9 @@
 	}
 	if failed.verdict == verdict.NotRun {
 		failed.reason = verdict.RetryNotSent
+		return failed
 	}
-	f.recordVerdict(failed.verdict)
+	f.recordLostRelay(err)
 	return failed
 }
 
@@ -132,7 +133,7 @@
 	if answer.Status == http.StatusOK && strings.HasPrefix(answer.Header.Get("Content-Type"), eventStreamType) {
 		failed := f.forwardStream(unobserved{}, whole)
 		if failed != nil {
-			f.recordVerdict(verdict.MayHaveRun)
+			f.recordLostRelay(failed.err)
 		}
 		return failed
 	}
@@ -148,7 +149,7 @@
 		f.recordVerdict(verdict.MayHaveRun)
 		return f.forwardLong(whole, body, failed)
 	case err != nil:
-		f.recordVerdict(verdict.MayHaveRun)
+		f.recordLostRelay(err)
 		failed.err = err
 		return failed
 	}
@@ -161,6 +162,15 @@
 	return nil
 }
 
+// recordLostRelay records that a peer's answer has ended early. A peer that aborts its answer has used up the attempts or the time that the
+// request had. One that was lost counts as one attempt: it may have made more, but hardly ever has.
+func (f *requestState) recordLostRelay(err error) {
+	f.recordVerdict(verdict.MayHaveRun)
+	if errors.Is(err, link.ErrAborted) {
+		f.runs = max(f.runs, f.route.MaxAttempts)
+	}
+}
+
 // origin is what the sender of a request that a peer has passed on says of it.
 type origin struct {
 	body          []byte
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -180,6 +180,26 @@
 	}
 }
 
+// TestAttemptsOverPeers guards against BUDGET: a stream that breaks off at every endpoint runs at no more of them than its route allows, over
+// all peers.
+func TestAttemptsOverPeers(t *testing.T) {
+	c := qt.New(t)
+	shared := &scriptedSender{}
+	var peers []*fixture
+	for id := range 9 {
+		broken := events("id: " + strconv.Itoa(id+1) + "\ndata: a\n\n")
+		broken.truncated = true
+		shared.script = append(shared.script, broken)
+	}
+	for range 3 {
+		peer := newFixture()
+		peer.server.Sender = shared
+		peers = append(peers, peer)
+	}
+	c.Check(relayFixture(c, peers...).call("stream").aborted, qt.IsTrue)
+	c.Check(shared.sent, qt.HasLen, 3)
+}
+
 // TestCallerOfRelayLeaves guards against endpoints that work for a caller who has left the instance that passed the request on.
 func TestCallerOfRelayLeaves(t *testing.T) {
 	c := qt.New(t)
--- a/link/forwardclient.go
+++ b/link/forwardclient.go
@@ -24,6 +24,9 @@
 	maxChunkBytes = 64 << 10
 )
 
+// ErrAborted is the cause of a failure that the serving instance has decided on: it makes no further attempt.
+var ErrAborted = errors.New("the serving instance aborted the answer")
+
 // ForwardedRequest is a caller's request that is forwarded to an entry instance of another zone.
 type ForwardedRequest struct {
 	RequestID string
@@ -102,7 +105,10 @@
 			}
 			return &Answer{Status: int(answer.GetStatus()), Header: fromHeaders(answer.GetHeaders()), Body: c, Length: -1}, nil
 		}
-		if frame.GetEnd() != nil {
+		if end := frame.GetEnd(); end != nil {
+			if end.GetAborted() {
+				return nil, ErrAborted
+			}
 			return nil, errors.New("the answer ended before its head")
 		}
 	}
@@ -176,7 +182,7 @@
 		c.unread = frame.GetChunk()
 		if end := frame.GetEnd(); end != nil {
 			if end.GetAborted() {
-				return 0, c.failure(errors.New("the serving instance aborted the answer"))
+				return 0, c.failure(ErrAborted)
 			}
 			c.ended = true
 			_ = c.verdict.UnmarshalText([]byte(end.GetVerdict()))
