gateway: peers with an older configuration than callers have seen decline (CONFIG)

Answers of peers name the configuration; the highest one is the floor from then on. TestRelayedVersions, before: 'new' and then 'old'.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -19,7 +19,7 @@
 
 // Header fields between instances. Requests to endpoints never carry them, see link.EndToEnd.
 const (
-	// fieldConfiguration is the version of the sender's configuration.
+	// fieldConfiguration on a request is the lowest version of the configuration that may serve it, on an answer the version that did.
 	fieldConfiguration = "Plumbarrow-Configuration"
 	// fieldRuns is the number of attempts before that may have run the request.
 	fieldRuns = "Plumbarrow-Runs"
@@ -79,6 +79,10 @@
 		return f.failedRelay(err), nil
 	}
 	defer func() { _ = answer.Body.Close() }()
+	if version, err := strconv.ParseUint(answer.Header.Get(fieldConfiguration), 10, 64); err == nil {
+		f.server.recordRelayedVersion(version)
+	}
+	answer.Header.Del(fieldConfiguration)
 	if reason := answer.Header.Get(fieldDeclined); reason != "" {
 		peers.declined(peer.ID, time.Now())
 		f.server.Counters.Add(relayedRequests, "reaction", "declined")
@@ -89,6 +93,17 @@
 	return f.receiveRelayed(answer), nil
 }
 
+// recordRelayedVersion records the configuration with which a peer has answered. Later requests go to no peer with an older one: callers of one
+// instance must not see a version and then an older one.
+func (s *Server) recordRelayedVersion(version uint64) {
+	for {
+		highest := s.relayedVersion.Load()
+		if version <= highest || s.relayedVersion.CompareAndSwap(highest, version) {
+			return
+		}
+	}
+}
+
 // forwarded returns the request as it is passed to a peer.
 func (f *requestState) forwarded() *link.ForwardedRequest {
 	header := link.EndToEnd(f.request.Header)
@@ -98,7 +113,7 @@
 	}
 	f.server.CallerProtocol.Relay(header, time.Until(f.timeLimit())-relayMargin, resumeAfter)
 	header.Set("Host", f.call.Host)
-	header.Set(fieldConfiguration, strconv.FormatUint(f.snapshot.Version, 10))
+	header.Set(fieldConfiguration, strconv.FormatUint(max(f.snapshot.Version, f.server.relayedVersion.Load()), 10))
 	header.Set(fieldRuns, strconv.Itoa(f.runs))
 	return &link.ForwardedRequest{
 		RequestID: f.call.ID, Customer: f.customerName(), Method: f.call.Method, Path: f.call.Target, Header: header, Body: f.body, Hops: 1,
@@ -175,7 +190,7 @@
 type origin struct {
 	body          []byte
 	bodyErr       error
-	configuration uint64 // version of the sender's configuration
+	configuration uint64 // lowest version that may serve the request
 	runs          int    // attempts before that may have run
 }
 
@@ -201,17 +216,20 @@
 	return s.serve(w, request, from)
 }
 
-// checkOrigin returns the refusal of a request of a peer that another instance should take, else nil.
+// checkOrigin returns the refusal of a request of a peer that another instance should take, else nil. It names the configuration in the answer.
 func (f *requestState) checkOrigin() *verdict.Refusal {
-	switch {
-	case f.origin == nil:
+	if f.origin == nil {
 		return nil
+	}
+	f.writer.Header().Set(fieldConfiguration, strconv.FormatUint(f.snapshot.Version, 10))
+	switch {
 	case f.server.inFlight.Stopping():
 		return stoppingRefusal()
 	case f.snapshot.Version < f.origin.configuration:
-		return verdict.Refuse(verdict.NoConfiguration, "this instance has configuration %d, the sender %d", f.snapshot.Version, f.origin.configuration)
+		return verdict.Refuse(verdict.NoConfiguration, "this instance has configuration %d, the request needs %d", f.snapshot.Version, f.origin.configuration)
+	default:
+		return nil
 	}
-	return nil
 }
 
 // declines reports whether a refusal tells a peer to pass the request to another instance.
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -200,6 +200,26 @@
 	c.Check(shared.sent, qt.HasLen, 3)
 }
 
+// TestRelayedVersions guards against CONFIG: callers of a cut-off instance see a configuration and then an older one, since its peers differ.
+func TestRelayedVersions(t *testing.T) {
+	c := qt.New(t)
+	newer, older := newFixture(), newFixture()
+	for range 60 {
+		newer.sender.script = append(newer.sender.script, signed(200, "new"))
+		older.sender.script = append(older.sender.script, signed(200, "old"))
+	}
+	newer.current.Set(catalog.New(draft(2)))
+	cut := relayFixture(c, newer, older)
+	seen := false
+	for range 40 {
+		got := cut.call("read")
+		seen = seen || got.body == "new"
+		c.Assert(seen && got.body == "old", qt.IsFalse)
+		c.Check(got.header.Get(fieldConfiguration), qt.Equals, "")
+	}
+	c.Check(seen, qt.IsTrue)
+}
+
 // TestCallerOfRelayLeaves guards against endpoints that work for a caller who has left the instance that passed the request on.
 func TestCallerOfRelayLeaves(t *testing.T) {
 	c := qt.New(t)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -106,6 +106,7 @@
 	answerRests    inflight.Durations // of complete answers from their first byte on, by route
 	streamsRefused atomic.Bool
 	relayPeers     relayPeers
+	relayedVersion atomic.Uint64 // the newest configuration with which a peer has answered for this instance
 }
 
 var _ http.Handler = (*Server)(nil)
