gateway: an endpoint's header does not pass for a peer's (TWICE)

Found by the review of: an endpoint that sent the field by which peers decline made the sender pass work on that had run; a booking ran twice and its caller got 503. The fields between instances are left out of what endpoints answer. TestEndpointWithFieldsOfInstances fails before.

--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -19,11 +19,11 @@
 
 var errLongAnswer = fmt.Errorf("the answer is longer than %d bytes", maxAnswerBytes)
 
-// copyHeader copies an answer's end-to-end header fields. It leaves out hop-by-hop fields and Content-Length.
+// copyHeader copies an answer's end-to-end header fields. It leaves out hop-by-hop fields, Content-Length and the fields between instances.
 func copyHeader(to, from http.Header) {
 	named := from["Connection"]
 	for name, values := range from {
-		if link.HopByHop(name) || name == "Content-Length" || namedIn(named, name) {
+		if link.HopByHop(name) || name == "Content-Length" || namedIn(named, name) || slices.Contains(instanceFields, name) {
 			continue
 		}
 		to[name] = slices.Clone(values)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -27,6 +27,9 @@
 	fieldDeclined = "Plumbarrow-Declined"
 )
 
+// instanceFields are never passed on to callers, and not accepted from endpoints.
+var instanceFields = []string{fieldConfiguration, fieldRuns, fieldDeclined}
+
 const (
 	// relayMargin is taken off the time that a peer gets, so that its answer at the deadline, which says whether the request has run, arrives.
 	relayMargin = 30 * time.Millisecond
@@ -82,7 +85,6 @@
 	if version, err := strconv.ParseUint(answer.Header.Get(fieldConfiguration), 10, 64); err == nil {
 		f.server.recordRelayedVersion(version)
 	}
-	answer.Header.Del(fieldConfiguration)
 	if reason := answer.Header.Get(fieldDeclined); reason != "" {
 		peers.declined(peer.ID, time.Now())
 		f.server.Counters.Add(relayedRequests, "reaction", "declined")
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -220,6 +220,20 @@
 	c.Check(seen, qt.IsTrue)
 }
 
+// TestEndpointWithFieldsOfInstances guards against TWICE: a header field of an endpoint passes for that of the peer, which seems to have declined
+// work that has run, or to have a configuration that no other peer has.
+func TestEndpointWithFieldsOfInstances(t *testing.T) {
+	c := qt.New(t)
+	spoofed := signed(201, "booked")
+	spoofed.header += "\nPlumbarrow-Declined: x\nPlumbarrow-Configuration: 99"
+	peer, other := newFixture(spoofed, spoofed), newFixture(spoofed, spoofed)
+	cut := relayFixture(c, peer, other)
+	for range 2 {
+		c.Check(cut.call("book").status, qt.Equals, 201)
+	}
+	c.Check(len(peer.sender.sent)+len(other.sender.sent), qt.Equals, 2)
+}
+
 // TestCallerOfRelayLeaves guards against endpoints that work for a caller who has left the instance that passed the request on.
 func TestCallerOfRelayLeaves(t *testing.T) {
 	c := qt.New(t)
