entry: events that are kept are charged to the caller's account

Cause: the reader of events kept up to 1 MiB of an event and as much of a line for each stream, charged to nobody; some 150 streams exceed 284 MB. Without room the request ends with upstream_error, as an answer that can't be kept.

--- a/entry/chatattempt.go
+++ b/entry/chatattempt.go
@@ -94,7 +94,9 @@
 		result.buffered = &bufferSink{limit: f.server.Settings.MaxAnswerBytes, account: account}
 		target = result.buffered
 	}
-	stream := &streamCopy{requestState: f.requestState, attempt: a, answer: answer, sink: target, usageRequested: f.chat.UsageRequested}
+	stream := &streamCopy{
+		requestState: f.requestState, attempt: a, account: account, answer: answer, sink: target, usageRequested: f.chat.UsageRequested,
+	}
 	failure, err := stream.run()
 	if failure != nil || err != nil {
 		return failure, err
--- a/entry/events.go
+++ b/entry/events.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"plumbarrow.example/plumbarrow/intake"
 )
 
 const (
@@ -21,14 +23,33 @@
 var errEventTooLong = errors.New("server-sent event or line is too long")
 
 // eventReader splits a stream of server-sent events. It returns complete events only: an event
-// without the blank line that ends it is dropped.
+// without the blank line that ends it is dropped. The account is charged for events and lines above
+// eventBufferSize, until close.
 type eventReader struct {
-	reader *bufio.Reader
-	data   []byte
+	reader  *bufio.Reader
+	data    []byte
+	account *intake.Account
+	held    int64
+}
+
+func newEventReader(account *intake.Account, r io.Reader) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, eventBufferSize), account: account}
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, eventBufferSize)}
+// close gives back what the account holds for the events.
+func (e *eventReader) close() { e.account.Shrink(e.held) }
+
+// hold makes room for an event and a line of n bytes together. Its errors are those of intake.Account.Grow.
+func (e *eventReader) hold(n int) error {
+	more := int64(n) - eventBufferSize - e.held
+	if more <= 0 {
+		return nil
+	}
+	if err := e.account.Grow(more); err != nil {
+		return err
+	}
+	e.held += more
+	return nil
 }
 
 // next returns the data of the next event, valid until the following call. It returns io.EOF at the
@@ -55,6 +76,9 @@
 			e.data = append(e.data, '\n')
 		}
 		hasData = true
+		if err := e.hold(len(e.data) + len(line)); err != nil {
+			return nil, err
+		}
 		e.data = append(e.data, bytes.TrimPrefix(value, []byte(" "))...)
 		if len(e.data) > maxEventBytes {
 			return nil, errEventTooLong
@@ -78,6 +102,9 @@
 	long := bytes.Clone(start)
 	for len(long) <= maxEventBytes {
 		more, err := e.reader.ReadSlice('\n')
+		if err := e.hold(len(e.data) + len(long) + len(more)); err != nil {
+			return nil, err
+		}
 		long = append(long, more...)
 		if err == nil {
 			return bytes.TrimSuffix(long[:len(long)-1], []byte("\r")), nil
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -156,7 +156,8 @@
 // ends with an error event; it is complete only at the end that the serving instance signals.
 func (s *Server) relayEvents(r *requestState, c echo.Context, answer *link.Answer) error {
 	live := newLiveSink(c, s.Settings.writeTimeout(), nil)
-	events := newEventReader(answer.Body)
+	events := newEventReader(intake.FromContext(c.Request().Context()), answer.Body)
+	defer events.close()
 	for {
 		data, err := events.next()
 		if errors.Is(err, io.EOF) && c.Response().Committed {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"strconv"
 
+	"plumbarrow.example/plumbarrow/intake"
 	"plumbarrow.example/plumbarrow/internal/openai"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/verdict"
@@ -30,6 +31,7 @@
 type streamCopy struct {
 	requestState   *requestState
 	attempt        *attempt
+	account        *intake.Account // is charged for long events
 	answer         *link.Answer
 	sink           sink
 	usageRequested bool          // the caller asked for the usage event
@@ -43,9 +45,13 @@
 	if failure := s.checkResumed(); failure != nil {
 		return failure, nil
 	}
-	events := newEventReader(s.answer.Body)
+	events := newEventReader(s.account, s.answer.Body)
+	defer events.close()
 	for {
 		data, err := events.next()
+		if errors.Is(err, intake.ErrFull) || errors.Is(err, intake.ErrEvicted) {
+			return nil, verdict.Uncertain(verdict.UpstreamError, "an event can't be kept: %v", err)
+		}
 		if err != nil {
 			return streamFailure(err), nil
 		}
