--- a/entry/events_test.go
+++ b/entry/events_test.go
@@ -14,8 +14,8 @@
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 )
 
-// TestCrowdOfLongEvents guards against engines whose events use up the memory of the machine that called them: a crowd of streams, each with
-// an event that stays within its bound and does not end, holds no more than the memory for requests.
+// TestCrowdOfLongEvents guards against engines whose events use up the memory of the machine that called them: a crowd of streams, each
+// with an event that stays within its bound and does not end, holds no more than the memory for requests.
 func TestCrowdOfLongEvents(t *testing.T) {
 	const streams, limit, eventBytes = 40, 8 << 20, 900 << 10
 	errOpen := errors.New("the stream goes on")
