link: forwarded requests and answers may hold any bytes that HTTP allows

Found by the review of: a header field or path that is not UTF-8 could not be encoded for the hop; the caller got 502 and may_have_run, for an endpoint's field after the work had run. Bytes above ASCII now travel as the characters of their numbers; ASCII stays as it was. TestForwardedBytes, before: string field contains invalid UTF-8 (may_have_run).

--- a/link/forwardclient.go
+++ b/link/forwardclient.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"plumbarrow.example/plumbarrow/internal/answercheck"
 	"plumbarrow.example/plumbarrow/link/linkpb"
@@ -120,7 +121,7 @@
 		return fmt.Errorf("the answer has the status %d", status)
 	}
 	for _, field := range head.GetHeaders() {
-		if !answercheck.ValidField(field.GetName(), field.GetValue()) {
+		if !answercheck.ValidField(decodeText(field.GetName()), decodeText(field.GetValue())) {
 			return fmt.Errorf("the answer has an invalid field %.80q", field.GetName())
 		}
 	}
@@ -129,10 +130,10 @@
 
 func (c *forwardCall) send(forwarded *ForwardedRequest) error {
 	request := &linkpb.RequestHead{
-		RequestId: forwarded.RequestID,
-		Customer:  forwarded.Customer,
-		Method:    forwarded.Method,
-		Path:      forwarded.Path,
+		RequestId: encodeText(forwarded.RequestID),
+		Customer:  encodeText(forwarded.Customer),
+		Method:    encodeText(forwarded.Method),
+		Path:      encodeText(forwarded.Path),
 		Headers:   toHeaders(forwarded.Header),
 		BodyBytes: int64(len(forwarded.Body)),
 		Hops:      int32(forwarded.Hops),
@@ -220,7 +221,7 @@
 	var headers []*linkpb.Header
 	for name, values := range header {
 		for _, value := range values {
-			headers = append(headers, &linkpb.Header{Name: name, Value: value})
+			headers = append(headers, &linkpb.Header{Name: encodeText(name), Value: encodeText(value)})
 		}
 	}
 	return headers
@@ -229,7 +230,41 @@
 func fromHeaders(headers []*linkpb.Header) http.Header {
 	header := make(http.Header, len(headers))
 	for _, encoded := range headers {
-		header.Add(encoded.GetName(), encoded.GetValue())
+		header.Add(decodeText(encoded.GetName()), decodeText(encoded.GetValue()))
 	}
 	return header
 }
+
+// encodeText returns bytes of HTTP as a string of a message, which must be UTF-8: each byte becomes the character of its number. Text in ASCII
+// stays as it is.
+func encodeText(text string) string {
+	if isASCII(text) {
+		return text
+	}
+	encoded := make([]rune, 0, len(text))
+	for _, b := range []byte(text) {
+		encoded = append(encoded, rune(b))
+	}
+	return string(encoded)
+}
+
+// decodeText reverses encodeText.
+func decodeText(encoded string) string {
+	if isASCII(encoded) {
+		return encoded
+	}
+	text := make([]byte, 0, len(encoded))
+	for _, char := range encoded {
+		text = append(text, byte(char))
+	}
+	return string(text)
+}
+
+func isASCII(text string) bool {
+	for _, b := range []byte(text) {
+		if b >= utf8.RuneSelf {
+			return false
+		}
+	}
+	return true
+}
--- a/link/forwardserver.go
+++ b/link/forwardserver.go
@@ -72,10 +72,10 @@
 			request.GetBodyBytes(), s.maxBytes)
 	}
 	forwarded := &ForwardedRequest{
-		RequestID: request.GetRequestId(),
-		Customer:  request.GetCustomer(),
-		Method:    request.GetMethod(),
-		Path:      request.GetPath(),
+		RequestID: decodeText(request.GetRequestId()),
+		Customer:  decodeText(request.GetCustomer()),
+		Method:    decodeText(request.GetMethod()),
+		Path:      decodeText(request.GetPath()),
 		Header:    fromHeaders(request.GetHeaders()),
 		Hops:      int(request.GetHops()),
 	}
--- a/link/peer_test.go
+++ b/link/peer_test.go
@@ -76,6 +76,34 @@
 	}
 }
 
+// TestForwardedBytes guards against requests and answers that fail on the way between instances because a field or the path is not UTF-8.
+func TestForwardedBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var received *ForwardedRequest
+		echo := func(_ context.Context, w http.ResponseWriter, forwarded *ForwardedRequest) verdict.Verdict {
+			received = forwarded
+			w.Header().Set("X-Name", forwarded.Header.Get("X-Name"))
+			return verdict.Ran
+		}
+		dialer, stop := servePeer(c, newPipeNetwork(), forwardFunc(echo), nil)
+		defer stop()
+		sent := forwardedRequest()
+		sent.Path, sent.RequestID = "/caf\xe9", "r\xff"
+		for _, name := range []string{"caf\xe9", "caf\u00e9", "\u65e5", "\xff\x80"} {
+			sent.Header.Set("X-Name", name)
+			answer, err := NewForwardClient(dialer).Forward(t.Context(), peer, sent)
+			c.Assert(err, qt.IsNil)
+			_, _ = io.Copy(io.Discard, answer.Body)
+			c.Check(answer.Header.Get("X-Name"), qt.Equals, name)
+			c.Check(received.Header.Get("X-Name"), qt.Equals, name)
+			c.Check(received.Path, qt.Equals, sent.Path)
+			c.Check(received.RequestID, qt.Equals, sent.RequestID)
+			_ = answer.Body.Close()
+		}
+	})
+}
+
 // TestForward checks the verdict and reason that the sender of a forwarded request gets in each way that
 // the request can end. A planned stop of the serving instance must not truncate the answer.
 func TestForward(t *testing.T) {
