link: a relay gives up a peer that does not confirm the connection within 400 ms

Nothing has been sent by then, so that another peer may take the request at once. TestFrozenMember: 3 s before, 400 ms now, virtual time. Forwards of entry to other data centres keep 3 s.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -178,7 +178,7 @@
 		Upstreams:        g.table,
 		Sender:           g.endpointClient,
 		Versions:         g.rollouts,
-		Relay:            link.NewForwardClient(g.relayDialer),
+		Relay:            link.NewRelayClient(g.relayDialer),
 		Members:          g.membership,
 		Quarantine:       g.quarantine,
 		RetryBudget:      gateway.NewRetryBudget(),
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -48,7 +48,7 @@
 	}
 	dialer := link.NewRelayDialer()
 	c.Cleanup(dialer.Close)
-	cut.server.Self, cut.server.Members, cut.server.Relay = members[0], members, link.NewForwardClient(dialer)
+	cut.server.Self, cut.server.Members, cut.server.Relay = members[0], members, link.NewRelayClient(dialer)
 	cut.server.Upstreams = cutOffTable{cut.table}
 	return cut
 }
--- a/link/forwardclient.go
+++ b/link/forwardclient.go
@@ -21,6 +21,8 @@
 	// frameTimeout is how long a forwarded call may wait for a frame before it fails. It is longer
 	// than frameKeepAliveInterval.
 	frameTimeout = 3 * time.Second
+	// relayConfirmTimeout is how long a member nearby may take to confirm the connection: many round trips within a region.
+	relayConfirmTimeout = 400 * time.Millisecond
 	// maxChunkBytes bounds one body chunk.
 	maxChunkBytes = 64 << 10
 )
@@ -42,11 +44,19 @@
 
 // ForwardClient sends requests to entry instances of other zones. Safe for concurrent use.
 type ForwardClient struct {
-	peers Peers
+	peers   Peers
+	confirm time.Duration // bound of the time until the member has confirmed the connection
 }
 
 // NewForwardClient returns a client over the peer links.
-func NewForwardClient(peers Peers) *ForwardClient { return &ForwardClient{peers: peers} }
+func NewForwardClient(peers Peers) *ForwardClient {
+	return &ForwardClient{peers: peers, confirm: frameTimeout}
+}
+
+// NewRelayClient returns a client for members nearby, of which another one is tried soon when one does not answer.
+func NewRelayClient(peers Peers) *ForwardClient {
+	return &ForwardClient{peers: peers, confirm: relayConfirmTimeout}
+}
 
 // Forward sends the request to the member and returns once it has the answer's head. The body ends
 // with io.EOF only after the member's End frame; ForwardVerdict then returns the member's verdict on
@@ -55,7 +65,7 @@
 func (f *ForwardClient) Forward(ctx context.Context, member machine.Member, forwarded *ForwardedRequest) (*Answer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	call := &forwardCall{ctx: ctx, cancel: cancel}
-	call.timer = time.AfterFunc(frameTimeout, func() { cancel(errSilent) })
+	call.timer = time.AfterFunc(f.confirm, func() { cancel(errSilent) })
 	answer, err := call.start(f.peers, member, forwarded)
 	if err != nil {
 		failure := call.failure(err)
@@ -88,9 +98,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, err := c.receive(); err != nil {
+	if _, err := c.stream.Recv(); err != nil { // the confirmation, within the time that the timer has left
 		return nil, err
 	}
+	c.timer.Reset(frameTimeout)
 	c.mayHaveSent = true
 	if err := c.send(forwarded); err != nil {
 		return nil, err
--- a/link/peer_test.go
+++ b/link/peer_test.go
@@ -76,6 +76,24 @@
 	}
 }
 
+// TestFrozenMember guards against requests that wait long for an instance which accepts connections and does not run: nothing was sent to it, so
+// that another one can still serve in time.
+func TestFrozenMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := newPipeNetwork()
+		network.silent.Store(true)
+		dialer, stop := servePeer(c, network, forwardFunc(nil), nil)
+		defer stop()
+		started := time.Now()
+		_, err := NewRelayClient(dialer).Forward(t.Context(), peer, forwardedRequest())
+		var failure *Failure
+		c.Assert(errors.As(err, &failure), qt.IsTrue)
+		c.Check(failure.Verdict, qt.Equals, verdict.NotRun)
+		c.Check(time.Since(started), qt.Equals, relayConfirmTimeout) // virtual time
+	})
+}
+
 // TestForwardedBytes guards against requests and answers that fail on the way between instances because a field or the path is not UTF-8.
 func TestForwardedBytes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
