--- a/link/endpointclient.go
+++ b/link/endpointclient.go
@@ -103,9 +103,6 @@
 	return &EndpointClient{dial: dial, match: match, idle: make(map[string][]*endpointConn)}
 }
 
-// tcpUserTimeout is TCP_USER_TIMEOUT of linux/tcp.h.
-const tcpUserTimeout = 18
-
 // BoundHeads sets the budget for the heads of answers, before the client is used.
 func (c *EndpointClient) BoundHeads(budget *answercheck.Budget) { c.heads = budget }
 
@@ -115,13 +112,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: endpointProbeIdle, Interval: endpointProbeInterval, Count: endpointProbeCount,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var err error
-			controlErr := raw.Control(func(fd uintptr) {
-				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(endpointUserTimeout.Milliseconds()))
-			})
-			return errors.Join(err, controlErr)
-		},
+		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, endpointUserTimeout) },
 	}
 	return dialer.DialContext
 }
--- a/link/peerserver.go
+++ b/link/peerserver.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"storj.io/drpc"
@@ -12,8 +13,13 @@
 	"storj.io/drpc/drpcserver"
 )
 
-// peerDrainTimeout bounds how long a stopping peer server waits for calls in progress.
-const peerDrainTimeout = time.Minute
+const (
+	// peerDrainTimeout bounds how long a stopping peer server waits for calls in progress.
+	peerDrainTimeout = time.Minute
+	// peerUserTimeout is how long bytes to a peer may stay unacknowledged before its calls are cancelled. With frameKeepAliveInterval, at which
+	// bytes are sent, it is shorter than frameTimeout: work for a peer that cannot be reached ends before that peer passes it on again.
+	peerUserTimeout = 1500 * time.Millisecond
+)
 
 // ServePeers serves the registered drpc services until ctx ends. Then it accepts no further
 // connection, refuses new calls, lets the calls in progress finish, and returns.
@@ -37,6 +43,7 @@
 	for {
 		conn, err := listener.Accept()
 		if err == nil {
+			boundSilence(conn)
 			serve(conn)
 			continue
 		}
@@ -55,6 +62,17 @@
 	}
 }
 
+// boundSilence sets peerUserTimeout.
+func boundSilence(conn net.Conn) {
+	tcp, ok := conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := tcp.SyscallConn(); err == nil {
+		_ = setUserTimeout(raw, peerUserTimeout)
+	}
+}
+
 const acceptPause = 100 * time.Millisecond
 
 // errStopping refuses calls that arrive while the server stops.
