store: order documents, leases and writes by the store's era

Cause: in a drill the users' store comes back from a copy some seconds old. Revisions go back and are given out again, and a copy's position was a revision alone: the watch gets 410, the full read that follows brings only lower revisions, which are dropped, and the next watch gets 410 again, without a pause. Lease ids and the revisions of conditions are given out again as well.

Ruled out: the era in the upper bits of one revision (bounds hidden, logs show numbers that no store gave out).

Change: positions are pairs of era and revision (design/0022). The client keeps the highest era and ends watches, leases and writes of older ones; a rise leads to a full read. What the restored store lacks, or has in an older form, stays in force until its writer writes it again, at most for a time that platform.RestoreHold gives. Configurations are ordered by their version between eras. Instances register again at once under a new lease. The exchange carries the era; a peer of an older era confirms nothing.

--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -31,6 +31,7 @@
 // fakeStore simulates the part of the platform's store that the driver uses: documents with revisions, and leases.
 type fakeStore struct {
 	mu          sync.Mutex
+	era         uint64
 	revision    uint64
 	documents   map[string]mirror.Document
 	leases      map[uint64]time.Time     // end time by lease
@@ -54,6 +55,7 @@
 	rollouts    *Rollouts
 	driver      *Driver
 	documents   map[string]mirror.Document
+	era         uint64
 	partitioned bool // receives no changes of the store
 }
 
@@ -77,7 +79,7 @@
 // commit stores a document under the next revision and sends it to all instances. The caller holds the lock.
 func (s *fakeStore) commit(document mirror.Document) {
 	s.revision++
-	document.Revision = s.revision
+	document.Revision, document.Era = s.revision, s.era
 	s.documents[document.Key] = document
 	for _, i := range s.instances {
 		i.onDocument(document)
@@ -89,7 +91,7 @@
 	if i.partitioned {
 		return
 	}
-	i.documents[document.Key] = document
+	i.documents[document.Key], i.era = document, document.Era
 	if len(document.Key) > len(StagePrefix) && document.Key[:len(StagePrefix)] == StagePrefix {
 		i.rollouts.ApplyStage(document)
 	}
@@ -104,6 +106,9 @@
 	return document, ok && !document.Deleted
 }
 
+// Era implements the part of a mirror that the driver reads.
+func (i *instance) Era() uint64 { return i.era }
+
 func (s *fakeStore) Write(_ context.Context, write *mirror.Write) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -121,8 +126,8 @@
 		}
 	}
 	for _, put := range write.Puts {
-		if put.Lease != 0 {
-			s.leaseOf[put.Key] = put.Lease
+		if put.Lease.ID != 0 {
+			s.leaseOf[put.Key] = put.Lease.ID
 		}
 		s.commit(mirror.Document{Key: put.Key, Value: put.Value})
 	}
@@ -132,36 +137,36 @@
 	return s.revision, nil
 }
 
-func (s *fakeStore) Grant(_ context.Context, ttl time.Duration) (uint64, error) {
+func (s *fakeStore) Grant(_ context.Context, ttl time.Duration) (mirror.Lease, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return 0, mirror.ErrUnavailable
+		return mirror.Lease{}, mirror.ErrUnavailable
 	}
 	s.revision++
 	s.leases[s.revision] = time.Now().Add(ttl)
 	s.ttl[s.revision] = ttl
-	return s.revision, nil
+	return mirror.Lease{Era: s.era, ID: s.revision}, nil
 }
 
-func (s *fakeStore) Renew(_ context.Context, lease uint64) error {
+func (s *fakeStore) Renew(_ context.Context, lease mirror.Lease) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
 		return mirror.ErrUnavailable
 	}
 	s.expire()
-	if ends, ok := s.leases[lease]; !ok || time.Now().After(ends) {
+	if ends, ok := s.leases[lease.ID]; !ok || time.Now().After(ends) {
 		return mirror.ErrNoLease
 	}
-	s.leases[lease] = time.Now().Add(s.ttl[lease])
+	s.leases[lease.ID] = time.Now().Add(s.ttl[lease.ID])
 	return nil
 }
 
-func (s *fakeStore) End(_ context.Context, lease uint64) error {
+func (s *fakeStore) End(_ context.Context, lease mirror.Lease) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.leases, lease)
+	delete(s.leases, lease.ID)
 	s.expire()
 	return nil
 }
@@ -526,7 +531,7 @@
 		// The former driver resumes with an outdated fencing token.
 		held := first.driver.leaseRevision
 		current := second.rollouts.byService["app"]
-		first.driver.advance(t.Context(), transition{order: current.order, stageRevision: current.stageRevision, stage: Stage{State: Reverted}})
+		first.driver.advance(t.Context(), transition{order: current.order, stageRevision: second.rollouts.stages["app"].revision, stage: Stage{State: Reverted}})
 		c.Check(held, qt.Not(qt.Equals), second.driver.leaseRevision)
 		c.Check(store.status(), qt.Equals, "running")
 		run(t, store, 2*time.Second, []*instance{second}, nil)
--- a/canary/driver.go
+++ b/canary/driver.go
@@ -115,7 +115,7 @@
 	members   machine.Members
 	log       *slog.Logger
 
-	lease              uint64    // id of the lease
+	lease              mirror.Lease
 	leaseRevision      uint64    // store revision of the document at DriverKey, the fencing token; 0 without the lease
 	renewed            time.Time // when the lease was granted or last renewed
 	backoffUntil       time.Time // no calls to the store before this time
@@ -188,13 +188,14 @@
 	revision, err := d.writer.Write(ctx, &mirror.Write{
 		Conditions: []mirror.Condition{{Key: DriverKey}},
 		Puts:       []mirror.Put{{Key: DriverKey, Value: []byte(d.members.Self().ID), Lease: lease}},
+		Era:        lease.Era,
 	})
 	if err != nil {
 		d.backOff("writing the driver's lease document failed", err)
 		return
 	}
 	d.lease, d.leaseRevision, d.renewed = lease, revision, now
-	d.log.Info("driver's lease acquired", "lease", lease, "revision", revision)
+	d.log.Info("driver's lease acquired", "lease", lease.ID, "revision", revision)
 }
 
 // acquireDelay returns how long this instance waits before it tries to take the free lease. All instances receive an
@@ -221,7 +222,7 @@
 		return
 	}
 	if errors.Is(err, mirror.ErrNoLease) || now.Sub(d.renewed) > driverTTL {
-		d.log.Warn("driver's lease lost", "lease", d.lease, "error", err)
+		d.log.Warn("driver's lease lost", "lease", d.lease.ID, "error", err)
 		d.leaseRevision = 0
 	}
 }
@@ -230,7 +231,7 @@
 	ctx, cancel := context.WithTimeout(ctx, driverTimeout)
 	defer cancel()
 	if err := d.writer.End(ctx, d.lease); err != nil {
-		d.log.Warn("releasing the driver's lease failed", "lease", d.lease, "error", err)
+		d.log.Warn("releasing the driver's lease failed", "lease", d.lease.ID, "error", err)
 	}
 	d.leaseRevision = 0
 }
@@ -260,6 +261,7 @@
 			{Key: key, Revision: next.stageRevision},
 		},
 		Puts: puts,
+		Era:  d.lease.Era,
 	})
 	if err != nil {
 		d.backOff("writing a stage failed", fmt.Errorf("service %s: %w", next.order.Service, err))
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -125,7 +125,8 @@
 type Snapshot struct {
 	// Version is the version number that operators gave the configuration.
 	Version uint64
-	// Revision is the store's revision of the document. Snapshots are ordered by it.
+	// Era and Revision are the store's position of the document. Snapshots are ordered by it.
+	Era          uint64
 	Revision     uint64
 	Limits       Limits
 	Services     map[string]*Service  // by name
@@ -137,6 +138,7 @@
 // Draft is the content from which a snapshot is built.
 type Draft struct {
 	Version   uint64
+	Era       uint64
 	Revision  uint64
 	Routes    []*Route
 	Services  []*Service
@@ -151,6 +153,7 @@
 func New(draft *Draft) *Snapshot {
 	s := &Snapshot{
 		Version:      draft.Version,
+		Era:          draft.Era,
 		Revision:     draft.Revision,
 		Limits:       draft.Limits,
 		Services:     make(map[string]*Service, len(draft.Services)),
@@ -225,12 +228,12 @@
 // Get returns the snapshot in force, or nil before the first one.
 func (c *Current) Get() *Snapshot { return c.snapshot.Load() }
 
-// Set puts a snapshot in force and reports whether it did. It does nothing if the snapshot in force has
-// the same or a newer revision.
+// Set puts a snapshot in force and reports whether it did. It does nothing if the snapshot in force is
+// as new or newer.
 func (c *Current) Set(next *Snapshot) bool {
 	for {
 		current := c.snapshot.Load()
-		if current != nil && current.Revision >= next.Revision {
+		if current != nil && !next.replaces(current) {
 			return false
 		}
 		if c.snapshot.CompareAndSwap(current, next) {
@@ -238,3 +241,12 @@
 		}
 	}
 }
+
+// replaces reports whether the snapshot is newer than another one. A store that comes back from an older copy, in a new era, may have an
+// older version than the one in force.
+func (s *Snapshot) replaces(current *Snapshot) bool {
+	if s.Era != current.Era {
+		return s.Era > current.Era && s.Version >= current.Version
+	}
+	return s.Revision > current.Revision
+}
--- a/mirror/fleet_test.go
+++ b/mirror/fleet_test.go
@@ -70,7 +70,7 @@
 }
 
 // Watch implements Store.
-func (l *storeLink) Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error) {
+func (l *storeLink) Watch(ctx context.Context, after Position, wait time.Duration) (Changes, error) {
 	cut, err := l.call(ctx)
 	if err != nil {
 		return Changes{}, err
@@ -423,7 +423,7 @@
 		network := peers.New(100 * time.Millisecond)
 		source, target := network.Node("source"), network.Node("target")
 		sourceMirror := New(slog.New(slog.DiscardHandler), func([]Document, time.Time) {})
-		sourceMirror.apply([]Document{{Key: "k", Revision: 3}}, 3)
+		sourceMirror.apply([]Document{{Key: "k", Revision: 3}}, Position{Revision: 3})
 		sourceMirror.confirm(time.Now())
 		time.Sleep(500 * time.Millisecond)
 		c.Assert(NewTopic(sourceMirror, source, nil).Register(source), qt.IsNil)
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -3,24 +3,30 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"plumbarrow.example/plumbarrow/internal/pause"
 )
 
-// ErrCompacted means that the store no longer has the history after the revision of a watch.
-var ErrCompacted = errors.New("history compacted")
+var (
+	// ErrCompacted means that the store no longer has the history after the position of a watch, or that it is of a newer era.
+	ErrCompacted = errors.New("history compacted")
+	// ErrOlderEra means that an answer is of an older era than an earlier one.
+	ErrOlderEra = errors.New("answer of an older era")
+)
 
 // Page is one part of a range of documents. The pages of a range can be read at different
 // revisions, so that together they are not a snapshot.
 type Page struct {
 	Documents []Document
 	Revision  uint64 // of the store when the page was read
+	Era       uint64 // of the store when the page was read
 	More      bool
 }
 
-// Changes is the answer to a watch: what changed, and the revision up to which that is complete.
+// Changes is the answer to a watch: what changed, and the revision up to which that is complete. All is of the era of the watch.
 type Changes struct {
 	Documents []Document
 	Revision  uint64
@@ -31,9 +37,9 @@
 	// Range returns the first page of the documents whose keys come after a key, in the order of
 	// their keys; an empty key means from the start.
 	Range(ctx context.Context, after string) (Page, error)
-	// Watch returns the changes after a revision as soon as there are some, or none once wait has
-	// passed. It returns ErrCompacted if the history does not reach back that far.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
+	// Watch returns the changes after a position as soon as there are some, or none once wait has
+	// passed. It returns ErrCompacted if the history does not reach back that far or the store is of a newer era.
+	Watch(ctx context.Context, after Position, wait time.Duration) (Changes, error)
 }
 
 const (
@@ -73,9 +79,10 @@
 // Follow keeps the copy in step with the store until ctx ends. While watching returns false, it calls the
 // store only if the copy has not been confirmed for maxUnconfirmed, or for changes that are too large for a poll.
 func (m *Mirror) Follow(ctx context.Context, store Store, watching func() bool) error {
-	synced := false
+	synced, compacted := false, false // compacted: the last watch found no history
 	delay := minBackoff
 	for ctx.Err() == nil {
+		m.releaseHeld()
 		watcher := watching()
 		if synced && !watcher && m.confirmed(maxUnconfirmed) && !m.awaitStoreCall(ctx, m.untilDue()) {
 			continue
@@ -89,7 +96,10 @@
 		}
 		if errors.Is(err, ErrCompacted) {
 			m.log.Warn("store history compacted; reading all documents again", "revision", m.Revision())
-			synced = false
+			if compacted && !backoff(ctx, &delay, maxBackoff) {
+				return nil
+			}
+			synced, compacted = false, true
 			continue
 		}
 		if err != nil {
@@ -103,8 +113,11 @@
 			}
 			continue
 		}
+		if synced || !compacted {
+			compacted = false
+			delay = minBackoff
+		}
 		synced = true
-		delay = minBackoff
 		if changed > 0 && !pause.Sleep(ctx, m.gatherTime()) {
 			return nil
 		}
@@ -150,7 +163,7 @@
 	started := time.Now()
 	watchCtx, cancel := context.WithTimeout(ctx, wait+watchGrace)
 	defer cancel()
-	after := m.Revision()
+	after := m.Position()
 	changes, err := store.Watch(watchCtx, after, wait)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -159,7 +172,7 @@
 		return 0, err
 	}
 	m.recordContact()
-	m.apply(changes.Documents, max(after, changes.Revision))
+	m.apply(changes.Documents, Position{Era: after.Era, Revision: max(after.Revision, changes.Revision)})
 	m.pruneTombstones(maxTombstones)
 	if len(changes.Documents) == 0 && time.Since(started) >= wait {
 		m.confirm(started.Add(wait)) // the store answers an empty watch no earlier
@@ -173,14 +186,17 @@
 func (m *Mirror) readAll(ctx context.Context, store Store) error {
 	started := time.Now()
 	var documents []Document
-	var from uint64
+	var from Position
 	for after := ""; ; {
 		page, err := readPage(ctx, store, after)
 		if err != nil {
 			return err
 		}
-		if from == 0 {
-			from = page.Revision // of the first page: the watch repeats later changes
+		if from == (Position{}) {
+			from = Position{Era: page.Era, Revision: page.Revision} // of the first page: the watch repeats later changes
+		}
+		if page.Era != from.Era {
+			return fmt.Errorf("era %d after %d: %w", page.Era, from.Era, ErrCompacted)
 		}
 		documents = append(documents, page.Documents...)
 		if !page.More || len(page.Documents) == 0 {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -1,8 +1,9 @@
 // Package mirror keeps a copy of the documents that instances share through the platform's store. A
 // few instances watch the store; the others poll them for changes and call the store only if no poll
 // has confirmed their copy for a while. Copies also fetch changes from instances that are ahead, so
-// that they stay current while the store cannot be reached. Documents carry the store's revision of
-// their last change, and a copy never replaces a document by an older one.
+// that they stay current while the store cannot be reached. Documents carry the position of their last
+// change, and a copy never replaces a document by an older one. What a store lost that came back from an
+// older copy stays in force while its writer may write it again.
 package mirror
 
 import (
@@ -16,15 +17,19 @@
 	"time"
 )
 
-// Document is one key of the store. A deleted document is kept as a tombstone without its value, so
-// that an older copy cannot bring it back.
+// Document is one key of the store. A deleted document is kept as a tombstone, so that an older copy
+// cannot bring it back.
 type Document struct {
 	Key      string
-	Value    []byte // shared by all receivers; must not be modified
+	Value    []byte // shared by all receivers; must not be modified. A tombstone keeps the last known one.
 	Revision uint64 // store revision of the last change or of the deletion
 	Deleted  bool
+	Era      uint64 // of the store that had this revision; see Position
 }
 
+// Position returns the position of the last change.
+func (d Document) Position() Position { return Position{Era: d.Era, Revision: d.Revision} }
+
 const (
 	// reregisterWindow is how long after an outage of the store documents whose leases expired
 	// during it may still be written again by their owners.
@@ -53,8 +58,10 @@
 
 	mu              sync.Mutex
 	documents       map[string]Document
-	revision        uint64 // every change up to it is included
-	tombstoneFloor  uint64 // the copy has all tombstones above this revision
+	held            map[string]heldDocument // in force instead of those in documents; see RestoreHold
+	position        Position                // every change up to it is included
+	tombstoneFloor  Position                // the copy has all tombstones above this position
+	hold            RestoreHold
 	listener        Listener
 	lastContact     time.Time // last answer of the store
 	lastUnreachable time.Time // last failure of the store or, once it answers again, end of the outage
@@ -63,23 +70,32 @@
 	// confirmedAt is the latest time for which the copy is known to include every change acknowledged by
 	// then; zero if unknown. It is a lower bound that allows for delays of messages.
 	confirmedAt time.Time
-	advanced    chan struct{} // closed and replaced when revision grows
+	advanced    chan struct{} // closed and replaced when position grows
 
 	storeCall chan struct{} // see callStore; capacity 1
 }
 
 // New returns an empty copy.
 func New(log *slog.Logger, listener Listener) *Mirror {
-	return &Mirror{log: log, documents: make(map[string]Document), listener: listener, advanced: make(chan struct{}), storeCall: make(chan struct{}, 1)}
+	return &Mirror{
+		log: log, documents: make(map[string]Document), held: make(map[string]heldDocument), hold: holdNothing, listener: listener,
+		advanced: make(chan struct{}), storeCall: make(chan struct{}, 1),
+	}
 }
 
 // Revision returns the store revision up to which the copy is complete; 0 before the first read.
-func (m *Mirror) Revision() uint64 {
+func (m *Mirror) Revision() uint64 { return m.Position().Revision }
+
+// Position returns the position up to which the copy is complete; zero before the first read.
+func (m *Mirror) Position() Position {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.revision
+	return m.position
 }
 
+// Era returns the era of the store that the copy was read from; 0 if the store has none.
+func (m *Mirror) Era() uint64 { return m.Position().Era }
+
 // ConfirmedAge returns how old the state of the store is that the copy is known to include; ok is false
 // before the first confirmation.
 func (m *Mirror) ConfirmedAge() (age time.Duration, ok bool) {
@@ -106,7 +122,7 @@
 	if m.unreachable && at.After(m.lastUnreachable) {
 		m.unreachable = false
 		m.lastUnreachable = time.Now()
-		m.log.Info("copy confirmed again", "revision", m.revision)
+		m.log.Info("copy confirmed again", "revision", m.position.Revision)
 	}
 }
 
@@ -124,15 +140,20 @@
 	}
 }
 
-// awaitAfter waits until the copy's revision exceeds after, at most for wait.
-func (m *Mirror) awaitAfter(ctx context.Context, after uint64, wait time.Duration) {
+// awaitAfter waits until the copy's position is later than after, at most for wait.
+func (m *Mirror) awaitAfter(ctx context.Context, after Position, wait time.Duration) {
+	m.await(ctx, wait, func(position Position) bool { return position.After(after) })
+}
+
+// await waits until the copy's position meets the condition, at most for wait.
+func (m *Mirror) await(ctx context.Context, wait time.Duration, met func(Position) bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		m.mu.Lock()
-		revision, advanced := m.revision, m.advanced
+		position, advanced := m.position, m.advanced
 		m.mu.Unlock()
-		if revision > after {
+		if met(position) {
 			return
 		}
 		select {
@@ -145,12 +166,12 @@
 	}
 }
 
-// setRevision raises the revision. The caller holds the lock.
-func (m *Mirror) setRevision(revision uint64) {
-	if revision <= m.revision {
+// setPosition advances the position. The caller holds the lock.
+func (m *Mirror) setPosition(position Position) {
+	if !position.After(m.position) {
 		return
 	}
-	m.revision = revision
+	m.position = position
 	close(m.advanced)
 	m.advanced = make(chan struct{})
 }
@@ -162,7 +183,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.revision > 0 && !m.unreachable && time.Since(m.lastUnreachable) >= steadyAfter
+	return m.position.Revision > 0 && !m.unreachable && time.Since(m.lastUnreachable) >= steadyAfter
 }
 
 // recordPeerSteady records a peer's report that it has reached the store without a gap.
@@ -188,7 +209,7 @@
 	}
 }
 
-// Get returns a document; ok is false, and the document empty, if it does not exist.
+// Get returns a document as the store has it; ok is false, and the document empty, if it does not exist.
 func (m *Mirror) Get(key string) (document Document, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -199,13 +220,16 @@
 	return document, true
 }
 
-// List returns the documents whose keys begin with the prefix, in the order of their keys.
+// List returns the documents in force whose keys begin with the prefix, in the order of their keys.
 func (m *Mirror) List(prefix string) []Document {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var found []Document
-	for key, document := range m.documents {
-		if strings.HasPrefix(key, prefix) && !document.Deleted {
+	for key := range m.documents {
+		if !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		if document := m.inForce(key); !document.Deleted {
 			found = append(found, document)
 		}
 	}
@@ -213,76 +237,102 @@
 	return found
 }
 
-// apply merges changes, after which the copy is complete up to revision.
-func (m *Mirror) apply(changed []Document, revision uint64) {
+// apply merges changes, after which the copy is complete up to position. Changes of another era than the copy's are ignored: an older
+// one is outdated, a newer one must be read in full.
+func (m *Mirror) apply(changed []Document, position Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.merge(changed)
-	m.setRevision(revision)
+	if position.Era != m.position.Era {
+		return
+	}
+	m.merge(changed, false)
+	m.setPosition(position)
 }
 
-// replace merges a full state whose first page was read at revision from. Documents that it lacks
+// replace merges a full state whose first page was read at position from. Documents that it lacks
 // were deleted, unless they are newer than from: those may have been written while the pages were
-// read.
-func (m *Mirror) replace(documents []Document, from uint64) {
+// read. A state of an older era is ignored.
+func (m *Mirror) replace(documents []Document, from Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if from < m.revision && m.revision != 0 {
+	if from.Era < m.position.Era {
+		return
+	}
+	if m.position.After(from) {
 		// The state is older than the copy, so that a document it lacks may have been created since.
-		m.merge(documents)
+		m.merge(documents, false)
 		return
 	}
+	restored := from.Era > m.position.Era && m.position != Position{}
+	if restored {
+		m.recordRestore(from)
+	}
 	listed := make(map[string]bool, len(documents))
 	for _, document := range documents {
 		listed[document.Key] = true
 	}
 	changed := slices.Clone(documents)
 	for key, document := range m.documents {
-		if !listed[key] && !document.Deleted && document.Revision <= from {
-			changed = append(changed, Document{Key: key, Revision: from, Deleted: true})
+		if !listed[key] && !document.Deleted && !document.Position().After(from) {
+			changed = append(changed, Document{Key: key, Revision: from.Revision, Era: from.Era, Deleted: true})
 		}
 	}
-	m.merge(changed)
-	m.setRevision(from)
-	m.tombstoneFloor = max(m.tombstoneFloor, from)
+	m.merge(changed, restored)
+	m.setPosition(from)
+	if from.After(m.tombstoneFloor) {
+		m.tombstoneFloor = from
+	}
 }
 
-// merge takes over the documents that are newer than the copy's and calls the listener with them.
-// The caller holds the lock.
-func (m *Mirror) merge(documents []Document) {
+// merge takes over the documents that are newer than the copy's and calls the listener with those that are in force. restored means
+// that they are the first state of a new era. The caller holds the lock.
+func (m *Mirror) merge(documents []Document, restored bool) {
 	var changed []Document
 	for _, document := range documents {
-		if document.Revision <= m.documents[document.Key].Revision {
+		known, exists := m.documents[document.Key]
+		if !document.Position().After(known.Position()) {
 			continue
 		}
+		if document.Deleted {
+			document.Value = known.Value
+		}
+		held := restored && exists && m.holdBack(m.inForce(document.Key), document)
 		m.documents[document.Key] = document
-		changed = append(changed, document)
+		if !held {
+			delete(m.held, document.Key)
+			changed = append(changed, document)
+		}
 	}
+	m.notify(changed)
+}
+
+// notify calls the listener with changed documents, if there are any. The caller holds the lock.
+func (m *Mirror) notify(changed []Document) {
 	if len(changed) == 0 {
 		return
 	}
-	slices.SortStableFunc(changed, func(a, b Document) int { return cmp.Compare(a.Revision, b.Revision) })
+	slices.SortStableFunc(changed, func(a, b Document) int { return a.Position().Compare(b.Position()) })
 	m.listener(changed, m.provisionalUntil())
 }
 
-// changeSet is what changed after a revision.
+// changeSet is what changed after a position.
 type changeSet struct {
 	documents   []Document // if full, all documents that exist
-	revision    uint64
-	full        bool      // tombstones above the revision asked for have been dropped
+	position    Position
+	full        bool      // tombstones above the position asked for have been dropped
 	confirmedAt time.Time // see Mirror.confirmedAt
 }
 
-// changesAfter returns what changed after a revision.
-func (m *Mirror) changesAfter(after uint64) changeSet {
+// changesAfter returns what changed after a position.
+func (m *Mirror) changesAfter(after Position) changeSet {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	changes := changeSet{revision: m.revision, full: after < m.tombstoneFloor, confirmedAt: m.confirmedAt}
-	if !changes.full && after >= m.revision {
+	changes := changeSet{position: m.position, full: m.tombstoneFloor.After(after), confirmedAt: m.confirmedAt}
+	if !changes.full && !m.position.After(after) {
 		return changes
 	}
 	for _, document := range m.documents {
-		if changes.full && !document.Deleted || !changes.full && document.Revision > after {
+		if changes.full && !document.Deleted || !changes.full && document.Position().After(after) {
 			changes.documents = append(changes.documents, document)
 		}
 	}
@@ -304,7 +354,7 @@
 	if m.unreachable {
 		m.unreachable = false
 		m.lastUnreachable = m.lastContact
-		m.log.Info("store regained", "revision", m.revision)
+		m.log.Info("store regained", "revision", m.position.Revision)
 	}
 }
 
@@ -315,7 +365,7 @@
 	m.lastUnreachable = time.Now()
 	if !m.unreachable {
 		m.unreachable = true
-		m.log.Warn("store lost", "revision", m.revision, "last_heard_ms", time.Since(m.lastContact).Milliseconds(), "error", err)
+		m.log.Warn("store lost", "revision", m.position.Revision, "last_heard_ms", time.Since(m.lastContact).Milliseconds(), "error", err)
 	}
 }
 
@@ -333,9 +383,12 @@
 	if len(deleted) <= limit {
 		return
 	}
-	slices.SortFunc(deleted, func(a, b Document) int { return cmp.Compare(a.Revision, b.Revision) })
+	slices.SortFunc(deleted, func(a, b Document) int { return a.Position().Compare(b.Position()) })
 	for _, document := range deleted[:len(deleted)-limit] {
 		delete(m.documents, document.Key)
-		m.tombstoneFloor = max(m.tombstoneFloor, document.Revision)
+		delete(m.held, document.Key)
+		if document.Position().After(m.tombstoneFloor) {
+			m.tombstoneFloor = document.Position()
+		}
 	}
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -21,16 +21,16 @@
 // fakeStore is a store whose history can be compacted and whose calls can fail or stay without an
 // answer.
 type fakeStore struct {
-	mu           sync.Mutex
-	revision     uint64
-	documents    map[string]Document
-	history      []Document
-	compacted    uint64
-	down         bool
-	silent       bool
-	changed      chan struct{}
-	pageSize     int
-	betweenPages func() // called once, after the next page
+	mu            sync.Mutex
+	era, revision uint64
+	documents     map[string]Document
+	history       []Document
+	compacted     uint64
+	down          bool
+	silent        bool
+	changed       chan struct{}
+	pageSize      int
+	betweenPages  func() // called once, after the next page
 }
 
 func newFakeStore() *fakeStore {
@@ -47,7 +47,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	document.Revision = s.revision
+	document.Revision, document.Era = s.revision, s.era
 	s.documents[document.Key] = document
 	s.history = append(s.history, document)
 	close(s.changed)
@@ -76,7 +76,7 @@
 	if s.down || s.silent {
 		return Page{}, errors.New("down")
 	}
-	page := Page{Revision: s.revision}
+	page := Page{Revision: s.revision, Era: s.era}
 	for _, key := range slices.Sorted(maps.Keys(s.documents)) {
 		document := s.documents[key]
 		if key <= after || document.Deleted {
@@ -98,7 +98,7 @@
 	return page, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error) {
+func (s *fakeStore) Watch(ctx context.Context, after Position, wait time.Duration) (Changes, error) {
 	ends := time.NewTimer(wait)
 	defer ends.Stop()
 	for {
@@ -106,11 +106,11 @@
 		down, silent, changed := s.down, s.silent, s.changed
 		result := Changes{Revision: s.revision}
 		for _, document := range s.history {
-			if document.Revision > after {
+			if document.Revision > after.Revision {
 				result.Documents = append(result.Documents, document)
 			}
 		}
-		compacted := after < s.compacted
+		compacted := after.Revision < s.compacted || after.Era < s.era
 		s.mu.Unlock()
 		switch {
 		case down:
@@ -269,11 +269,11 @@
 func TestOlderRevisionsIgnored(t *testing.T) {
 	c := qt.New(t)
 	m := New(slog.New(slog.DiscardHandler), func([]Document, time.Time) {})
-	m.apply([]Document{{Key: "k", Value: []byte("5"), Revision: 5}}, 5)
-	m.apply([]Document{{Key: "k", Value: []byte("4"), Revision: 4}}, 4)
+	m.apply([]Document{{Key: "k", Value: []byte("5"), Revision: 5}}, Position{Revision: 5})
+	m.apply([]Document{{Key: "k", Value: []byte("4"), Revision: 4}}, Position{Revision: 4})
 	c.Check(value(m, "k"), qt.Equals, "5")
-	m.apply([]Document{{Key: "k", Revision: 6, Deleted: true}}, 6)
-	m.replace([]Document{{Key: "k", Value: []byte("5"), Revision: 5}}, 5)
+	m.apply([]Document{{Key: "k", Revision: 6, Deleted: true}}, Position{Revision: 6})
+	m.replace([]Document{{Key: "k", Value: []byte("5"), Revision: 5}}, Position{Revision: 5})
 	c.Check(value(m, "k"), qt.Equals, "none")
 	c.Check(m.Revision(), qt.Equals, uint64(6))
 }
@@ -331,8 +331,8 @@
 			ahead, _ := startMirror(t, store)
 			behind := New(slog.New(slog.DiscardHandler), func([]Document, time.Time) {})
 			synctest.Wait()
-			changes := ahead.changesAfter(0)
-			behind.apply(changes.documents, changes.revision)
+			changes := ahead.changesAfter(Position{})
+			behind.apply(changes.documents, changes.position)
 			store.remove("d/a")
 			if separate {
 				synctest.Wait()
--- a/mirror/peers.go
+++ b/mirror/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"math"
 	"time"
@@ -66,7 +67,8 @@
 
 // Message implements link.Topic.
 func (t *Topic) Message(machine.Member) []byte {
-	data, err := proto.Marshal(&mirrorpb.Position{Revision: t.mirror.Revision(), Steady: t.mirror.steady()})
+	position := t.mirror.Position()
+	data, err := proto.Marshal(&mirrorpb.Position{Revision: position.Revision, Era: position.Era, Steady: t.mirror.steady()})
 	if err != nil {
 		t.mirror.log.Error("encoding revision of the mirror failed", "error", err)
 		return nil
@@ -76,15 +78,16 @@
 
 // Receive implements link.Topic.
 func (t *Topic) Receive(from machine.Member, message []byte) {
-	position := &mirrorpb.Position{}
-	if err := proto.Unmarshal(message, position); err != nil {
+	reported := &mirrorpb.Position{}
+	if err := proto.Unmarshal(message, reported); err != nil {
 		t.mirror.log.Warn("decoding revision of a peer's mirror failed", "peer", from.ID, "error", err)
 		return
 	}
-	if position.GetSteady() {
+	position, own := Position{Era: reported.GetEra(), Revision: reported.GetRevision()}, t.mirror.Position()
+	if reported.GetSteady() && position.Era == own.Era {
 		t.mirror.recordPeerSteady()
 	}
-	if position.GetRevision() <= t.mirror.Revision() {
+	if !position.After(own) {
 		return
 	}
 	select {
@@ -191,9 +194,9 @@
 	if err != nil {
 		return 0, time.Time{}, err
 	}
-	after, asked := t.mirror.Revision(), time.Now()
+	after, asked := t.mirror.Position(), time.Now()
 	reply, err := mirrorpb.NewDRPCMirrorClient(conn).Changes(ctx, &mirrorpb.ChangesRequest{
-		After: after, WaitMs: uint32(wait.Milliseconds()), MaxBytes: maxBytes,
+		After: after.Revision, AfterEra: after.Era, WaitMs: uint32(wait.Milliseconds()), MaxBytes: maxBytes,
 	})
 	if err != nil {
 		return 0, time.Time{}, err
@@ -201,14 +204,18 @@
 	if reply.GetTooLarge() {
 		return 0, time.Time{}, errTooLarge
 	}
-	documents := documentsOf(reply.GetDocuments())
-	if reply.GetSteady() {
+	position := Position{Era: reply.GetEra(), Revision: reply.GetRevision()}
+	documents := documentsOf(reply.GetDocuments(), position.Era)
+	if reply.GetSteady() && position.Era == after.Era {
 		t.mirror.recordPeerSteady()
 	}
 	if reply.GetFull() {
-		t.mirror.replace(documents, reply.GetRevision())
+		t.mirror.replace(documents, position)
 	} else {
-		t.mirror.apply(documents, reply.GetRevision())
+		t.mirror.apply(documents, position)
+	}
+	if t.mirror.Era() != position.Era {
+		return 0, time.Time{}, fmt.Errorf("peer's copy is of era %d: %w", position.Era, ErrOlderEra)
 	}
 	if reply.ConfirmedAgeMs != nil {
 		// The reply left the peer no earlier than the time waited after the question left this instance.
@@ -216,7 +223,7 @@
 		t.mirror.confirm(confirmedAt)
 	}
 	if len(documents) > 0 {
-		t.mirror.log.Info("documents fetched from a peer", "peer", peer.ID, "after", after,
+		t.mirror.log.Info("documents fetched from a peer", "peer", peer.ID, "after", after.Revision,
 			"revision", reply.GetRevision(), "documents", len(documents), "full", reply.GetFull())
 	}
 	return len(documents), confirmedAt, nil
@@ -227,11 +234,11 @@
 
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
 
-func documentsOf(messages []*mirrorpb.Document) []Document {
+func documentsOf(messages []*mirrorpb.Document, era uint64) []Document {
 	documents := make([]Document, 0, len(messages))
 	for _, message := range messages {
 		documents = append(documents, Document{
-			Key: message.GetKey(), Value: message.GetValue(), Revision: message.GetRevision(), Deleted: message.GetDeleted(),
+			Key: message.GetKey(), Value: message.GetValue(), Revision: message.GetRevision(), Deleted: message.GetDeleted(), Era: era,
 		})
 	}
 	return documents
@@ -240,23 +247,26 @@
 // Changes implements mirrorpb.DRPCMirrorServer.
 func (t *Topic) Changes(ctx context.Context, request *mirrorpb.ChangesRequest) (*mirrorpb.ChangesReply, error) {
 	arrived := time.Now()
-	t.mirror.awaitAfter(ctx, request.GetAfter(), min(milliseconds(request.GetWaitMs()), maxPollWait))
+	after := Position{Era: request.GetAfterEra(), Revision: request.GetAfter()}
+	t.mirror.awaitAfter(ctx, after, min(milliseconds(request.GetWaitMs()), maxPollWait))
 	waited := time.Since(arrived)
-	changes := t.mirror.changesAfter(request.GetAfter())
+	changes := t.mirror.changesAfter(after)
 	if limit := int(request.GetMaxBytes()); limit > 0 && sizeOf(changes.documents) > limit {
 		return &mirrorpb.ChangesReply{TooLarge: true}, nil
 	}
 	reply := &mirrorpb.ChangesReply{
-		Revision: changes.revision, Full: changes.full, Steady: t.mirror.steady(), WaitedMs: uint32(waited.Milliseconds()),
+		Revision: changes.position.Revision, Era: changes.position.Era, Full: changes.full, Steady: t.mirror.steady(), WaitedMs: uint32(waited.Milliseconds()),
 	}
 	if !changes.confirmedAt.IsZero() {
 		age := min((ageOf(changes.confirmedAt) + time.Millisecond - 1).Milliseconds(), math.MaxUint32)
 		reply.ConfirmedAgeMs = proto.Uint32(uint32(age))
 	}
 	for _, document := range changes.documents {
-		reply.Documents = append(reply.Documents, &mirrorpb.Document{
-			Key: document.Key, Value: document.Value, Revision: document.Revision, Deleted: document.Deleted,
-		})
+		message := &mirrorpb.Document{Key: document.Key, Revision: document.Revision, Deleted: document.Deleted}
+		if !document.Deleted {
+			message.Value = document.Value
+		}
+		reply.Documents = append(reply.Documents, message)
 	}
 	return reply, nil
 }
@@ -264,7 +274,10 @@
 func sizeOf(documents []Document) int {
 	size := 0
 	for _, document := range documents {
-		size += len(document.Key) + len(document.Value)
+		size += len(document.Key)
+		if !document.Deleted {
+			size += len(document.Value)
+		}
 	}
 	return size
 }
--- a/mirror/presence.go
+++ b/mirror/presence.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -28,6 +29,8 @@
 	// presenceMaxBackoff bounds the pause after a failed call. A lease outlasts several of them, and an
 	// instance serves without it.
 	presenceMaxBackoff = 2 * time.Second
+	// restoreSpread is the time over which the instances of a fleet register again after the store was restored.
+	restoreSpread = time.Second
 )
 
 // memberDocument is the value that an entry instance registers.
@@ -45,7 +48,7 @@
 	log    *slog.Logger
 
 	mu        sync.Mutex
-	revision  uint64           // of the copy that instances was decoded from
+	state     listState        // of the copy that instances was decoded from
 	instances []infra.Instance // nil before the first call
 }
 
@@ -61,9 +64,9 @@
 func (p *Presence) Instances(context.Context) ([]infra.Instance, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	revision := p.mirror.Revision()
-	if p.instances == nil || revision != p.revision {
-		p.revision, p.instances = revision, p.decode()
+	state := p.mirror.listState()
+	if p.instances == nil || state != p.state {
+		p.state, p.instances = state, p.decode()
 	}
 	return p.instances, nil
 }
@@ -88,40 +91,49 @@
 // Run keeps the instance registered until ctx ends, then deregisters it.
 func (p *Presence) Run(ctx context.Context) error {
 	// The copy tells which document of a former process the registration replaces.
-	p.mirror.awaitAfter(ctx, 0, presenceTimeout)
-	var lease uint64
+	p.mirror.awaitAfter(ctx, Position{}, presenceTimeout)
+	var lease Lease
 	delay := minBackoff
 	for {
 		var err error
 		if lease, err = p.register(ctx, lease); err != nil {
-			p.log.Warn("registering in the store or renewing the lease failed; retrying", "lease", lease, "error", err)
+			p.log.Warn("registering in the store or renewing the lease failed; retrying", "lease", lease.ID, "error", err)
 			if !backoff(ctx, &delay, presenceMaxBackoff) {
 				break
 			}
 			continue
 		}
 		delay = minBackoff
-		if !pause.Sleep(ctx, presenceRenewInterval) {
+		if !p.awaitRenewal(ctx, lease) {
 			break
 		}
 	}
-	if lease == 0 {
+	if lease.ID == 0 {
 		return nil
 	}
 	endCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), presenceTimeout)
 	defer cancel()
 	if err := p.writer.End(endCtx, lease); err != nil {
-		p.log.Warn("deregistering failed; the instance stays listed until the lease expires", "lease", lease, "error", err)
+		p.log.Warn("deregistering failed; the instance stays listed until the lease expires", "lease", lease.ID, "error", err)
 	}
 	return nil
 }
 
+// awaitRenewal waits until the lease is due for renewal or the copy is of a newer era. It returns false if ctx ended.
+func (p *Presence) awaitRenewal(ctx context.Context, lease Lease) bool {
+	p.mirror.await(ctx, presenceRenewInterval, func(position Position) bool { return position.Era > lease.Era })
+	if p.mirror.Era() > lease.Era {
+		return pause.Sleep(ctx, rand.N(restoreSpread))
+	}
+	return ctx.Err() == nil
+}
+
 // register renews the lease, or starts one and registers the instance under it. It returns the lease, or
-// 0 if none is in use.
-func (p *Presence) register(ctx context.Context, lease uint64) (uint64, error) {
+// none if none is in use.
+func (p *Presence) register(ctx context.Context, lease Lease) (Lease, error) {
 	ctx, cancel := context.WithTimeout(ctx, presenceTimeout)
 	defer cancel()
-	if lease != 0 {
+	if lease.ID != 0 && lease.Era >= p.mirror.Era() {
 		err := p.writer.Renew(ctx, lease)
 		if !errors.Is(err, ErrNoLease) {
 			return lease, err
@@ -129,19 +141,23 @@
 	}
 	value, err := json.Marshal(memberDocument{Incarnation: string(p.self.Incarnation), Group: p.self.Zone, Address: p.self.Address})
 	if err != nil {
-		return 0, err
+		return Lease{}, err
 	}
 	lease, err = p.writer.Grant(ctx, presenceTTL)
 	if err != nil {
-		return 0, err
+		return Lease{}, err
 	}
+	p.mirror.await(ctx, presenceTimeout, func(position Position) bool { return position.Era >= lease.Era })
 	key := MembersPrefix + string(p.self.ID)
+	era := p.mirror.Era()
 	listed, _ := p.mirror.Get(key)
 	// Without the condition a write whose outcome is unknown could take effect later and replace the document by one whose lease is
 	// no longer renewed.
-	write := &Write{Conditions: []Condition{{Key: key, Revision: listed.Revision}}, Puts: []Put{{Key: key, Value: value, Lease: lease}}}
+	write := &Write{
+		Conditions: []Condition{{Key: key, Revision: listed.Revision}}, Puts: []Put{{Key: key, Value: value, Lease: lease}}, Era: era,
+	}
 	if _, err := p.writer.Write(ctx, write); err != nil {
-		return 0, err
+		return Lease{}, err
 	}
 	return lease, nil
 }
--- a/mirror/presence_test.go
+++ b/mirror/presence_test.go
@@ -19,6 +19,7 @@
 	mirror *Mirror // follows the store without delay
 
 	mu       sync.Mutex
+	era      uint64
 	revision uint64
 	keys     map[string]leasedKey
 	leases   map[uint64]time.Time // ends
@@ -29,29 +30,29 @@
 	revision, lease uint64
 }
 
-func (s *leasedStore) Grant(_ context.Context, ttl time.Duration) (uint64, error) {
+func (s *leasedStore) Grant(_ context.Context, ttl time.Duration) (Lease, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
 	s.leases[s.revision] = time.Now().Add(ttl)
 	time.AfterFunc(ttl+time.Millisecond, s.expire)
-	return s.revision, nil
+	return Lease{Era: s.era, ID: s.revision}, nil
 }
 
-func (s *leasedStore) Renew(_ context.Context, lease uint64) error {
+func (s *leasedStore) Renew(_ context.Context, lease Lease) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, alive := s.leases[lease]; !alive {
+	if _, alive := s.leases[lease.ID]; !alive {
 		return ErrNoLease
 	}
-	s.leases[lease] = time.Now().Add(presenceTTL)
+	s.leases[lease.ID] = time.Now().Add(presenceTTL)
 	time.AfterFunc(presenceTTL+time.Millisecond, s.expire)
 	return nil
 }
 
-func (s *leasedStore) End(_ context.Context, lease uint64) error {
+func (s *leasedStore) End(_ context.Context, lease Lease) error {
 	s.mu.Lock()
-	s.leases[lease] = time.Time{}
+	s.leases[lease.ID] = time.Time{}
 	s.mu.Unlock()
 	s.expire()
 	return nil
@@ -78,12 +79,12 @@
 func (s *leasedStore) set(key string, held leasedKey, document Document) {
 	s.revision++
 	held.revision = s.revision
-	document.Revision = s.revision
+	document.Revision, document.Era = s.revision, s.era
 	s.keys[key] = held
 	if document.Deleted {
 		delete(s.keys, key)
 	}
-	s.mirror.apply([]Document{document}, s.revision)
+	s.mirror.apply([]Document{document}, Position{Era: s.era, Revision: s.revision})
 }
 
 func (s *leasedStore) Write(ctx context.Context, write *Write) (uint64, error) {
@@ -110,10 +111,10 @@
 		}
 	}
 	for _, put := range write.Puts {
-		if _, alive := s.leases[put.Lease]; !alive {
+		if _, alive := s.leases[put.Lease.ID]; !alive {
 			return 0, ErrNoLease
 		}
-		s.set(put.Key, leasedKey{lease: put.Lease}, Document{Key: put.Key, Value: put.Value})
+		s.set(put.Key, leasedKey{lease: put.Lease.ID}, Document{Key: put.Key, Value: put.Value})
 	}
 	return s.revision, nil
 }
