canary: roll-outs outlast a store that comes back from an older copy

Cause: a roll-out's order and stage were identified by revisions. In a store restored from an older copy the order has another revision, or none until the operators write it again, and the stage is an earlier one: a completed or reverted roll-out would begin again.

Change: an order with the same content in the new era continues its roll-out, with its age, its stage and the number by which sessions are assigned, which the stage states from then on. A stored stage that is behind the one in force is not applied but written again by the driver, with the public status and the reverted versions. The driver gives its lease up when the era rises, takes it again by a conditional write and writes in its lease's era only; a document of its own that survived in the copy is replaced. Tallies carry the era of the order.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -27,10 +27,13 @@
 	Service  string
 	Target   string // the new version
 	Duration time.Duration
-	// Revision is the store revision of the order, which identifies it.
+	// Revision is the store revision of the order, which identifies it within an era.
 	Revision uint64
+	Era      uint64 // of the store, see mirror.Position
 }
 
+func (o *Order) position() mirror.Position { return mirror.Position{Era: o.Era, Revision: o.Revision} }
+
 // State of a roll-out.
 type State string
 
@@ -49,22 +52,27 @@
 	Share float64 `json:"share"`
 	// ElapsedMS is the roll-out's age in milliseconds when the stage was written.
 	ElapsedMS int64 `json:"elapsed_ms"`
+	// Seed is the number by which sessions are assigned to versions, if it is not the order's revision: that of the order when the roll-out
+	// began, before a restored store.
+	Seed uint64 `json:"seed,omitempty"`
 }
 
 // rollout is this instance's state of one roll-out.
 type rollout struct {
-	order         Order
-	seenAt        time.Time // when this instance received the order
-	stage         Stage
-	stageAt       time.Time // when this instance received the stage
-	stageRevision uint64    // store revision of the stage's document; 0 without one
-	local         tally
-	peers         map[machine.InstanceID]tally
-	paces         paces // seen by this instance
-	peerPaces     map[machine.InstanceID]*paces
-	oldLatency    ewma  // the old version's mean of Attempt.relativeLatency
-	atStageStart  tally // counts of all instances when the stage began
-	rejected      bool  // the evidence shows that the new version is worse
+	order        Order
+	seenAt       time.Time // when this instance received the order
+	stage        Stage
+	stageAt      time.Time // when this instance received the stage
+	seed         uint64    // see Stage.Seed
+	stored       Stage     // the order's stage as the store has it; zero without one
+	restatedAt   time.Time // when a restored store first had the order again; zero if none did
+	local        tally
+	peers        map[machine.InstanceID]tally
+	paces        paces // seen by this instance
+	peerPaces    map[machine.InstanceID]*paces
+	oldLatency   ewma  // the old version's mean of Attempt.relativeLatency
+	atStageStart tally // counts of all instances when the stage began
+	rejected     bool  // the evidence shows that the new version is worse
 	// replaced is the roll-out that this one's order replaced, completed or in progress. Its share no longer changes; requests that do
 	// not use the present target keep to it.
 	replaced *rollout
@@ -80,12 +88,14 @@
 	byService map[string]*rollout
 	stages    map[string]storedStage // by service; a stage may arrive before its order
 	reverted  map[string][]string    // versions by service that no request may use, unless the present order names them
+	stored    map[string]storedReverted
 }
 
-// storedStage is a stage with its store revision and the time at which this instance received it.
+// storedStage is a stage with the position of its document and the time at which this instance received it.
 type storedStage struct {
 	stage    Stage
-	revision uint64
+	revision uint64 // 0 if there is no document
+	era      uint64
 	at       time.Time
 }
 
@@ -95,19 +105,24 @@
 	return &Rollouts{
 		exposure: exposure, counters: counters, log: log,
 		byService: make(map[string]*rollout), stages: make(map[string]storedStage),
-		reverted: make(map[string][]string),
+		reverted: make(map[string][]string), stored: make(map[string]storedReverted),
 	}
 }
 
-// Apply starts the roll-out of an order, unless the service's present order is as new or newer.
+// Apply starts the roll-out of an order, unless the service's present order is as new or newer. An order that was written again after
+// the store came back from an older copy continues the roll-out.
 func (r *Rollouts) Apply(order Order) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.byService[order.Service]
-	if known != nil && known.order.Revision >= order.Revision {
+	if known != nil && !order.position().After(known.order.position()) {
+		return
+	}
+	if known != nil && known.restatedBy(order, time.Now()) {
+		r.restate(known, order)
 		return
 	}
-	ro := &rollout{order: order, seenAt: time.Now(), peers: make(map[machine.InstanceID]tally), peerPaces: make(map[machine.InstanceID]*paces)}
+	ro := &rollout{order: order, seed: order.Revision, seenAt: time.Now(), peers: make(map[machine.InstanceID]tally), peerPaces: make(map[machine.InstanceID]*paces)}
 	if known != nil {
 		r.recordEnd(known)
 		ro.replaced = known.base()
@@ -130,28 +145,32 @@
 // ApplyStage decodes a stage's document and applies it to the service's roll-out.
 func (r *Rollouts) ApplyStage(document mirror.Document) {
 	service := strings.TrimPrefix(document.Key, StagePrefix)
-	var stage Stage
-	if document.Deleted {
-		return
-	}
-	if err := json.Unmarshal(document.Value, &stage); err != nil {
-		r.log.Warn("decoding stage failed", "key", document.Key, "revision", document.Revision, "error", err)
-		return
+	stored := storedStage{era: document.Era, at: time.Now()}
+	if !document.Deleted {
+		if err := json.Unmarshal(document.Value, &stored.stage); err != nil {
+			r.log.Warn("decoding stage failed", "key", document.Key, "revision", document.Revision, "error", err)
+			return
+		}
+		stored.revision = document.Revision
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stages[service] = storedStage{stage: stage, revision: document.Revision, at: time.Now()}
+	r.stages[service] = stored
 	if ro := r.byService[service]; ro != nil {
 		r.setStage(ro)
 	}
 }
 
-// setStage updates a roll-out from the stored stage of its service, if that stage belongs to the roll-out's order.
-// The caller holds the lock.
+// setStage updates a roll-out from the stored stage of its service, if that stage belongs to the roll-out's order. A stage that is behind
+// the one in force comes from an older copy of the store and is not applied. The caller holds the lock.
 func (r *Rollouts) setStage(ro *rollout) {
 	stored := r.stages[ro.order.Service]
-	ro.stageRevision = stored.revision
-	if stored.stage.OrderRevision != ro.order.Revision || stored.stage == ro.stage {
+	ro.stored = Stage{}
+	if stored.revision == 0 || stored.era != ro.order.Era || stored.stage.OrderRevision != ro.order.Revision {
+		return
+	}
+	ro.stored, ro.seed = stored.stage, stored.stage.seed()
+	if stored.stage == ro.stage || stored.stage.behind(ro.stage) {
 		return
 	}
 	ro.stage, ro.stageAt = stored.stage, stored.at
@@ -208,7 +227,7 @@
 			return target
 		}
 		return other
-	case hashFraction(ro.order.Revision, cmp.Or(session, request)) < ro.stage.Share:
+	case hashFraction(ro.seed, cmp.Or(session, request)) < ro.stage.Share:
 		return target
 	default:
 		return other
@@ -222,7 +241,7 @@
 	case ro.stage.State == Reverted || ro.rejected || ro.stage.Share == 0:
 		return ro.replaced
 	default:
-		return &rollout{order: ro.order, stage: ro.stage}
+		return &rollout{order: ro.order, seed: ro.seed, stage: ro.stage}
 	}
 }
 
@@ -233,7 +252,7 @@
 	if before == nil || before.order.Target == ro.order.Target {
 		return Choice{ExcludedVersions: excluded}
 	}
-	if hashFraction(before.order.Revision, key) < before.stage.Share {
+	if hashFraction(before.seed, key) < before.stage.Share {
 		return Choice{RequiredVersion: before.order.Target, ExcludedVersions: excluded}
 	}
 	return Choice{ExcludedVersions: withVersion(excluded, before.order.Target)}
@@ -260,13 +279,13 @@
 	return now.Sub(ro.stageAt)%stressPeriod < burst
 }
 
-// hashFraction hashes a session or request id to [0, 1), differently for each order.
-func hashFraction(order uint64, key string) float64 {
+// hashFraction hashes a session or request id to [0, 1), differently for each seed.
+func hashFraction(seed uint64, key string) float64 {
 	digest := xxhash.New()
 	_, _ = digest.WriteString(key)
 	var bytes [8]byte
 	for i := range bytes {
-		bytes[i] = byte(order >> (8 * i))
+		bytes[i] = byte(seed >> (8 * i))
 	}
 	_, _ = digest.Write(bytes[:])
 	return float64(digest.Sum64()>>11) / (1 << 53)
--- a/canary/driver.go
+++ b/canary/driver.go
@@ -100,6 +100,7 @@
 // Documents is the part of a mirror that the driver reads.
 type Documents interface {
 	Get(key string) (document mirror.Document, ok bool)
+	Era() uint64
 }
 
 var _ Documents = (*mirror.Mirror)(nil)
@@ -146,18 +147,23 @@
 
 func (d *Driver) tick(ctx context.Context) {
 	now := time.Now()
-	due := d.rollouts.due(now)
+	due, lost := d.rollouts.due(now), d.rollouts.lostReverted()
 	if now.Before(d.backoffUntil) {
 		return
 	}
+	pending := len(due) > 0 || len(lost) > 0
+	if d.leaseRevision != 0 && d.lease.Era != d.documents.Era() {
+		d.log.Warn("driver's lease lost with the store's era", "lease", d.lease.ID, "era", d.lease.Era)
+		d.leaseRevision = 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, driverTimeout)
 	defer cancel()
 	switch {
-	case d.leaseRevision != 0 && d.rollouts.idle():
+	case d.leaseRevision != 0 && !pending && d.rollouts.idle():
 		d.release(ctx)
 	case d.leaseRevision != 0 && now.Sub(d.renewed) >= driverRenewal:
 		d.renew(ctx, now)
-	case d.leaseRevision == 0 && len(due) > 0:
+	case d.leaseRevision == 0 && pending:
 		d.acquire(ctx, now)
 	}
 	if d.leaseRevision == 0 {
@@ -166,14 +172,35 @@
 	for _, next := range due {
 		d.advance(ctx, next)
 	}
+	if len(lost) > 0 {
+		d.restoreReverted(ctx, lost)
+	}
+}
+
+// restoreReverted writes documents of reverted versions that the store has lost.
+func (d *Driver) restoreReverted(ctx context.Context, puts []mirror.Put) {
+	_, err := d.writer.Write(ctx, &mirror.Write{
+		Conditions: []mirror.Condition{{Key: DriverKey, Revision: d.leaseRevision}}, Puts: puts, Era: d.lease.Era,
+	})
+	if err != nil {
+		d.backOff("writing reverted versions failed", err)
+		return
+	}
+	d.log.Info("reverted versions written again", "documents", len(puts))
 }
 
-// acquire takes the lease unless another instance holds it. The first call only schedules the attempt.
+// acquire takes the lease unless another instance holds it. The first call only schedules the attempt. A document of this instance itself,
+// which holds no lease, is replaced: a restored store may have it without its lease.
 func (d *Driver) acquire(ctx context.Context, now time.Time) {
-	if _, held := d.documents.Get(DriverKey); held {
+	era, replaced := d.documents.Era(), uint64(0)
+	document, held := d.documents.Get(DriverKey)
+	if held && (era == 0 || string(document.Value) != string(d.members.Self().ID)) {
 		d.acquireScheduledAt = time.Time{}
 		return
 	}
+	if held {
+		replaced = document.Revision
+	}
 	if d.acquireScheduledAt.IsZero() {
 		d.acquireScheduledAt = now
 		d.backoffUntil = now.Add(d.acquireDelay())
@@ -186,9 +213,9 @@
 		return
 	}
 	revision, err := d.writer.Write(ctx, &mirror.Write{
-		Conditions: []mirror.Condition{{Key: DriverKey}},
+		Conditions: []mirror.Condition{{Key: DriverKey, Revision: replaced}},
 		Puts:       []mirror.Put{{Key: DriverKey, Value: []byte(d.members.Self().ID), Lease: lease}},
-		Era:        lease.Era,
+		Era:        era,
 	})
 	if err != nil {
 		d.backOff("writing the driver's lease document failed", err)
@@ -244,6 +271,9 @@
 
 // advance writes a roll-out's next stage and its public status.
 func (d *Driver) advance(ctx context.Context, next transition) {
+	if next.order.Era != d.lease.Era {
+		return // the restored store does not have the order yet
+	}
 	value, err := json.Marshal(next.stage)
 	if err != nil {
 		d.log.Error("encoding stage failed", "service", next.order.Service, "error", err)
@@ -288,9 +318,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var transitions []transition
-	for _, ro := range r.byService {
+	for service, ro := range r.byService {
+		stored := r.stages[service]
+		if stored.revision != 0 && stored.era != ro.order.Era {
+			continue // the store was restored; either the order or the stage is not known as it is now
+		}
 		if stage, ok := ro.next(now, r.exposure); ok {
-			transitions = append(transitions, transition{order: ro.order, stage: stage, stageRevision: ro.stageRevision})
+			transitions = append(transitions, transition{order: ro.order, stage: stage, stageRevision: stored.revision})
 		}
 	}
 	return transitions
@@ -309,13 +343,16 @@
 }
 
 // next returns the stage that the roll-out's age and evidence call for under an allowed exposure. ok is false if
-// the stage does not change.
+// the stage does not change and the store has it.
 func (ro *rollout) next(now time.Time, exposure float64) (stage Stage, ok bool) {
+	elapsed := ro.elapsed(now)
+	stage = Stage{
+		OrderRevision: ro.order.Revision, State: Running, Share: ro.stage.Share, ElapsedMS: elapsed.Milliseconds(), Seed: ro.statedSeed(),
+	}
 	if ro.ended() {
-		return Stage{}, false
+		stage.State = ro.stage.State
+		return stage, ro.lost()
 	}
-	elapsed := ro.elapsed(now)
-	stage = Stage{OrderRevision: ro.order.Revision, State: Running, Share: ro.stage.Share, ElapsedMS: elapsed.Milliseconds()}
 	age := float64(elapsed) / float64(max(ro.order.Duration, 1))
 	held := now.Sub(ro.stageAt)
 	switch {
@@ -337,5 +374,5 @@
 		stage.State = Completed
 	}
 	changed := stage.State != ro.stage.State || stage.Share != ro.stage.Share
-	return stage, changed
+	return stage, changed || ro.lost()
 }
--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -206,7 +206,7 @@
 			continue
 		}
 		tally := &canarypb.Tally{
-			Service: service, Order: ro.order.Revision,
+			Service: service, Order: ro.order.Revision, OrderEra: ro.order.Era,
 			NewAnswers: ro.local.newAnswers, NewFailures: ro.local.newFailures,
 			OldAnswers: ro.local.oldAnswers, OldFailures: ro.local.oldFailures, Rejected: ro.rejected,
 			NewStarted: ro.local.newStarted, NewResponded: ro.local.newResponded,
@@ -228,6 +228,12 @@
 	return data
 }
 
+// identifiedBy reports whether a tally is of the order. A sender of an earlier version states no era.
+func (o *Order) identifiedBy(received *canarypb.Tally) bool {
+	era := received.GetOrderEra()
+	return o.Revision == received.GetOrder() && (era == 0 || era == o.Era)
+}
+
 // Receive implements link.Topic.
 func (r *Rollouts) Receive(from machine.Member, data []byte) {
 	message := &canarypb.Tallies{}
@@ -239,7 +245,7 @@
 	defer r.mu.Unlock()
 	for _, received := range message.GetTallies() {
 		ro := r.byService[received.GetService()]
-		if ro == nil || ro.order.Revision != received.GetOrder() {
+		if ro == nil || !ro.order.identifiedBy(received) {
 			continue
 		}
 		ro.peers[from.ID] = tally{
--- a/canary/reverted.go
+++ b/canary/reverted.go
@@ -23,16 +23,17 @@
 // ApplyReverted takes a service's reverted versions as the store has them, still encoded; the key begins with RevertedPrefix.
 func (r *Rollouts) ApplyReverted(document mirror.Document) {
 	service := strings.TrimPrefix(document.Key, RevertedPrefix)
-	if document.Deleted {
-		return
-	}
 	var stored revertedDocument
-	if err := json.Unmarshal(document.Value, &stored); err != nil {
+	if err := json.Unmarshal(document.Value, &stored); err != nil && !document.Deleted {
 		r.log.Warn("decoding reverted versions failed", "key", document.Key, "revision", document.Revision, "error", err)
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if document.Deleted {
+		stored.Versions = nil // a tombstone may keep the last value
+	}
+	r.stored[service] = r.stored[service].next(document.Era, stored.Versions)
 	for _, version := range stored.Versions {
 		r.reverted[service] = withVersion(r.reverted[service], version)
 	}
@@ -81,9 +82,5 @@
 	default:
 		return mirror.Put{}, false
 	}
-	value, err := json.Marshal(revertedDocument{Versions: versions})
-	if err != nil {
-		panic(err) // strings always encode
-	}
-	return mirror.Put{Key: RevertedPrefix + order.Service, Value: value}, true
+	return revertedPut(order.Service, versions), true
 }
