mirror: polls of the version before, registrations that a restored store has in an older form

A poll without an era was taken as one of era 0, so that an instance of the version before, in a fleet of both on a store that states an era, would get all documents at each poll without a wait. A registration that the restored store has in an older form, of the process before, replaced the known one at once.

Change: the field of the poll has presence; absent, it counts as the own era. Such a registration is held as a missing one is. A reply of another era has an error of its own.

--- a/mirror/peers.go
+++ b/mirror/peers.go
@@ -196,7 +196,7 @@
 	}
 	after, asked := t.mirror.Position(), time.Now()
 	reply, err := mirrorpb.NewDRPCMirrorClient(conn).Changes(ctx, &mirrorpb.ChangesRequest{
-		After: after.Revision, AfterEra: after.Era, WaitMs: uint32(wait.Milliseconds()), MaxBytes: maxBytes,
+		After: after.Revision, AfterEra: &after.Era, WaitMs: uint32(wait.Milliseconds()), MaxBytes: maxBytes,
 	})
 	if err != nil {
 		return 0, time.Time{}, err
@@ -215,7 +215,7 @@
 		t.mirror.apply(documents, position)
 	}
 	if t.mirror.Era() != position.Era {
-		return 0, time.Time{}, fmt.Errorf("peer's copy is of era %d: %w", position.Era, ErrOlderEra)
+		return 0, time.Time{}, fmt.Errorf("%w: peer's copy is of era %d", errOtherEra, position.Era)
 	}
 	if reply.ConfirmedAgeMs != nil {
 		// The reply left the peer no earlier than the time waited after the question left this instance.
@@ -229,8 +229,12 @@
 	return len(documents), confirmedAt, nil
 }
 
-// errTooLarge means that the changes exceed the size asked for.
-var errTooLarge = errors.New("changes too large for a poll")
+var (
+	// errTooLarge means that the changes exceed the size asked for.
+	errTooLarge = errors.New("changes too large for a poll")
+	// errOtherEra means that changes are of an era older than the copy's, or newer and not complete.
+	errOtherEra = errors.New("changes of another era")
+)
 
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
 
@@ -248,6 +252,10 @@
 func (t *Topic) Changes(ctx context.Context, request *mirrorpb.ChangesRequest) (*mirrorpb.ChangesReply, error) {
 	arrived := time.Now()
 	after := Position{Era: request.GetAfterEra(), Revision: request.GetAfter()}
+	if request.AfterEra == nil {
+		// An instance of the version before would otherwise get everything at each poll, without a wait.
+		after.Era = t.mirror.Era()
+	}
 	t.mirror.awaitAfter(ctx, after, min(milliseconds(request.GetWaitMs()), maxPollWait))
 	waited := time.Since(arrived)
 	changes := t.mirror.changesAfter(after)
--- a/mirror/restore.go
+++ b/mirror/restore.go
@@ -29,7 +29,7 @@
 
 func holdNothing(_, _ Document) time.Duration { return 0 }
 
-// memberHold is how long a lost registration counts: until the instance has registered again, at the latest when it renews its lease.
+// memberHold is how long a registration counts that was lost or replaced by an older one: until the instance has registered again, at the latest when it renews its lease.
 const memberHold = presenceRenewInterval + presenceMaxBackoff
 
 // heldDocument is a document that stays in force instead of the one that a restored store has.
@@ -55,7 +55,7 @@
 		return false
 	}
 	hold := m.hold(known, restored)
-	if strings.HasPrefix(known.Key, MembersPrefix) && restored.Deleted {
+	if strings.HasPrefix(known.Key, MembersPrefix) && !known.Deleted && (restored.Deleted || restored.Revision < known.Revision) {
 		hold = memberHold
 	}
 	if hold <= 0 {
--- a/mirror/restore_test.go
+++ b/mirror/restore_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/mirror/mirrorpb"
 )
 
 // restore replaces the state by an older copy of documents and begins the next era.
@@ -52,7 +53,7 @@
 		c.Check(f.calls()-calls <= 4*len(f.instances), qt.IsTrue, qt.Commentf("%d calls", f.calls()-calls))
 		other := f.watchers()[1]
 		_, confirmedAt, err := other.topic.fetch(t.Context(), old.member, 0, time.Second, 0)
-		c.Check(err, qt.ErrorIs, ErrOlderEra)
+		c.Check(err, qt.ErrorIs, errOtherEra)
 		c.Check(confirmedAt.IsZero(), qt.IsTrue)
 		for _, instance := range f.instances {
 			if instance != old {
@@ -66,6 +67,22 @@
 	})
 }
 
+// TestPollWithoutEra checks that an instance of the version before, whose polls state no era, is not sent all documents at each poll.
+func TestPollWithoutEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		m := New(slog.New(slog.DiscardHandler), func([]Document, time.Time) {})
+		m.replace([]Document{{Key: "a", Revision: 4, Era: 3}}, Position{Era: 3, Revision: 5})
+		topic := NewTopic(m, nil, nil)
+		for after, documents := range map[uint64]int{0: 1, 5: 0} {
+			reply, err := topic.Changes(t.Context(), &mirrorpb.ChangesRequest{After: after, WaitMs: 300})
+			c.Assert(err, qt.IsNil)
+			c.Check(reply.GetDocuments(), qt.HasLen, documents)
+			c.Check(reply.GetEra(), qt.Equals, uint64(3))
+		}
+	})
+}
+
 // TestRestoredTwice checks that what was held back is let go at the end of its time, and that a second restore holds it again.
 func TestRestoredTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
