intake: a kept connection is not stalled when its next head begins

The request goes out on a connection that was kept from the wave before.

Cause: Account.received marked the connection as one with a head in arrival, let go of the guard's lock and took it again in Grow, which sets the time of the last byte. A new connection that was accepted in between saw a head in arrival whose last byte was as old as the end of the request before: more than a second ago it counts as stalled and goes first, else it is the oldest.

Change: received does both under one lock.

--- a/intake/guard.go
+++ b/intake/guard.go
@@ -348,10 +348,14 @@
 	if a == nil {
 		return nil
 	}
+	a.guard.mu.Lock()
+	defer a.guard.mu.Unlock()
+	return a.grow(n, time.Now())
+}
+
+// grow is Grow for a caller that holds the guard's lock.
+func (a *Account) grow(n int64, now time.Time) error {
 	g := a.guard
-	now := time.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	if a.evicted || a.closed {
 		return ErrEvicted
 	}
@@ -424,24 +428,22 @@
 // received records n bytes that were read from the connection, and the bytes that net/http will allocate for their fields besides. It returns
 // an error if the connection has to be closed for them.
 func (a *Account) received(n, parsed int64) error {
-	g := a.guard
-	g.mu.Lock()
+	a.guard.mu.Lock()
+	defer a.guard.mu.Unlock()
 	if a.evicted {
-		g.mu.Unlock()
 		return ErrEvicted
 	}
-	if a.stage != idle && a.stage != inHead {
-		a.progressAt = time.Now()
-		inTrailer := a.stage == inBody && parsed > 0
-		g.mu.Unlock()
-		if inTrailer {
-			return a.Grow(n + parsed)
-		}
+	now := time.Now()
+	switch {
+	case a.stage == idle || a.stage == inHead:
+		a.stage = inHead
+		return a.grow(n+parsed, now)
+	case a.stage == inBody && parsed > 0: // a trailer
+		return a.grow(n+parsed, now)
+	default:
+		a.progressAt = now
 		return nil
 	}
-	a.stage = inHead
-	g.mu.Unlock()
-	return a.Grow(n + parsed)
 }
 
 // Close ends the account.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"sync"
 	"testing"
 	"testing/iotest"
 	"testing/synctest"
@@ -187,6 +188,39 @@
 	})
 }
 
+// TestKeptConnectionBeginsHead answers a burst of connections at the moment at which a caller sends the next request on a connection that it
+// has kept for longer than stallTime: the burst takes the places of requests whose last byte is older.
+func TestKeptConnectionBeginsHead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const crowd = 8
+		g := newPipeGuard(t, Limits{Bytes: 10 << 20, Connections: 1 + crowd})
+		conn, other := net.Pipe()
+		defer func() { _ = conn.Close(); _ = other.Close() }()
+		ordinary := g.connect()
+		g.c.Assert(ordinary.Begin(), qt.IsNil)
+		for range 2000 {
+			ordinary.endRequest()
+			time.Sleep(2 * stallTime)
+			var opened [2 * crowd]*Account
+			for n := range crowd {
+				opened[n] = g.admit(conn)
+				g.c.Assert(opened[n].received(1, 0), qt.IsNil)
+			}
+			time.Sleep(time.Millisecond)
+			var burst sync.WaitGroup
+			for n := range crowd {
+				burst.Go(func() { opened[crowd+n] = g.admit(conn) })
+			}
+			g.c.Assert(ordinary.received(100, 0), qt.IsNil)
+			burst.Wait()
+			g.c.Assert(ordinary.Begin(), qt.IsNil)
+			for _, account := range opened {
+				account.Close()
+			}
+		}
+	})
+}
+
 // TestRefusedConnectionsYield answers callers that send on after a refusal: a new connection takes the place of one of them.
 func TestRefusedConnectionsYield(t *testing.T) {
 	g := newPipeGuard(t, Limits{Bytes: 10 << 20, Connections: 2})
