--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -376,7 +376,7 @@
 	defer m.mu.Unlock()
 	var deleted []Document
 	for document := range maps.Values(m.documents) {
-		if document.Deleted {
+		if _, held := m.held[document.Key]; document.Deleted && !held {
 			deleted = append(deleted, document)
 		}
 	}
@@ -386,7 +386,6 @@
 	slices.SortFunc(deleted, func(a, b Document) int { return a.Position().Compare(b.Position()) })
 	for _, document := range deleted[:len(deleted)-limit] {
 		delete(m.documents, document.Key)
-		delete(m.held, document.Key)
 		if document.Position().After(m.tombstoneFloor) {
 			m.tombstoneFloor = document.Position()
 		}
