upstream: endpoints that tolerate few rejections get no more than they have slots (LIMIT)

Cause: an endpoint was given up to three times its slots, and what it had no room for came back as a rejection. Endpoints that say how many rejections a second they can bear fall over from that, all at once, and again whenever they are back. No instance read the statement. Ruled out: that the sum of the instances' own bounds is the cause; the statement was not read at all. Change: while endpoints of a service state a tolerance, the requests in flight of all instances stay within the slots, split over the instances by rendezvous hashing; the statement and the room found after a rejection are exchanged; a rejection keeps its instance off the endpoint and shrinks the rooms of the service together; an instance without any place refuses at once. Nothing acts without a statement.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -136,6 +136,7 @@
 	g.table = upstream.NewTable(g.self.ID, g.settings.Zone, g.current, g.membership, g.counters, g.log)
 	g.table.UseStatedLoads(upstream.StatedLoads{From: g.settings.StatedLoadsFrom, Unpaced: g.settings.StatedLoadsUnpaced})
 	g.counters.Gauge("plumbarrow_endpoints_leaving", func() float64 { return float64(len(g.table.Leaving())) })
+	g.counters.Gauge("plumbarrow_endpoints_fragile", func() float64 { return float64(g.table.Fragile()) })
 	g.rollouts = canary.New(g.settings.CanaryShare, g.counters, g.log)
 	g.driver = canary.NewDriver(g.rollouts, g.mirror, g.store, platform.Publisher{}, g.membership, g.log)
 	decoder.Endpoints = g.table
@@ -145,6 +146,7 @@
 	g.exchange.Add(g.mirrorTopic)
 	g.exchange.Add(upstream.NewLoadTopic(g.table))
 	g.exchange.Add(upstream.NewLimitTopic(g.table))
+	g.exchange.Add(upstream.NewToleranceTopic(g.table))
 	g.exchange.Add(g.rollouts)
 	g.exchange.Add(g.quarantine)
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -83,6 +83,7 @@
 	exposure := f.server.Quarantine.Begin(grant.Endpoint.ID(), grant.Report.Address, f.service, f.call.SharedParts())
 	ending := quarantine.Closed
 	defer func() { exposure.End(ending) }()
+	grant.RecordSent()
 	answer, err := f.server.Sender.Send(ctx, out)
 	if err != nil {
 		failed := f.failedSend(grant, err)
@@ -112,6 +113,12 @@
 	if reply.Signed || reply.HasRateLimit {
 		grant.RecordRateLimit(reply.RateLimit, reply.HasRateLimit)
 	}
+	if reply.Signed || reply.HasRejectionTolerance {
+		grant.RecordTolerance(reply.RejectionTolerance, reply.HasRejectionTolerance)
+	}
+	if reply.NotRun && !reply.Misdirected {
+		grant.RecordNoRoom(reply.held(), f.id())
+	}
 	for range answer.Origin.Skipped {
 		f.server.Counters.Inc(skippedAnswers)
 	}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -49,12 +49,15 @@
 func (plainProtocol) Reply(status int, header http.Header) Reply {
 	confidence, err := strconv.ParseFloat(header.Get("Confidence"), 64)
 	pause, _ := strconv.ParseFloat(header.Get("Pause-S"), 64)
+	tolerance, toleranceErr := strconv.Atoi(header.Get("Tolerance"))
+	held, heldErr := strconv.Atoi(header.Get("Held"))
 	limit, limitErr := strconv.ParseFloat(header.Get("Limit"), 64)
 	return Reply{
 		Signed: header.Get("Signature") != "", NotRun: header.Get("Not-Run") != "",
 		Misdirected: status == http.StatusMisdirectedRequest, Confidence: confidence, HasConfidence: err == nil,
 		RateLimit: limit, HasRateLimit: limitErr == nil, Leaving: header.Get("Leaving") != "",
-		TurnedAwayFor: time.Duration(pause * float64(time.Second)),
+		TurnedAwayFor: time.Duration(pause * float64(time.Second)), Running: held, HasLoad: heldErr == nil,
+		RejectionTolerance: tolerance, HasRejectionTolerance: toleranceErr == nil,
 	}
 }
 
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -290,6 +290,9 @@
 				return nil, f.turnedAway(pause)
 			}
 		}
+		if blocked == upstream.PlacesElsewhere {
+			return nil, f.noCapacity(blocked)
+		}
 		if refusal := f.admitToQueue(blocked, wait); refusal != nil {
 			return nil, refusal
 		}
--- a/gateway/preview.go
+++ b/gateway/preview.go
@@ -154,6 +154,9 @@
 			return f.turnedAway(pause)
 		}
 	}
+	if placement.Blocked == upstream.PlacesElsewhere {
+		return f.noCapacity(placement.Blocked)
+	}
 	if refusal := f.admitToQueue(placement.Blocked, wait); refusal != nil {
 		return refusal
 	}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -96,6 +96,18 @@
 	// HasRateLimit is set.
 	RateLimit    float64
 	HasRateLimit bool
+	// RejectionTolerance is how many requests per second the endpoint can reject without failing. It is valid if HasRejectionTolerance is
+	// set.
+	RejectionTolerance    int
+	HasRejectionTolerance bool
+}
+
+// held returns the number of requests at the endpoint; -1 if it is not known.
+func (r *Reply) held() int {
+	if !r.HasLoad {
+		return -1
+	}
+	return r.Running + r.Waiting
 }
 
 // EndpointProtocol is the protocol that endpoints speak. Implementations must be safe for concurrent use.
--- a/upstream/endpoint.go
+++ b/upstream/endpoint.go
@@ -60,6 +60,7 @@
 	ownAtStated int       // ownLoad.requests when stated was received
 	ownStated   statement // the newest one that this instance has received itself
 	pace        pace
+	fragility   fragility
 }
 
 // load is the in-flight work at an endpoint.
@@ -107,6 +108,7 @@
 		e.coldUntil = time.Time{}
 		e.statedLimit = statedLimit{}
 		e.stated, e.ownStated, e.pace = statement{}, statement{}, pace{}
+		e.fragility = fragility{}
 	}
 	if restarted {
 		// Peers may still report the limit of the process before.
--- a/upstream/explain.go
+++ b/upstream/explain.go
@@ -11,7 +11,7 @@
 
 // String returns the reason as a word, "" for NotBlocked.
 func (b Blocked) String() string {
-	return [...]string{NotBlocked: "", NoneEligible: "none_eligible", Full: "full", TurnedAway: "turned_away"}[b]
+	return [...]string{NotBlocked: "", NoneEligible: "none_eligible", Full: "full", TurnedAway: "turned_away", PlacesElsewhere: "places_elsewhere"}[b]
 }
 
 // Placement is where a request would go now, and why.
@@ -57,8 +57,9 @@
 	ExcludedVersion    Exclusion = "version"        // the request needs another version
 	ExcludedTurnedAway Exclusion = "turned_away"    // it wants no requests from this instance for a time
 	ExcludedFull       Exclusion = "full"
-	ExcludedSpread     Exclusion = "spread" // a roll-out confines the request to other endpoints of the version
-	ExcludedRate       Exclusion = "rate"   // this instance's share of its rate is used up: it is cold, or states a limit
+	ExcludedFragile    Exclusion = "fragile" // it tolerates few rejections, and this instance's part of its places is in use
+	ExcludedSpread     Exclusion = "spread"  // a roll-out confines the request to other endpoints of the version
+	ExcludedRate       Exclusion = "rate"    // this instance's share of its rate is used up: it is cold, or states a limit
 )
 
 // Explain returns where Place would send the request now. It reserves nothing.
@@ -124,6 +125,8 @@
 		return ExcludedTurnedAway
 	case e.total(now).requests >= maxRequests(e, service):
 		return ExcludedFull
+	case !t.fragileRoom(e, now).admits:
+		return ExcludedFragile
 	default:
 		return ExcludedRate
 	}
--- a/upstream/place.go
+++ b/upstream/place.go
@@ -89,6 +89,8 @@
 	startedAt      time.Time
 	probe          bool // see turnAway
 	conditions     conditions
+	sent           bool            // see RecordSent
+	lender         *fragileService // nil unless the request exceeds this instance's part, see fragileRoom
 }
 
 // candidate is an endpoint that passed the filters.
@@ -112,6 +114,8 @@
 	Full
 	// TurnedAway means that all eligible endpoints want no requests from this instance for a time, see Table.TurnedAwayFor.
 	TurnedAway
+	// PlacesElsewhere means that all eligible endpoints tolerate few rejections, and other instances share their places.
+	PlacesElsewhere
 )
 
 // Place reserves capacity at the endpoint with the lowest cost: the expected time to the first event plus
@@ -147,13 +151,10 @@
 	for _, endpoint := range endpoints {
 		endpoint.mu.Lock()
 		if endpoint.available(now) && !evacuated[endpoint.report.Zone] && endpoint.matchesVersion(need) {
-			switch {
-			case t.hasCapacity(endpoint, service, now):
+			if t.hasCapacity(endpoint, service, now) {
 				candidates = append(candidates, t.score(endpoint, need, endpoint == preferred, now))
-			case endpoint.turnAway.left(now) == 0:
-				blocked = Full
-			case blocked == NoneEligible:
-				blocked = TurnedAway
+			} else {
+				blocked = t.blockedBy(endpoint, blocked, now)
 			}
 		}
 		endpoint.mu.Unlock()
@@ -167,6 +168,20 @@
 	return candidates, blocked
 }
 
+// blockedBy returns why there is no capacity at the endpoint and those before it. The caller holds the lock.
+func (t *Table) blockedBy(e *Endpoint, before Blocked, now time.Time) Blocked {
+	switch {
+	case e.turnAway.left(now) > 0 && before == NoneEligible:
+		return TurnedAway
+	case e.turnAway.left(now) > 0:
+		return before
+	case t.fragileRoom(e, now).none && (before == NoneEligible || before == PlacesElsewhere):
+		return PlacesElsewhere
+	default:
+		return Full
+	}
+}
+
 // subset returns the given share of the candidates, rounded up, without last resorts if there are
 // others. It selects by hash, so that all instances choose the same endpoints.
 func subset(candidates []candidate, share float64) []candidate {
@@ -188,12 +203,15 @@
 }
 
 // hasCapacity reports whether the endpoint may be given one more request: it has a free slot, counting
-// overcommit, it does not turn this instance away, and neither the limit that it states nor that of a cold endpoint is used up. The
+// overcommit, it does not turn this instance away, it has room without rejecting others, and neither the limit that it states nor that of a cold endpoint is used up. The
 // caller holds the lock.
 func (t *Table) hasCapacity(e *Endpoint, service *catalog.Service, now time.Time) bool {
 	if e.total(now).requests >= maxRequests(e, service) {
 		return false
 	}
+	if !t.fragileRoom(e, now).admits {
+		return false
+	}
 	if !e.turnAway.admits(now) || e.statedLimit.inForce && !e.limiter.ready(t.ownStatedRate(e), now) {
 		return false
 	}
@@ -412,6 +430,9 @@
 	if service != nil {
 		grant.MaxIdleConns = t.maxIdleConns(service)
 	}
+	if room := t.fragileRoom(e, now); room.borrows {
+		grant.borrow(room.rate, now)
+	}
 	t.addLoad(grant, need, now)
 	return grant
 }
@@ -492,7 +513,9 @@
 	if g.probe {
 		e.turnAway.probing = false
 	}
-	opened := e.health.record(outcome, time.Now())
+	now := time.Now()
+	g.recordFragileEnd(outcome, now)
+	opened := e.health.record(outcome, now)
 	openDuration := e.health.openDuration
 	e.mu.Unlock()
 	if opened {
@@ -500,7 +523,7 @@
 		g.table.log.Warn("breaker opened", "endpoint", e.id, "service", g.Report.Service, "for_ms", openDuration.Milliseconds())
 	}
 	if outcome == Answered {
-		g.table.recordEnd(g.Report.Service, time.Now())
+		g.table.recordEnd(g.Report.Service, now)
 	}
 	g.table.WakeNext(g.Report.Service)
 }
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -38,6 +38,8 @@
 	responseTimes responseTimes
 	statedLoads   StatedLoads
 	paced         sync.Map // names of services whose endpoints state a pace
+	fragile       fragileServices
+	sharers       sharers
 }
 
 // view is an immutable index of the endpoints.
