--- a/upstream/table.go
+++ b/upstream/table.go
@@ -40,6 +40,8 @@
 	paced         sync.Map      // names of services whose endpoints state a pace
 	reach         sync.Map      // *serviceReach by service
 	reachDue      chan struct{} // has an element if a service has become suspect
+	fragile       fragileServices
+	sharers       sharers
 }
 
 // view is an immutable index of the endpoints.
