gateway, daemon: an isolated instance is not ready

An instance that reaches no endpoint of any service, and of whose peers at least half do not answer, is not ready and closes connections with its refusals. TestIsolated: also with a peer in the same position, and not while all peers decline.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -173,6 +173,12 @@
 
 // assembleServing creates the server that routes callers' requests to endpoints.
 func (g *Gateway) assembleServing() {
+	g.counters.Gauge("plumbarrow_isolated", func() float64 {
+		if g.server.Isolated() {
+			return 1
+		}
+		return 0
+	})
 	g.counters.Gauge("plumbarrow_endpoint_connections_opened", func() float64 { return float64(g.endpointClient.OpenedCount()) })
 	g.server = gateway.New(gateway.Parts{
 		Self:             g.self,
@@ -306,7 +312,7 @@
 
 // ready reports whether the balancer should send requests to this instance.
 func (g *Gateway) ready() bool {
-	return !g.server.Stopping() && g.current.Get() != nil && g.table.Ready()
+	return !g.server.Stopping() && !g.server.Isolated() && g.current.Get() != nil && g.table.Ready()
 }
 
 func (g *Gateway) readyHandler() http.Handler {
--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -141,7 +141,8 @@
 	if refusal.RetryAfter > 0 && promisesNotRun(f.status) {
 		header.Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 2, 64))
 	}
-	if f.callerGone || closesConnection(refusal.Reason) {
+	isolated := refusal.Reason == verdict.EndpointsUnreachable && f.server.Isolated() // the caller's next connection leads elsewhere
+	if f.callerGone || isolated || closesConnection(refusal.Reason) {
 		header.Set("Connection", "close")
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -51,6 +51,12 @@
 
 var _ Relay = (*link.ForwardClient)(nil)
 
+// Isolated reports whether this instance reaches no endpoint and is separated from its peers, so that callers are better served anywhere else. An
+// outage of all endpoints does not isolate it: peers answer then, if only to decline.
+func (s *Server) Isolated() bool {
+	return s.Relay != nil && !s.Upstreams.AnyReachable() && s.relayPeers.separated(s.Members.Live(), s.Self.ID, time.Now())
+}
+
 // unreachable returns the refusal of a request to whose service this instance has lost all links.
 func (f *requestState) unreachable() *verdict.Refusal {
 	refusal := verdict.Refuse(verdict.EndpointsUnreachable, "no endpoint of service %s can be reached", f.service)
@@ -77,7 +83,7 @@
 	answer, err := f.server.Relay.Forward(ctx, peer, f.forwarded())
 	if err != nil {
 		if ctx.Err() == nil {
-			peers.declined(peer.ID, time.Now())
+			peers.failed(peer.ID, time.Now())
 		}
 		f.tries++
 		f.server.Counters.Add(relayedRequests, "reaction", "failed")
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -24,6 +24,7 @@
 type cutOffTable struct{ *upstream.Table }
 
 func (cutOffTable) Reachable(string) bool { return false }
+func (cutOffTable) AnyReachable() bool    { return false }
 
 // relayMembers are an instance without links to endpoints and its peers.
 type relayMembers []machine.Member
@@ -234,6 +235,34 @@
 	c.Check(len(peer.sender.sent)+len(other.sender.sent), qt.Equals, 2)
 }
 
+// TestIsolated guards against callers that are sent to an instance which reaches no endpoint and is separated from its peers, while the balancer has
+// others. One peer in the same position does not change that. An instance whose peers answer stays in rotation, also if they decline: a service that nobody reaches must not empty the rotation.
+func TestIsolated(t *testing.T) {
+	c := qt.New(t)
+	unreachable := newFixture().cutOff()
+	members := append(relayMembers{{ID: "entry-0"}}, machine.Member{ID: "lost-1", Address: "127.0.0.1:1"}, machine.Member{ID: "lost-2", Address: "127.0.0.1:1"})
+	dialer := link.NewRelayDialer()
+	defer dialer.Close()
+	unreachable.server.Self, unreachable.server.Members, unreachable.server.Relay = members[0], members, link.NewRelayClient(dialer)
+	c.Check(unreachable.server.Isolated(), qt.IsFalse)
+	c.Check(unreachable.call("read").status, qt.Equals, 503)
+	c.Check(unreachable.server.Isolated(), qt.IsTrue)
+	c.Check(unreachable.call("read").header.Get("Connection"), qt.Equals, "close")
+	unreachable.server.Upstreams = unreachable.table
+	c.Check(unreachable.server.Isolated(), qt.IsFalse)
+
+	island := relayFixture(c, newFixture().cutOff())
+	island.server.Members = append(island.server.Members.(relayMembers), members[1:]...)
+	c.Check(island.call("read").status, qt.Equals, 503)
+	c.Check(island.server.Isolated(), qt.IsTrue)
+
+	declined := relayFixture(c, newFixture().cutOff(), newFixture().cutOff())
+	for range 3 {
+		c.Check(declined.call("read").status, qt.Equals, 503)
+	}
+	c.Check(declined.server.Isolated(), qt.IsFalse)
+}
+
 // TestCallerOfRelayLeaves guards against endpoints that work for a caller who has left the instance that passed the request on.
 func TestCallerOfRelayLeaves(t *testing.T) {
 	c := qt.New(t)
--- a/gateway/relaypeers.go
+++ b/gateway/relaypeers.go
@@ -21,6 +21,8 @@
 	// the service.
 	maxDeclines = 24
 	askPause    = 50 * time.Millisecond
+	// silentAge is how long a peer that did not answer counts as out of reach.
+	silentAge = 5 * time.Second
 	// maxRelayPeers bounds the peers whose state is kept.
 	maxRelayPeers = 4096
 )
@@ -37,6 +39,7 @@
 type relayPeer struct {
 	inProgress    int // requests of this instance
 	tookAt        time.Time
+	failedAt      time.Time // zero if the peer has answered since
 	declinedUntil time.Time
 }
 
@@ -110,13 +113,49 @@
 func (r *relayPeers) took(id machine.InstanceID, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.peer(id).tookAt, r.declines = now, 0
+	peer := r.peer(id)
+	peer.tookAt, peer.failedAt, r.declines = now, time.Time{}, 0
 }
 
-// declined records that the peer has declined a request or did not answer.
+// declined records that the peer has declined a request.
 func (r *relayPeers) declined(id machine.InstanceID, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.leaveOut(id, now)
+	r.peer(id).failedAt = time.Time{}
+}
+
+// failed records that the peer could not be reached or was lost.
+func (r *relayPeers) failed(id machine.InstanceID, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaveOut(id, now)
+	r.peer(id).failedAt = now
+}
+
+// separated reports whether at least half of the peers are out of reach and none of the others has taken a request lately.
+func (r *relayPeers) separated(members []machine.Member, self machine.InstanceID, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	peers, silent := 0, 0
+	for _, member := range members {
+		if member.ID == self {
+			continue
+		}
+		peers++
+		switch peer := r.peers[member.ID]; {
+		case peer == nil:
+		case now.Sub(peer.failedAt) < silentAge:
+			silent++
+		case now.Sub(peer.tookAt) < provenAge:
+			return false
+		}
+	}
+	return silent > 0 && 2*silent >= peers
+}
+
+// leaveOut leaves the peer out for declinedPause. The caller holds the lock.
+func (r *relayPeers) leaveOut(id machine.InstanceID, now time.Time) {
 	peer := r.peer(id)
 	peer.declinedUntil, peer.tookAt = now.Add(declinedPause), time.Time{}
 	r.declines++
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -48,6 +48,8 @@
 	Forecast(service string, priority int) (time.Duration, bool)
 	// Reachable reports whether this instance reaches any endpoint of the service, as far as it knows.
 	Reachable(service string) bool
+	// AnyReachable reports whether this instance reaches an endpoint of any service, as far as it knows.
+	AnyReachable() bool
 	// Explain returns where Place would send the request now, and why.
 	Explain(need *upstream.Need) upstream.Placement
 }
--- a/upstream/reach.go
+++ b/upstream/reach.go
@@ -100,6 +100,17 @@
 	return !ok || !known.(*serviceReach).unreachable.Load()
 }
 
+// AnyReachable reports whether this instance reaches an endpoint of any service, as far as it knows. It is true without endpoints.
+func (t *Table) AnyReachable() bool {
+	services := t.view.Load().byService
+	for service := range services {
+		if t.Reachable(service) {
+			return true
+		}
+	}
+	return len(services) == 0
+}
+
 // RecordConnection records that the attempt made a connection to the endpoint.
 func (g *Grant) RecordConnection() {
 	s := g.table.reachOf(g.Report.Service)
