link, answercheck: an invalid answer fails the attempt at once, also on a silent connection

Found by the review of the merged work: the checker returned the valid bytes before an invalid line without its error, and the next read went to the socket first.

Reads return the known error before they read.

--- a/internal/answercheck/conn.go
+++ b/internal/answercheck/conn.go
@@ -21,6 +21,9 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.Answers.Err(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	return c.Answers.Filter(p[:n], err)
 }
--- a/link/answersource.go
+++ b/link/answersource.go
@@ -33,6 +33,9 @@
 
 // Read implements io.Reader.
 func (s *answerSource) Read(p []byte) (int, error) {
+	if err := s.answers.Err(); err != nil {
+		return 0, err
+	}
 	if s.limited {
 		if s.left <= 0 {
 			return 0, errLongHead
