link: a reset after an orderly end does not break the answer

Found by the review: a sound engine that answers an upload at once without a length, ends in order and closes lost its answer if the receiver read late: the write met EPIPE, which was kept as the connection's error. Linux reports EPIPE for a reset that follows the peer's orderly end, and ECONNRESET for one that doesn't. TestResetBeforeWriteReturns has the case for both clients; before, both fail.

--- a/link/resetanswer_test.go
+++ b/link/resetanswer_test.go
@@ -121,9 +121,9 @@
 func (c *uploadConn) Close() error { return c.SetWriteDeadline(time.Time{}) }
 
 // TestResetBeforeWriteReturns guards against the same where the read returns before the write, for both clients. An orderly end during the
-// upload still completes the answer.
+// upload still completes the answer, also if a reset follows it, which the kernel reports to the write as EPIPE.
 func TestResetBeforeWriteReturns(t *testing.T) {
-	for _, writeErr := range []error{syscall.ECONNRESET, os.ErrDeadlineExceeded} {
+	for _, writeErr := range []error{syscall.ECONNRESET, os.ErrDeadlineExceeded, syscall.EPIPE} {
 		dial := func(context.Context, string, string) (net.Conn, error) {
 			return &uploadConn{
 				answer:   strings.NewReader("HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\npart"),
@@ -134,6 +134,7 @@
 			text, err := io.ReadAll(body)
 			c.Check(string(text), qt.Equals, "part")
 			c.Check(errors.Is(err, syscall.ECONNRESET), qt.Equals, writeErr == syscall.ECONNRESET, qt.Commentf("the answer ended with %v", err))
+			c.Check(err != nil, qt.Equals, writeErr == syscall.ECONNRESET, qt.Commentf("the answer ended with %v", err))
 			c.Check(body.Close(), qt.IsNil)
 		}
 		t.Run("client, "+writeErr.Error(), func(t *testing.T) {
--- a/link/stickyconn.go
+++ b/link/stickyconn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -54,11 +55,12 @@
 	return err
 }
 
-// keep records the error, unless it is nil or a deadline, and returns the first one recorded.
+// keep records the error, unless it is nil, a deadline, or EPIPE, which the kernel reports for a reset after an orderly end; that end is true. It
+// returns the first one recorded.
 func (c *stickyConn) keep(err error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.broken == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+	if c.broken == nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.EPIPE) {
 		c.broken = err
 	}
 	return c.broken
