--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -108,6 +108,9 @@
 	if refusal := f.readBody(); refusal != nil {
 		return refusal
 	}
+	if refusal := f.checkRuns(); refusal != nil {
+		return refusal
+	}
 	f.start()
 	if !f.finishesInTime(0) {
 		return stoppingRefusal()
@@ -123,6 +126,9 @@
 	}
 	f.deadline = f.arrived.Add(min(timeout, f.route.Timeout))
 	f.service = f.route.Service(hashShare(f.call.ID))
+	if f.origin != nil && f.origin.service != "" {
+		f.service = f.origin.service
+	}
 }
 
 // authorize finds the request's route and customer in the snapshot.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -23,12 +23,14 @@
 	fieldConfiguration = "Plumbarrow-Configuration"
 	// fieldRuns is the number of attempts before that may have run the request.
 	fieldRuns = "Plumbarrow-Runs"
+	// fieldService is the service whose stream the caller already receives, if any.
+	fieldService = "Plumbarrow-Service"
 	// fieldDeclined on an answer is the reason for which the peer has not taken the request.
 	fieldDeclined = "Plumbarrow-Declined"
 )
 
 // instanceFields are never passed on to callers, and not accepted from endpoints.
-var instanceFields = []string{fieldConfiguration, fieldRuns, fieldDeclined}
+var instanceFields = []string{fieldConfiguration, fieldRuns, fieldService, fieldDeclined}
 
 const (
 	// relayMargin is taken off the time that a peer gets, so that its answer at the deadline, which says whether the request has run, arrives.
@@ -126,6 +128,9 @@
 	header.Set("Host", f.call.Host)
 	header.Set(fieldConfiguration, strconv.FormatUint(max(f.snapshot.Version, f.server.relayedVersion.Load()), 10))
 	header.Set(fieldRuns, strconv.Itoa(f.runs))
+	if f.stream != nil && f.stream.headerSent {
+		header.Set(fieldService, f.service)
+	}
 	return &link.ForwardedRequest{
 		RequestID: f.call.ID, Customer: f.customerName(), Method: f.call.Method, Path: f.call.Target, Header: header, Body: f.body, Hops: 1,
 	}
@@ -179,8 +184,9 @@
 		failed.err = err
 		return failed
 	}
-	f.recordVerdict(link.ForwardVerdict(answer))
-	if promisesNotRun(answer.Status) && f.verdict != verdict.NotRun {
+	peers := link.ForwardVerdict(answer)
+	f.recordVerdict(peers)
+	if (promisesNotRun(answer.Status) || peers == verdict.NotRun) && f.verdict != verdict.NotRun {
 		f.refuse(verdict.Uncertain(verdict.UpstreamError, "the request may have run before a peer refused it with %d", answer.Status))
 		return nil
 	}
@@ -203,6 +209,7 @@
 	bodyErr       error
 	configuration uint64 // lowest version that may serve the request
 	runs          int    // attempts before that may have run
+	service       string // whose stream the caller already receives; empty without one
 }
 
 // ServeForwarded serves a request that a peer has passed on, and returns the verdict on it. It implements link.ForwardHandler. What this
@@ -212,8 +219,9 @@
 	from := &origin{body: forwarded.Body, bodyErr: forwarded.BodyError}
 	from.configuration, _ = strconv.ParseUint(header.Get(fieldConfiguration), 10, 64)
 	from.runs, _ = strconv.Atoi(header.Get(fieldRuns))
+	from.service = header.Get(fieldService)
 	host := header.Get("Host")
-	for _, name := range []string{"Host", fieldConfiguration, fieldRuns} {
+	for _, name := range append([]string{"Host"}, instanceFields...) {
 		header.Del(name)
 	}
 	request := (&http.Request{
@@ -243,6 +251,17 @@
 	}
 }
 
+// checkRuns returns the refusal of a request of a peer whose attempts there leave no room for another one, else nil.
+func (f *requestState) checkRuns() *verdict.Refusal {
+	if f.origin == nil {
+		return nil
+	}
+	if service := f.origin.service; service != "" && !f.route.Allows(service) {
+		return verdict.Uncertain(verdict.UpstreamError, "the stream cannot go on: its route has left service %s", service)
+	}
+	return f.stillAllowed(f.route)
+}
+
 // declines reports whether a refusal tells a peer to pass the request to another instance.
 func (f *requestState) declines(refusal *verdict.Refusal) bool {
 	if f.origin == nil || refusal.Verdict != verdict.NotRun {
