intake: OPTIONS * does not hide the fields of what follows it

Found by the review of the bounds on heads: net/http answers OPTIONS * itself and reads its body without the guard's knowledge, so that the framing took what followed for something else.

The handlers answer OPTIONS * now, as any path that no route has.

--- a/intake/guard.go
+++ b/intake/guard.go
@@ -150,7 +150,8 @@
 // Attach sets the hooks and the bound on heads of a server whose listener is of Guard.Listen, and wraps its handler.
 func (g *Guard) Attach(server *http.Server) {
 	server.Handler = handler{server.Handler}
-	server.MaxHeaderBytes = maxHeadBytes // the guard has the bound in force
+	server.DisableGeneralOptionsHandler = true // it reads bodies that the framing is not told of
+	server.MaxHeaderBytes = maxHeadBytes       // the guard has the bound in force
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		if c, ok := conn.(*guardedConn); ok {
 			return NewContext(context.WithValue(ctx, connContextKey{}, c), c.account)
