intake: a caller who leaves is noticed while bytes behind its request are held back (GONE)

Found by the review of the bounds on heads: with any byte behind a request, such as the line break that old clients send after a body, net/http's background read returned at once with held-back bytes and never learned that the caller had left.

During a request the connection goes on receiving, up to 4 KiB.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// maxHeldBack is the largest number of bytes that are received behind a request in service.
+const maxHeldBack = 4 << 10
+
 // headTooLarge is the answer to a head beyond the bounds.
 var headTooLarge = "HTTP/1.1 " + strconv.Itoa(http.StatusRequestHeaderFieldsTooLarge) + " " +
 	http.StatusText(http.StatusRequestHeaderFieldsTooLarge) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -68,6 +71,11 @@
 
 // Read implements net.Conn. It stops at the end of a head and of a request: net/http must not parse fields before they are charged.
 func (c *guardedConn) Read(p []byte) (int, error) {
+	if len(p) == 1 { // net/http reads a byte during a request, to learn when the caller leaves
+		if err := c.receiveBehind(); err != nil {
+			return 0, err
+		}
+	}
 	fresh := len(c.unparsed) == 0
 	n := copy(p, c.unparsed)
 	if fresh {
@@ -93,6 +101,20 @@
 	return taken, nil
 }
 
+// receiveBehind receives what the caller sends behind a request in service from which bytes are held back, until there are maxHeldBack or the
+// caller leaves.
+func (c *guardedConn) receiveBehind() error {
+	for len(c.unparsed) > 0 && len(c.unparsed) < maxHeldBack && c.account.inService() {
+		more := make([]byte, maxHeldBack-len(c.unparsed))
+		n, err := c.Conn.Read(more)
+		c.unparsed = append(c.unparsed, more[:n]...)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // charge charges the account for bytes that were scanned, and the fields in them. It returns an error if they are refused.
 func (c *guardedConn) charge(taken, fields int) error {
 	switch {
--- a/intake/guard.go
+++ b/intake/guard.go
@@ -509,3 +509,10 @@
 	defer a.guard.mu.Unlock()
 	return a.wholeBody
 }
+
+// inService reports whether a request is in service.
+func (a *Account) inService() bool {
+	a.guard.mu.Lock()
+	defer a.guard.mu.Unlock()
+	return a.stage == inService && !a.evicted
+}
--- a/intake/pipeline_test.go
+++ b/intake/pipeline_test.go
@@ -180,6 +180,37 @@
 	c.Check(guard.held(), qt.Equals, int64(0))
 }
 
+// TestCallerLeavesWithBytesHeldBack guards against GONE: a caller leaves while its request is in service and bytes behind it are held back (a line
+// break after a body, as old clients send, or another request), and the handler does not learn of it.
+func TestCallerLeavesWithBytesHeldBack(t *testing.T) {
+	for name, extra := range map[string]string{"nothing": "", "line break": "\r\n", "request": "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"} {
+		for _, with := range []string{"plain", "guard"} {
+			t.Run(name+", "+with, func(t *testing.T) {
+				c := qt.New(t)
+				began, noticed := make(chan struct{}, 2), make(chan struct{}, 2)
+				handle := func(_ http.ResponseWriter, r *http.Request) {
+					_, _ = io.ReadAll(r.Body)
+					began <- struct{}{}
+					<-r.Context().Done() // else the test does not end
+					noticed <- struct{}{}
+				}
+				var address string
+				if with == "plain" {
+					address = plainServer(c, handle)
+				} else {
+					_, _, address = startServer(c, Limits{Bytes: 1 << 20, Connections: 9}, handle)
+				}
+				conn, err := net.Dial("tcp", address)
+				c.Assert(err, qt.IsNil)
+				_, _ = io.WriteString(conn, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"+extra)
+				<-began
+				_ = conn.Close()
+				<-noticed
+			})
+		}
+	}
+}
+
 // TestExpectContinue guards against bodies that are not asked for: they are read, and the connection is kept.
 func TestExpectContinue(t *testing.T) {
 	c := qt.New(t)
