--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -51,7 +51,7 @@
 	runs               int                  // attempts that may have run
 	tries              int                  // attempts sent, including those that did not run
 	avoid              []machine.EndpointID // endpoints of failed attempts
-	declinedBy         []machine.InstanceID // peers that the request was passed to
+	peersAsked         []machine.InstanceID // that the request was passed to
 	newConnection      bool                 // the next attempt needs a new connection
 	retryReserved      bool                 // the retry budget has been charged for the next attempt
 	model              int                  // index of the model for the next attempt
