--- a/intake/guard.go
+++ b/intake/guard.go
@@ -174,6 +174,9 @@
 	if account.Begin() != nil {
 		panic(http.ErrAbortHandler) // evicted since the head was read
 	}
+	if !r.ProtoAtLeast(1, 1) {
+		defer account.resetIfCut()
+	}
 	if c, ok := r.Context().Value(connContextKey{}).(*guardedConn); ok && r.Body != nil && r.Body != http.NoBody {
 		c.framing.setBody(r.ContentLength)
 	}
@@ -184,6 +187,21 @@
 	}
 }
 
+// resetIfCut resets the connection of a handler that panics. Callers that speak HTTP/1.0 get answers without a length that end with the
+// connection, so that an orderly end would complete a cut one.
+func (a *Account) resetIfCut() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if a != nil {
+		if conn, ok := a.conn.(interface{ SetLinger(seconds int) error }); ok {
+			_ = conn.SetLinger(0)
+		}
+	}
+	panic(cause)
+}
+
 // admit opens an account for a new connection, or returns nil if there is no room for it. It evicts another connection if needed.
 func (g *Guard) admit(conn net.Conn) *Account {
 	now := time.Now()
