--- a/entry/outofreach_test.go
+++ b/entry/outofreach_test.go
@@ -11,8 +11,8 @@
 	"plumbarrow.example/plumbarrow/link"
 )
 
-// TestEndpointsOutOfReach guards against callers that are refused by an instance which has lost its links to all endpoints of its zone: the zone is
-// in service, and another one would serve them.
+// TestEndpointsOutOfReach guards against callers that are refused by an instance which has lost its links to all endpoints of its zone: the
+// zone is in service, and another one would serve them.
 func TestEndpointsOutOfReach(t *testing.T) {
 	c := qt.New(t)
 	a, b, _ := twoZones(c, decide.NewPicker(decide.DefaultSettings()))
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -32,7 +32,7 @@
 var instanceFields = []string{fieldConfiguration, fieldRuns, fieldService, fieldDeclined}
 
 const (
-	// relayMargin is taken off the time that a peer gets, so that its answer at the deadline, which says whether the request has run, arrives.
+	// relayMargin is taken off the time that a peer gets, so that its answer at the deadline, with the verdict on the request, still arrives.
 	relayMargin = 30 * time.Millisecond
 	// maxPeersAsked bounds the peers that one request is passed to, including those that decline.
 	maxPeersAsked = 12
@@ -97,7 +97,9 @@
 	if reason := answer.Header.Get(fieldDeclined); reason != "" {
 		peers.declined(peer.ID, time.Now())
 		f.server.Counters.Add(relayedRequests, "reaction", "declined")
-		return &failedAttempt{verdict: verdict.NotRun, reason: verdict.RetryNotSent, status: answer.Status, err: fmt.Errorf("peer %s declined: %s", peer.ID, reason)}, nil
+		return &failedAttempt{
+			verdict: verdict.NotRun, reason: verdict.RetryNotSent, status: answer.Status, err: fmt.Errorf("peer %s declined: %s", peer.ID, reason),
+		}, nil
 	}
 	f.tries++
 	peers.took(peer.ID, time.Now())
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -235,8 +235,9 @@
 	c.Check(len(peer.sender.sent)+len(other.sender.sent), qt.Equals, 2)
 }
 
-// TestIsolated guards against callers that are sent to an instance which reaches no endpoint and is separated from its peers, while the balancer has
-// others. One peer in the same position does not change that. An instance whose peers answer stays in rotation, also if they decline: a service that nobody reaches must not empty the rotation.
+// TestIsolated guards against callers that are sent to an instance which reaches no endpoint and is separated from its peers, while the
+// balancer has others. One peer in the same position does not change that. An instance whose peers answer stays in rotation, also if they
+// decline: a service that nobody reaches must not empty the rotation.
 func TestIsolated(t *testing.T) {
 	c := qt.New(t)
 	unreachable := newFixture().cutOff()
--- a/gateway/relaypeers_test.go
+++ b/gateway/relaypeers_test.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// TestNoInstanceReachesService guards against a fleet that is busy with asking in vain: once all have declined for a while, a service that nobody
-// reaches costs each instance at most 25 questions a second, and the requests are refused at once.
+// TestNoInstanceReachesService guards against a fleet that spends its time on requests passed on in vain: once 24 peers have declined, a service
+// that no instance reaches costs each at most 25 relays a second, and the other requests are refused at once.
 func TestNoInstanceReachesService(t *testing.T) {
 	c := qt.New(t)
 	members, now := fleet(400), time.Unix(1000, 0)
--- a/gateway/relayrefresh_test.go
+++ b/gateway/relayrefresh_test.go
@@ -21,9 +21,10 @@
 	return !t.lost.Load() && t.Table.Reachable(service)
 }
 
-// TestTakenAwayAtPeer guards against TWICE and false refusals as TestTakenAwayBetweenAttempts does, for a request that may have run at an endpoint of this instance, which then loses its
-// links; the peer that it is passed to has a newer configuration, under which it admits the request. Nothing that may have run is sent where
-// that configuration does not allow it, and the caller's answer does not say that it has not run.
+// TestTakenAwayAtPeer guards against TWICE and false refusals as TestTakenAwayBetweenAttempts does, for a request that may have run at an
+// endpoint of this instance, which then loses its links; the peer that it is passed to has a newer configuration, under which it admits the
+// request. Nothing that may have run is sent where that configuration does not allow it, and the caller's answer does not say that it has
+// not run.
 func TestTakenAwayAtPeer(t *testing.T) {
 	for _, name := range []string{"route", "key", "attempts", "repeatability", "service"} {
 		t.Run(name, func(t *testing.T) {
@@ -45,8 +46,9 @@
 	}
 }
 
-// TestStreamGoesOnAtPeerOfOtherService guards against a stream of two services, the case "service" of TestTakenAwayBetweenAttempts for a stream that goes on at a peer, whose newer
-// configuration leads the route to another service: that service's engines must not continue the stream.
+// TestStreamGoesOnAtPeerOfOtherService guards against a stream of two services, the case "service" of TestTakenAwayBetweenAttempts for a
+// stream that goes on at a peer, whose newer configuration leads the route to another service: that service's engines must not continue the
+// stream.
 func TestStreamGoesOnAtPeerOfOtherService(t *testing.T) {
 	c := qt.New(t)
 	d := draft(2)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -39,7 +39,7 @@
 	held       int    // bytes of buffer that the caller's account holds; a buffer up to readChunk counts as none
 }
 
-// streamObserver is told of a stream's progress.
+// streamObserver receives a stream's progress.
 type streamObserver interface {
 	endpoint() machine.EndpointID
 	recordFirstEvent()
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -62,7 +62,7 @@
 type guardedConn struct {
 	net.Conn
 	account *Account
-	lingers atomic.Bool // the caller is told why before its connection is closed
+	lingers atomic.Bool // the refusal is delivered before the connection is closed
 
 	// Used by one goroutine at a time: the one that reads, or the handler of a request whose body is not read yet.
 	framing  framing
--- a/intake/pipeline_test.go
+++ b/intake/pipeline_test.go
@@ -134,7 +134,8 @@
 	return strings.Join(kept, "\n")
 }
 
-// TestGuardChangesNothing guards against sound requests that the guard's framing breaks. It compares servers with and without the guard on random pipelines of sound requests in random pieces.
+// TestGuardChangesNothing guards against sound requests that the guard's framing breaks. It compares servers with and without the guard on
+// random pipelines of sound requests in random pieces.
 func TestGuardChangesNothing(t *testing.T) {
 	t.Run("requests to handlers", func(t *testing.T) { compareServers(t, false) })
 	t.Run("with OPTIONS *, which net/http answers itself", func(t *testing.T) { compareServers(t, true) })
@@ -180,8 +181,8 @@
 	c.Check(guard.held(), qt.Equals, int64(0))
 }
 
-// TestCallerLeavesWithBytesHeldBack guards against GONE: a caller leaves while its request is in service and bytes behind it are held back (a line
-// break after a body, as old clients send, or another request), and the handler does not learn of it.
+// TestCallerLeavesWithBytesHeldBack guards against GONE: a caller leaves while its request is in service and bytes behind it are held back
+// (a line break after a body, as old clients send, or another request), and the handler does not learn of it.
 func TestCallerLeavesWithBytesHeldBack(t *testing.T) {
 	for name, extra := range map[string]string{"nothing": "", "line break": "\r\n", "request": "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"} {
 		for _, with := range []string{"plain", "guard"} {
--- a/internal/answercheck/checker.go
+++ b/internal/answercheck/checker.go
@@ -39,8 +39,8 @@
 	trailerLine
 )
 
-// Checker checks the answers that arrive on one connection. Its zero value has no budget. Check and Err must not be called concurrently; the other
-// methods may be, at any time.
+// Checker checks the answers that arrive on one connection. Its zero value has no budget. Check and Err must not be called concurrently;
+// the other methods may be, at any time.
 type Checker struct {
 	hold     hold
 	bodyless atomic.Bool // answers have no body, as to HEAD
--- a/mirror/restore.go
+++ b/mirror/restore.go
@@ -29,7 +29,8 @@
 
 func holdNothing(_, _ Document) time.Duration { return 0 }
 
-// memberHold is how long a registration counts that was lost or replaced by an older one: until the instance has registered again, at the latest when it renews its lease.
+// memberHold is how long a registration counts that was lost or replaced by an older one: until the instance has registered again, at the
+// latest when it renews its lease.
 const memberHold = presenceRenewInterval + presenceMaxBackoff
 
 // heldDocument is a document that stays in force instead of the one that a restored store has.
--- a/upstream/place.go
+++ b/upstream/place.go
@@ -203,8 +203,8 @@
 }
 
 // hasCapacity reports whether the endpoint may be given one more request: it has a free slot, counting
-// overcommit, it does not turn this instance away, it has room without rejecting others, and neither the limit that it states nor that of a cold endpoint is used up. The
-// caller holds the lock.
+// overcommit, it does not turn this instance away, it has room without rejecting others, and neither the limit that it states nor that of a
+// cold endpoint is used up. The caller holds the lock.
 func (t *Table) hasCapacity(e *Endpoint, service *catalog.Service, now time.Time) bool {
 	if e.total(now).requests >= maxRequests(e, service) {
 		return false
