upstream: stated tolerances outlast quiet times

A statement of a tolerance counted for 30 s without another answer. A service that had no requests for longer was filled beyond its slots again when they returned, although its endpoints were as brittle as before. A statement now counts for 5 minutes; an endpoint that has recovered says so with its first answers. The hold at tolerance 0, which shared the constant, keeps its 30 s.

--- a/gateway/fragile_rev3_test.go
+++ b/gateway/fragile_rev3_test.go
@@ -46,7 +46,6 @@
 	event                 func(f *rvFleet)
 	wait                  string
 	keepsAbandoned        bool
-	oversized             float64
 	model                 bool
 	states                func(address string, now time.Duration) (states, falls bool)
 	quietFrom, quietUntil time.Duration
@@ -420,15 +419,32 @@
 	c.Check(after >= 0.9*min(can, wanted), qt.IsTrue)
 }
 
+func rvWith(name string, change func(*rvCase)) rvCase {
+	p := rvCase{
+		name: name, instances: 7, endpoints: 18, slots: 8, places: 16, tolerance: 3, work: 600 * time.Millisecond, load: 1.6,
+	}
+	change(&p)
+	return p
+}
+
+func rvRun(t *testing.T, plays ...rvCase) {
+	for _, play := range plays {
+		t.Run(play.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { rvCheck(t, play) })
+		})
+	}
+}
+
+// TestFleetFragileQuiet guards against endpoints that all fall over when the requests return to a service that had none for a while, as its
+// tolerance is forgotten.
+func TestFleetFragileQuiet(t *testing.T) {
+	rvRun(t, rvWith("34 s without requests, then a burst, 60", func(p *rvCase) {
+		p.load, p.quietFrom, p.quietUntil, p.instances, p.slots, p.work, p.places = 3, 24*time.Second, 58*time.Second, 60, 16, 1200*time.Millisecond, 33
+	}))
+}
+
 // TestRev3 plays what TestFleetFragileEndpoints does not: see the names of the cases.
 func TestRev3(t *testing.T) {
-	mid := rvCase{instances: 7, endpoints: 18, slots: 8, places: 16, tolerance: 3, work: 600 * time.Millisecond, load: 1.6}
-	with := func(name string, change func(*rvCase)) rvCase {
-		p := mid
-		p.name = name
-		change(&p)
-		return p
-	}
 	idle := func(n int) func(f *rvFleet) {
 		return func(f *rvFleet) {
 			time.Sleep(time.Second)
@@ -487,31 +503,24 @@
 		at := now % (9 * time.Second) // 0 to 2 s only states; 4 to 9 s states, from 7 s on brittle
 		return now < rvUntil && (at < 2*time.Second || at >= 4*time.Second), now < rvUntil && at >= 7*time.Second
 	}
-	for _, play := range []rvCase{
+	rvRun(t, []rvCase{
 		// 4 of 7 reach no endpoint and pass their requests on (design 0020); "left out" is the same without them in the division.
-		with("relay, 4 of 7 carry nothing, load 1.6", func(p *rvCase) { p.event, p.served = idle(4), 0.85 }),
-		with("relay, 4 of 7 carry nothing, load 0.7", func(p *rvCase) { p.event, p.load, p.served = idle(4), 0.7, 0.85 }),
-		with("left out, 4 of 7 carry nothing, load 0.7", func(p *rvCase) { p.event, p.load, p.served = idleLeft(4), 0.7, 0.85 }),
-		with("long work 8 s, model, 7", func(p *rvCase) { p.model, p.work, p.wait, p.slots, p.places = true, 8*time.Second, "30000", 16, 24 }),
-		with("long work 8 s, model, 7, tolerance 1", func(p *rvCase) {
+		rvWith("relay, 4 of 7 carry nothing, load 1.6", func(p *rvCase) { p.event, p.served = idle(4), 0.85 }),
+		rvWith("relay, 4 of 7 carry nothing, load 0.7", func(p *rvCase) { p.event, p.load, p.served = idle(4), 0.7, 0.85 }),
+		rvWith("left out, 4 of 7 carry nothing, load 0.7", func(p *rvCase) { p.event, p.load, p.served = idleLeft(4), 0.7, 0.85 }),
+		rvWith("long work 8 s, model, 7", func(p *rvCase) { p.model, p.work, p.wait, p.slots, p.places = true, 8*time.Second, "30000", 16, 24 }),
+		rvWith("long work 8 s, model, 7, tolerance 1", func(p *rvCase) {
 			p.model, p.work, p.wait, p.slots, p.places, p.tolerance = true, 8*time.Second, "30000", 16, 24, 1
 		}),
-		with("long work 8 s, model, 2, tolerance 1", func(p *rvCase) {
+		rvWith("long work 8 s, model, 2, tolerance 1", func(p *rvCase) {
 			p.instances, p.model, p.work, p.wait, p.slots, p.places, p.tolerance = 2, true, 8*time.Second, "30000", 16, 24, 1
 		}),
-		with("long work 8 s, model, 60", func(p *rvCase) {
+		rvWith("long work 8 s, model, 60", func(p *rvCase) {
 			p.instances, p.model, p.work, p.wait, p.slots, p.places = 60, true, 8*time.Second, "30000", 16, 24
 		}),
-		with("cut of 1 from its peers for longer than departedHold", func(p *rvCase) { p.event = longCut(1) }),
-		with("quiet for longer than toleranceTTL, then a burst, 60", func(p *rvCase) {
-			p.load, p.quietFrom, p.quietUntil, p.instances, p.slots, p.work, p.places = 3, 24*time.Second, 58*time.Second, 60, 16, 1200*time.Millisecond, 33
-		}),
-		with("some endpoints state", func(p *rvCase) { p.states = some }),
-		with("states 2 s, later again", func(p *rvCase) { p.states = twice }),
-		with("joins without peers", func(p *rvCase) { p.event = alone }),
-	} {
-		t.Run(play.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { rvCheck(t, play) })
-		})
-	}
+		rvWith("cut of 1 from its peers for longer than departedHold", func(p *rvCase) { p.event = longCut(1) }),
+		rvWith("some endpoints state", func(p *rvCase) { p.states = some }),
+		rvWith("states 2 s, later again", func(p *rvCase) { p.states = twice }),
+		rvWith("joins without peers", func(p *rvCase) { p.event = alone }),
+	}...)
 }
--- a/upstream/fragile.go
+++ b/upstream/fragile.go
@@ -12,10 +12,12 @@
 
 const (
 	// toleranceTTL is how long a stated tolerance counts without another answer of the endpoint. Only endpoints that get no requests reach
-	// it.
-	toleranceTTL = 30 * time.Second
-	// endedToleranceTTL is how long instances tell each other that an endpoint states no tolerance any more.
-	endedToleranceTTL = time.Minute
+	// it: a service that was quiet may still fall over when its requests return, while one whose endpoints have recovered says so with its
+	// first answers.
+	toleranceTTL = 5 * time.Minute
+	// endedToleranceTTL is how long instances tell each other that an endpoint states no tolerance any more. An older statement of one
+	// counts for less.
+	endedToleranceTTL = toleranceTTL + time.Minute
 	// endedHold is how long an endpoint that states none is exempt from what others of its service state.
 	endedHold = 10 * time.Second
 	// drainTime is how long the requests that were sent before a tolerance was known may cause rejections.
@@ -32,6 +34,8 @@
 	minRoomHold   = 3 * time.Second
 	roomGrowth    = 0.05
 	minRoomGrowth = 0.25
+	// unprobedHold is the time without growth for an endpoint that tolerates no rejection.
+	unprobedHold = 30 * time.Second
 	// foundShare is the share of the requests that an endpoint held when it rejected one which becomes its room, at least leastShare of
 	// the room assumed before. Where it did not tell, and at the other endpoints of the service, unknownShare of the room assumed before
 	// does.
@@ -121,10 +125,10 @@
 }
 
 // roomHold returns for how long an endpoint's room does not grow after a rejection. The instances together probe for more at most as often
-// as the endpoint tolerates; one that tolerates no rejection is not probed.
+// as the endpoint tolerates; one that tolerates no rejection is hardly probed.
 func roomHold(rejections, instances int) time.Duration {
 	if rejections == 0 {
-		return toleranceTTL
+		return unprobedHold
 	}
 	return max(minRoomHold, rejectionPause(rejections, instances))
 }
