upstream: a request that is too large does not halve a fragile service

Every answer without a run, except one by a wrong endpoint, was taken as proof of less room, also that of an endpoint which held nothing. One request that no endpoint has memory for took the places of all others. Now only answers with status 503 count, and an endpoint of which less than half of the room is known to be in use is taken to reject because of the request: only the pause follows.

TestRejectionsThatCount checks the statuses. In TestRoomAfterRejection only the remark of a row changes, which no longer held.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -119,7 +119,7 @@
 	if reply.Signed || reply.HasRejectionTolerance {
 		grant.RecordTolerance(reply.RejectionTolerance, reply.HasRejectionTolerance)
 	}
-	if reply.NotRun && !reply.Misdirected {
+	if reply.NotRun && answer.Status == http.StatusServiceUnavailable {
 		grant.RecordNoRoom(reply.held(), f.id())
 	}
 	for range answer.Origin.Skipped {
--- a/gateway/fragilefleet_test.go
+++ b/gateway/fragilefleet_test.go
@@ -464,3 +464,16 @@
 		})
 	}
 }
+
+// TestRejectionsThatCount guards against an answer without a run that says nothing about room, as for a request that is too large, and that
+// takes an endpoint's places.
+func TestRejectionsThatCount(t *testing.T) {
+	c := qt.New(t)
+	for _, row := range []struct{ status, rejections int }{
+		{http.StatusServiceUnavailable, 1}, {http.StatusRequestEntityTooLarge, 0}, {http.StatusGatewayTimeout, 0}, {http.StatusMisdirectedRequest, 0},
+	} {
+		f := newFixture(answer{status: row.status, header: "Not-Run: 1\nTolerance: 3"}, signed(http.StatusOK, "ok"))
+		c.Check(f.call("read").status, qt.Equals, http.StatusOK)
+		c.Check(strings.Count(f.log.String(), "fragile endpoint rejected"), qt.Equals, row.rejections, qt.Commentf("%v", row))
+	}
+}
--- a/upstream/fragile.go
+++ b/upstream/fragile.go
@@ -42,6 +42,9 @@
 	foundShare   = 0.75
 	leastShare   = 0.25
 	unknownShare = 0.5
+	// ownFaultBelow is the share of its room below which an endpoint that rejects a request is taken to do so because of the request, as of
+	// one that is too large.
+	ownFaultBelow = 0.5
 	// borrowBelow is the share of an endpoint's room up to which an instance may exceed its own part.
 	borrowBelow = 0.5
 	// borrowShare is the share of a tolerance that may be used up by instances that exceed their parts at the same time.
@@ -429,7 +432,7 @@
 
 // RecordNoRoom records that the endpoint has rejected the request. held is the number of requests that it then held, -1 if that is not
 // known. A fragile endpoint gets nothing more from this instance for a time. If it has less room than was assumed, all endpoints of the
-// service get fewer requests: their rooms shrink together.
+// service get fewer requests: their rooms shrink together. An endpoint with most of its room unused tells nothing about room.
 func (g *Grant) RecordNoRoom(held int, request string) {
 	t, e := g.table, g.Endpoint
 	if !t.fragile.any.Load() {
@@ -451,7 +454,9 @@
 	if drained {
 		pause = rejectionPause(rejections, instances)
 	}
-	shrinks := drained && f.rejected(e.report.Slots, held, g.startedAt, now)
+	known := max(held, e.total(now).requests-1) // without the request itself
+	ownFault := float64(known) < ownFaultBelow*f.places(e.report.Slots, now)
+	shrinks := drained && !ownFault && f.rejected(e.report.Slots, held, g.startedAt, now)
 	if shrinks {
 		f.hold = roomHold(rejections, instances)
 		service.recordCut(f.roomCut, e.report.Slots)
--- a/upstream/fragile_test.go
+++ b/upstream/fragile_test.go
@@ -53,7 +53,7 @@
 	c.Check(f.places(16, start.Add(time.Minute)), qt.Equals, 16.0)
 	later := start.Add(time.Minute)
 	c.Check(f.rejected(16, 0, later, later), qt.IsTrue)
-	c.Check(f.places(16, later), qt.Equals, 4.0) // a single rejection of an empty endpoint, as of a request that is too large
+	c.Check(f.places(16, later), qt.Equals, 4.0) // at least a quarter of what was assumed
 	fresh := &fragility{}
 	fresh.inherit(f.roomCut, 16, 8)
 	c.Check(fresh.places(8, later), qt.Equals, 2.0)
@@ -252,3 +252,44 @@
 		c.Check(kinds["1 full"]+2*kinds["2 full"], qt.Equals, 16)
 	})
 }
+
+// TestOversizedRequestKeepsRoom guards against a request that every endpoint rejects, as one larger than its memory, that takes the places
+// of all others: one a second, at endpoints that hold nothing.
+func TestOversizedRequestKeepsRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		table := newInstanceTable(instances(1)[0].ID, instances(1))
+		for _, id := range []string{"e1", "e2", "e3", "e4", "e5", "e6"} {
+			r := report(id, "app", "a")
+			r.Slots = 16
+			table.Apply(r)
+		}
+		state := func() {
+			for _, e := range table.view.Load().byService["app"] {
+				g := &Grant{table: table, Endpoint: e, Report: e.report, startedAt: time.Now()}
+				g.RecordTolerance(20, true)
+			}
+		}
+		state()
+		time.Sleep(drainTime + time.Second)
+		state()
+		places := func() (sum float64) {
+			for _, e := range table.view.Load().byService["app"] {
+				sum += e.fragility.places(16, time.Now())
+			}
+			return sum
+		}
+		c.Logf("before: %.0f places", places())
+		for n := range 6 {
+			if g, _ := table.Place(&Need{Service: "app"}); g != nil {
+				g.RecordTolerance(20, true)
+				g.RecordNoRoom(0, "large")
+				g.Done(Rejected)
+			}
+			c.Logf("after %d such requests: %.1f places of 96", n+1, places())
+			time.Sleep(1100 * time.Millisecond)
+			state()
+		}
+		c.Check(places() >= 48, qt.IsTrue)
+	})
+}
