upstream: a fragile endpoint that holds more than its places gets no requests

Requests that were sent before a tolerance was known may last longer than the endpoints go on letting requests wait. Each instance kept to its own part then, although others still had more than theirs, and the sum stayed above the slots. Now what a peer is known to have beyond an even part is taken from the parts of the others, a request needs a place by the known total as well, and an endpoint above its places gets nothing until four fifths of these are in use. The parts are computed again when the peers' total is.

--- a/gateway/fragile_rev3_test.go
+++ b/gateway/fragile_rev3_test.go
@@ -443,6 +443,22 @@
 	}))
 }
 
+// rvLong plays requests of 8 s at endpoints of 16 slots.
+func rvLong(name string, instances, tolerance int) rvCase {
+	return rvWith(name, func(p *rvCase) {
+		p.instances, p.tolerance, p.model, p.work, p.wait, p.slots, p.places = instances, tolerance, true, 8*time.Second, "30000", 16, 24
+	})
+}
+
+// TestFleetFragileLongWork guards against endpoints that fall over because they still hold more requests than slots when they cease to let
+// any wait, as these last longer than the time since the tolerance became known.
+func TestFleetFragileLongWork(t *testing.T) {
+	rvRun(t, rvLong("seven", 7, 3), rvLong("seven, tolerance 1", 7, 1), rvLong("two, tolerance 1", 2, 1))
+}
+
+// TestFleetFragileLongWorkSixty guards against the same where the instances' knowledge of each other's requests is older.
+func TestFleetFragileLongWorkSixty(t *testing.T) { rvRun(t, rvLong("sixty", 60, 3)) }
+
 // TestRev3 plays what TestFleetFragileEndpoints does not: see the names of the cases.
 func TestRev3(t *testing.T) {
 	idle := func(n int) func(f *rvFleet) {
@@ -508,16 +524,6 @@
 		rvWith("relay, 4 of 7 carry nothing, load 1.6", func(p *rvCase) { p.event, p.served = idle(4), 0.85 }),
 		rvWith("relay, 4 of 7 carry nothing, load 0.7", func(p *rvCase) { p.event, p.load, p.served = idle(4), 0.7, 0.85 }),
 		rvWith("left out, 4 of 7 carry nothing, load 0.7", func(p *rvCase) { p.event, p.load, p.served = idleLeft(4), 0.7, 0.85 }),
-		rvWith("long work 8 s, model, 7", func(p *rvCase) { p.model, p.work, p.wait, p.slots, p.places = true, 8*time.Second, "30000", 16, 24 }),
-		rvWith("long work 8 s, model, 7, tolerance 1", func(p *rvCase) {
-			p.model, p.work, p.wait, p.slots, p.places, p.tolerance = true, 8*time.Second, "30000", 16, 24, 1
-		}),
-		rvWith("long work 8 s, model, 2, tolerance 1", func(p *rvCase) {
-			p.instances, p.model, p.work, p.wait, p.slots, p.places, p.tolerance = 2, true, 8*time.Second, "30000", 16, 24, 1
-		}),
-		rvWith("long work 8 s, model, 60", func(p *rvCase) {
-			p.instances, p.model, p.work, p.wait, p.slots, p.places = 60, true, 8*time.Second, "30000", 16, 24
-		}),
 		rvWith("cut of 1 from its peers for longer than departedHold", func(p *rvCase) { p.event = longCut(1) }),
 		rvWith("some endpoints state", func(p *rvCase) { p.states = some }),
 		rvWith("states 2 s, later again", func(p *rvCase) { p.states = twice }),
--- a/upstream/fragile.go
+++ b/upstream/fragile.go
@@ -45,6 +45,8 @@
 	// ownFaultBelow is the share of its room below which an endpoint that rejects a request is taken to do so because of the request, as of
 	// one that is too large.
 	ownFaultBelow = 0.5
+	// refillBelow is the share of its places below which an endpoint that held more than these gets requests again.
+	refillBelow = 0.8
 	// borrowBelow is the share of an endpoint's room up to which an instance may exceed its own part.
 	borrowBelow = 0.5
 	// borrowShare is the share of a tolerance that may be used up by instances that exceed their parts at the same time.
@@ -80,6 +82,8 @@
 	abandoned   []time.Time // until when requests that were given up may still occupy a slot
 	part        partition
 	borrowing   pacer
+	// overfull means that the endpoint held more requests than it has places, and has not got rid of enough since.
+	overfull bool
 }
 
 // places returns for how many requests of all instances a fragile endpoint is taken to have room. Waiting requests have none: the endpoint
@@ -148,18 +152,35 @@
 // partition is an instance's part of an endpoint's places, with what it was computed from.
 type partition struct {
 	members []machine.Member
+	loadsAt time.Time // of the peers
 	places  int
 	part    int
 	// next is how many instances get one more place before this one if there are more.
 	next int
 }
 
-// update computes the part of the instance self again if the members or the places have changed.
-func (p *partition) update(endpoint uint64, places int, self machine.InstanceID, members []machine.Member) {
+// update computes the part of the instance self again if the members, the places or the peers' loads have changed. What a peer has beyond
+// an even part, as after an uneven time without a bound, is taken from the parts of the others. The caller holds the endpoint's lock and
+// has called total.
+func (p *partition) update(e *Endpoint, places int, self machine.InstanceID, members []machine.Member) {
 	same := len(members) == len(p.members) && (len(members) == 0 || &members[0] == &p.members[0])
-	if !same || places != p.places || p.members == nil {
-		*p = split(endpoint, places, self, members)
+	if same && places == p.places && p.members != nil && p.loadsAt.Equal(e.peerTotalAt) {
+		return
+	}
+	even := places/max(len(members), 1) + 1
+	left, sharing := places, members
+	for id, peer := range e.peers {
+		if peer.requests <= even {
+			continue
+		}
+		left -= peer.requests
+		if len(sharing) == len(members) {
+			sharing = slices.Clone(members)
+		}
+		sharing = slices.DeleteFunc(sharing, func(m machine.Member) bool { return m.ID == id })
 	}
+	*p = split(e.hash, max(left, 0), self, sharing)
+	p.members, p.loadsAt, p.places = members, e.peerTotalAt, places
 }
 
 // split splits places evenly over the instances and returns the part of the instance self. Those left over go to the instances that
@@ -175,9 +196,9 @@
 		}
 	}
 	if higher < left {
-		return partition{members: members, places: places, part: part + 1, next: higher + count - left}
+		return partition{part: part + 1, next: higher + count - left}
 	}
-	return partition{members: members, places: places, part: part, next: higher - left}
+	return partition{part: part, next: higher - left}
 }
 
 // fragileServices holds what the endpoints of each service state. Safe for concurrent use.
@@ -290,7 +311,8 @@
 }
 
 // fragileRoom returns whether the endpoint may get one more request as far as it tolerates few rejections: this instance has a place left
-// of its part. Beyond its part it may have one request for each service, at an endpoint that is hardly used, if the few instances that do
+// of its part, and the known requests of all instances leave one. After more requests than places, as many were sent before the tolerance
+// was known, it gets none for a while: what is known of the others is not new enough to fill it to the last place. Beyond its part it may have one request for each service, at an endpoint that is hardly used, if the few instances that do
 // so can't use up the tolerance. The caller holds the lock.
 func (t *Table) fragileRoom(e *Endpoint, now time.Time) fragileRoom {
 	rejections, fragile := t.tolerance(e, now)
@@ -306,14 +328,19 @@
 	f.abandoned = slices.DeleteFunc(f.abandoned, func(until time.Time) bool { return !now.Before(until) })
 	places := f.places(e.report.Slots, now)
 	members := t.sharers.current(t.members.Live(), now)
-	f.part.update(e.hash, int(places), t.self, members)
+	total := e.total(now).requests + len(f.abandoned)
+	f.part.update(e, int(places), t.self, members)
+	f.overfull = total > int(places) || f.overfull && float64(total) >= refillBelow*places
+	if f.overfull {
+		return fragileRoom{}
+	}
 	used := e.ownLoad.requests + len(f.abandoned)
 	if used < f.part.part {
-		return fragileRoom{admits: true}
+		return fragileRoom{admits: total < int(places)}
 	}
 	budget := borrowShare * float64(rejections)
 	room := fragileRoom{none: f.part.part == 0, rate: budget / float64(max(len(members), 1))}
-	room.borrows = used == f.part.part && float64(e.total(now).requests+len(f.abandoned)) < borrowBelow*places &&
+	room.borrows = used == f.part.part && float64(total) < borrowBelow*places &&
 		(float64(f.part.next) < budget-1 || f.borrowing.ready(room.rate, now)) && t.fragile.of(e.report.Service).mayBorrow(now)
 	room.admits = room.borrows
 	return room
