upstream: an instance cut off from its peers keeps its part while it is listed

An instance that did not answer its peers lost its part of the places after 15 s, on both sides, although it may reach the endpoints as before: both sides used all places. The part now stays as long as the platform's list shows the instance as live, also where it lags behind; a killed one drops out with its entry there, or after those 15 s. zone.Membership tells the listed members.

--- a/gateway/fragile_rev3_test.go
+++ b/gateway/fragile_rev3_test.go
@@ -67,6 +67,7 @@
 	started   time.Time
 	instances []*rvInstance
 	log       *slog.Logger
+	present   atomic.Pointer[[]machine.Member]
 
 	mu        sync.Mutex
 	random    *rand.Rand
@@ -102,6 +103,14 @@
 func (i *rvInstance) Self() machine.Member   { return i.self }
 func (i *rvInstance) Live() []machine.Member { return *i.live.Load() }
 
+// Present returns the instances that the platform's list shows as live, which a cut between peers does not change.
+func (i *rvInstance) Present() []machine.Member {
+	if present := i.fleet.present.Load(); present != nil {
+		return *present
+	}
+	return nil
+}
+
 // Probe implements quarantine.Prober.
 func (i *rvInstance) Probe(context.Context, string) error { return nil }
 
@@ -459,6 +468,26 @@
 // TestFleetFragileLongWorkSixty guards against the same where the instances' knowledge of each other's requests is older.
 func TestFleetFragileLongWorkSixty(t *testing.T) { rvRun(t, rvLong("sixty", 60, 3)) }
 
+// TestFleetFragileLongCut guards against endpoints that fall over because an instance that is cut off from its peers for longer than
+// departedHold, but not from the endpoints, and its peers each use all places.
+func TestFleetFragileLongCut(t *testing.T) {
+	rvRun(t, rvWith("seven, one cut off", func(p *rvCase) {
+		p.event = func(f *rvFleet) {
+			var members []machine.Member
+			for _, i := range f.instances {
+				members = append(members, i.self)
+			}
+			f.present.Store(&members)
+			time.Sleep(rvFrom + 2*time.Second)
+			one, others := f.instances[0], f.instances[1:]
+			one.cut.Store(true)
+			time.Sleep(rvSuspectAfter)
+			rvSetMembers(one)
+			rvSetMembers(others...)
+		}
+	}))
+}
+
 // TestRev3 plays what TestFleetFragileEndpoints does not: see the names of the cases.
 func TestRev3(t *testing.T) {
 	idle := func(n int) func(f *rvFleet) {
@@ -469,19 +498,6 @@
 			}
 		}
 	}
-	longCut := func(n int) func(f *rvFleet) {
-		return func(f *rvFleet) {
-			time.Sleep(rvFrom + 2*time.Second)
-			for _, i := range f.instances[:n] {
-				i.cut.Store(true)
-			}
-			time.Sleep(rvSuspectAfter)
-			for _, i := range f.instances[:n] {
-				rvSetMembers(i)
-			}
-			rvSetMembers(f.instances[n:]...)
-		}
-	}
 	alone := func(f *rvFleet) {
 		time.Sleep(rvFrom + 6*time.Second)
 		for n := range 3 {
@@ -524,7 +540,6 @@
 		rvWith("relay, 4 of 7 carry nothing, load 1.6", func(p *rvCase) { p.event, p.served = idle(4), 0.85 }),
 		rvWith("relay, 4 of 7 carry nothing, load 0.7", func(p *rvCase) { p.event, p.load, p.served = idle(4), 0.7, 0.85 }),
 		rvWith("left out, 4 of 7 carry nothing, load 0.7", func(p *rvCase) { p.event, p.load, p.served = idleLeft(4), 0.7, 0.85 }),
-		rvWith("cut of 1 from its peers for longer than departedHold", func(p *rvCase) { p.event = longCut(1) }),
 		rvWith("some endpoints state", func(p *rvCase) { p.states = some }),
 		rvWith("states 2 s, later again", func(p *rvCase) { p.states = twice }),
 		rvWith("joins without peers", func(p *rvCase) { p.event = alone }),
--- a/upstream/fragile.go
+++ b/upstream/fragile.go
@@ -163,8 +163,7 @@
 // an even part, as after an uneven time without a bound, is taken from the parts of the others. The caller holds the endpoint's lock and
 // has called total.
 func (p *partition) update(e *Endpoint, places int, self machine.InstanceID, members []machine.Member) {
-	same := len(members) == len(p.members) && (len(members) == 0 || &members[0] == &p.members[0])
-	if same && places == p.places && p.members != nil && p.loadsAt.Equal(e.peerTotalAt) {
+	if sameSlice(members, p.members) && places == p.places && p.members != nil && p.loadsAt.Equal(e.peerTotalAt) {
 		return
 	}
 	even := places/max(len(members), 1) + 1
@@ -327,7 +326,7 @@
 	}
 	f.abandoned = slices.DeleteFunc(f.abandoned, func(until time.Time) bool { return !now.Before(until) })
 	places := f.places(e.report.Slots, now)
-	members := t.sharers.current(t.members.Live(), now)
+	members := t.currentSharers(now)
 	total := e.total(now).requests + len(f.abandoned)
 	f.part.update(e, int(places), t.self, members)
 	f.overfull = total > int(places) || f.overfull && float64(total) >= refillBelow*places
@@ -466,7 +465,7 @@
 		return
 	}
 	now := time.Now()
-	instances := len(t.sharers.current(t.members.Live(), now))
+	instances := len(t.currentSharers(now))
 	service := t.fragile.of(g.Report.Service)
 	_, since := service.load()
 	drained := g.startedAt.After(since.Add(drainTime))
@@ -516,15 +515,15 @@
 	}
 }
 
-// departedHold is how long an instance that is no longer live keeps its part: it may be cut off from its peers only, and requests of it
-// may run.
+// departedHold is how long an instance that is no longer live keeps its part even if the platform does not list it: requests of it may run.
 const departedHold = 15 * time.Second
 
-// sharers are the instances that share the places of fragile endpoints: the live ones, and those that were live lately. Safe for
-// concurrent use.
+// sharers are the instances that share the places of fragile endpoints: the live ones, those that the platform lists, as they may be cut
+// off from their peers only, and those that were live lately. Safe for concurrent use.
 type sharers struct {
 	mu       sync.Mutex
 	live     []machine.Member
+	present  []machine.Member
 	departed []departedMember
 	all      []machine.Member
 }
@@ -534,12 +533,20 @@
 	until time.Time
 }
 
-// current returns the sharers. It has to be called whenever the live ones may have changed.
-func (s *sharers) current(live []machine.Member, now time.Time) []machine.Member {
+// currentSharers returns the instances that share the places of fragile endpoints now.
+func (t *Table) currentSharers(now time.Time) []machine.Member {
+	var present []machine.Member
+	if list, ok := t.members.(interface{ Present() []machine.Member }); ok {
+		present = list.Present()
+	}
+	return t.sharers.current(t.members.Live(), present, now)
+}
+
+// current returns the sharers. It has to be called whenever the live or present ones may have changed.
+func (s *sharers) current(live, present []machine.Member, now time.Time) []machine.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	same := len(live) == len(s.live) && (len(live) == 0 || &live[0] == &s.live[0])
-	if same && (len(s.departed) == 0 || now.Before(s.departed[0].until)) {
+	if sameSlice(live, s.live) && sameSlice(present, s.present) && (len(s.departed) == 0 || now.Before(s.departed[0].until)) {
 		return s.all
 	}
 	contains := func(members []machine.Member, id machine.InstanceID) bool {
@@ -552,10 +559,23 @@
 	}
 	s.departed = slices.DeleteFunc(s.departed, func(d departedMember) bool { return !now.Before(d.until) || contains(live, d.ID) })
 	slices.SortStableFunc(s.departed, func(a, b departedMember) int { return a.until.Compare(b.until) })
-	s.live, s.all = live, slices.Clone(live)
+	all := slices.Clone(live)
+	for _, member := range present {
+		if !contains(live, member.ID) {
+			all = append(all, member)
+		}
+	}
 	for _, d := range s.departed {
-		s.all = append(s.all, d.Member)
+		if !contains(all, d.ID) {
+			all = append(all, d.Member)
+		}
 	}
-	slices.SortFunc(s.all, func(a, b machine.Member) int { return cmp.Compare(a.ID, b.ID) })
-	return s.all
+	slices.SortFunc(all, func(a, b machine.Member) int { return cmp.Compare(a.ID, b.ID) })
+	s.live, s.present, s.all = live, present, all
+	return all
+}
+
+// sameSlice reports whether a and b are the same slice.
+func sameSlice(a, b []machine.Member) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
--- a/upstream/fragile_test.go
+++ b/upstream/fragile_test.go
@@ -79,14 +79,30 @@
 	now := time.Unix(1000, 0)
 	all, rest := instances(3), instances(3)[:2]
 	s := &sharers{}
-	c.Check(s.current(all, now), qt.HasLen, 3)
-	c.Check(s.current(rest, now), qt.HasLen, 3)
-	c.Check(s.current(rest, now.Add(departedHold-1)), qt.HasLen, 3)
-	c.Check(s.current(rest, now.Add(departedHold)), qt.HasLen, 2)
-	c.Check(s.current(all, now.Add(departedHold)), qt.HasLen, 3)
-	c.Check(s.current(rest, now.Add(2*departedHold)), qt.HasLen, 3)
-	c.Check(s.current(all, now.Add(2*departedHold)), qt.HasLen, 3)
-	c.Check(s.current(rest, now.Add(9*departedHold)), qt.HasLen, 3)
+	c.Check(s.current(all, nil, now), qt.HasLen, 3)
+	c.Check(s.current(rest, nil, now), qt.HasLen, 3)
+	c.Check(s.current(rest, nil, now.Add(departedHold-1)), qt.HasLen, 3)
+	c.Check(s.current(rest, nil, now.Add(departedHold)), qt.HasLen, 2)
+	c.Check(s.current(all, nil, now.Add(departedHold)), qt.HasLen, 3)
+	c.Check(s.current(rest, nil, now.Add(2*departedHold)), qt.HasLen, 3)
+	c.Check(s.current(all, nil, now.Add(2*departedHold)), qt.HasLen, 3)
+	c.Check(s.current(rest, nil, now.Add(9*departedHold)), qt.HasLen, 3)
+}
+
+// TestSharersPresent guards against an instance that is cut off from its peers for long, whose part the others take although it still
+// reaches the endpoints; a killed one drops out.
+func TestSharersPresent(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	all, rest := instances(3), instances(3)[:2]
+	s := &sharers{}
+	c.Check(s.current(all, all, now), qt.HasLen, 3)
+	c.Check(s.current(rest, all, now.Add(time.Second)), qt.HasLen, 3)
+	c.Check(s.current(rest, all, now.Add(time.Hour)), qt.HasLen, 3)
+	c.Check(s.current(rest, rest, now.Add(time.Hour)), qt.HasLen, 2)
+	c.Check(s.current(all[:1], rest[:1], now.Add(time.Hour+departedHold-1)), qt.HasLen, 2)
+	c.Check(s.current(all[:1], rest[:1], now.Add(time.Hour+2*departedHold)), qt.HasLen, 1)
+	c.Check((&sharers{}).current(all[:1], all, now), qt.DeepEquals, all)
 }
 
 // fragileTables returns the tables of some instances in front of two endpoints of eight slots.
--- a/upstream/fragiletopic.go
+++ b/upstream/fragiletopic.go
@@ -30,7 +30,7 @@
 // Message implements link.Topic.
 func (l *ToleranceTopic) Message(machine.Member) []byte {
 	t, now := l.table, time.Now()
-	t.sharers.current(t.members.Live(), now)
+	t.currentSharers(now)
 	if !t.fragile.any.Load() {
 		return nil
 	}
@@ -92,7 +92,7 @@
 	received := tolerance{
 		rejections: int(entry.GetRejections()), stated: entry.Rejections != nil, at: now.Add(-time.Duration(entry.GetAgeMs()) * time.Millisecond),
 	}
-	instances := len(t.sharers.current(t.members.Live(), now))
+	instances := len(t.currentSharers(now))
 	e.mu.Lock()
 	f := &e.fragility
 	cutAt := now.Add(-time.Duration(entry.GetRejectionAgeMs()) * time.Millisecond)
--- a/zone/membership.go
+++ b/zone/membership.go
@@ -27,6 +27,7 @@
 	leaving bool
 	listed  map[machine.InstanceID]listedMember
 	order   []machine.InstanceID           // of listed, sorted
+	present []machine.Member               // of listed, those that are live there, sorted; replaced, never modified
 	records map[machine.InstanceID]*record // of other members
 	live    []machine.Member               // sorted by id; replaced, never modified
 	scratch []machine.Member               // for the next computation of live
@@ -146,6 +147,15 @@
 		m.order = append(m.order, id)
 	}
 	slices.Sort(m.order)
+	var present []machine.Member
+	for _, id := range m.order {
+		if listed := m.listed[id]; listed.state == infra.StateLive {
+			present = append(present, listed.member)
+		}
+	}
+	if !slices.Equal(present, m.present) {
+		m.present = present
+	}
 	m.builtAt = time.Time{}
 }
 
@@ -158,6 +168,13 @@
 	}
 }
 
+// Present returns the members that the platform's last list shows as live, including those that do not answer.
+func (m *Membership) Present() []machine.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.present
+}
+
 // ListedCount returns how many entry instances of this zone the list shows as live, including those that
 // do not answer.
 func (m *Membership) ListedCount() int {
--- a/zone/membership_test.go
+++ b/zone/membership_test.go
@@ -48,6 +48,7 @@
 		f.network.SetSilent("z0-entry-1", true)
 		time.Sleep(6 * time.Second)
 		c.Assert(liveIDs(f.nodes[0]), qt.DeepEquals, []string{"z0-entry-0", "z0-entry-2"})
+		c.Assert(f.nodes[0].membership.Present(), qt.HasLen, 3)
 		f.network.SetSilent("z0-entry-1", false)
 		time.Sleep(3 * time.Second)
 		c.Assert(liveIDs(f.nodes[0]), qt.DeepEquals, all)
