gateway: the review's cases of fragile endpoints get names of their own

The rows of TestRev3 are now TestFleetFragileChanges, TestFleetFragileRelay and TestFleetFragileLeftOut, with the same bounds.

--- a/gateway/fragile_rev3_test.go
+++ b/gateway/fragile_rev3_test.go
@@ -488,8 +488,9 @@
 	}))
 }
 
-// TestRev3 plays what TestFleetFragileEndpoints does not: see the names of the cases.
-func TestRev3(t *testing.T) {
+// TestFleetFragileRelay guards against places that stay unused because 4 of 7 instances reach no endpoint, pass their requests on
+// (design 0020), and keep their parts.
+func TestFleetFragileRelay(t *testing.T) {
 	idle := func(n int) func(f *rvFleet) {
 		return func(f *rvFleet) {
 			time.Sleep(time.Second)
@@ -498,6 +499,31 @@
 			}
 		}
 	}
+	rvRun(t,
+		rvWith("relay, 4 of 7 carry nothing, load 1.6", func(p *rvCase) { p.event, p.served = idle(4), 0.85 }),
+		rvWith("relay, 4 of 7 carry nothing, load 0.7", func(p *rvCase) { p.event, p.load, p.served = idle(4), 0.7, 0.85 }),
+	)
+}
+
+// TestFleetFragileLeftOut checks that nothing stays unused if those four are not counted.
+func TestFleetFragileLeftOut(t *testing.T) {
+	idleLeft := func(n int) func(f *rvFleet) {
+		return func(f *rvFleet) {
+			time.Sleep(time.Second)
+			for _, i := range f.instances[:n] {
+				i.down.Store(true)
+			}
+			rvSetMembers(f.instances[n:]...)
+		}
+	}
+	rvRun(t,
+		rvWith("left out, 4 of 7 carry nothing, load 0.7", func(p *rvCase) { p.event, p.load, p.served = idleLeft(4), 0.7, 0.85 }),
+	)
+}
+
+// TestFleetFragileChanges guards against endpoints that fall over where only some of them state a tolerance, where they state it again
+// later, and where instances start without peers.
+func TestFleetFragileChanges(t *testing.T) {
 	alone := func(f *rvFleet) {
 		time.Sleep(rvFrom + 6*time.Second)
 		for n := range 3 {
@@ -518,15 +544,6 @@
 			time.Sleep(time.Second)
 		}
 	}
-	idleLeft := func(n int) func(f *rvFleet) {
-		return func(f *rvFleet) {
-			time.Sleep(time.Second)
-			for _, i := range f.instances[:n] {
-				i.down.Store(true)
-			}
-			rvSetMembers(f.instances[n:]...)
-		}
-	}
 	some := func(address string, now time.Duration) (bool, bool) {
 		odd := (address[len("10.0.0.")]-'0')%2 == 1
 		return odd && now >= rvFrom && now < rvUntil, odd && now >= rvFrom+contactTime && now < rvUntil
@@ -536,10 +553,6 @@
 		return now < rvUntil && (at < 2*time.Second || at >= 4*time.Second), now < rvUntil && at >= 7*time.Second
 	}
 	rvRun(t, []rvCase{
-		// 4 of 7 reach no endpoint and pass their requests on (design 0020); "left out" is the same without them in the division.
-		rvWith("relay, 4 of 7 carry nothing, load 1.6", func(p *rvCase) { p.event, p.served = idle(4), 0.85 }),
-		rvWith("relay, 4 of 7 carry nothing, load 0.7", func(p *rvCase) { p.event, p.load, p.served = idle(4), 0.7, 0.85 }),
-		rvWith("left out, 4 of 7 carry nothing, load 0.7", func(p *rvCase) { p.event, p.load, p.served = idleLeft(4), 0.7, 0.85 }),
 		rvWith("some endpoints state", func(p *rvCase) { p.states = some }),
 		rvWith("states 2 s, later again", func(p *rvCase) { p.states = twice }),
 		rvWith("joins without peers", func(p *rvCase) { p.event = alone }),
