--- a/upstream/fragile.go
+++ b/upstream/fragile.go
@@ -12,10 +12,12 @@
 
 const (
 	// toleranceTTL is how long a stated tolerance counts without another answer of the endpoint. Only endpoints that get no requests reach
-	// it.
-	toleranceTTL = 30 * time.Second
-	// endedToleranceTTL is how long instances tell each other that an endpoint states no tolerance any more.
-	endedToleranceTTL = time.Minute
+	// it: a service that was quiet may still fall over when its requests return, while one whose endpoints have recovered says so with its
+	// first answers.
+	toleranceTTL = 5 * time.Minute
+	// endedToleranceTTL is how long instances tell each other that an endpoint states no tolerance any more. An older statement of one
+	// counts for less.
+	endedToleranceTTL = toleranceTTL + time.Minute
 	// endedHold is how long an endpoint that states none is exempt from what others of its service state.
 	endedHold = 10 * time.Second
 	// drainTime is how long the requests that were sent before a tolerance was known may cause rejections.
@@ -32,12 +34,19 @@
 	minRoomHold   = 3 * time.Second
 	roomGrowth    = 0.05
 	minRoomGrowth = 0.25
+	// unprobedHold is the time without growth for an endpoint that tolerates no rejection.
+	unprobedHold = 30 * time.Second
 	// foundShare is the share of the requests that an endpoint held when it rejected one which becomes its room, at least leastShare of
 	// the room assumed before. Where it did not tell, and at the other endpoints of the service, unknownShare of the room assumed before
 	// does.
 	foundShare   = 0.75
 	leastShare   = 0.25
 	unknownShare = 0.5
+	// ownFaultBelow is the share of its room below which an endpoint that rejects a request is taken to do so because of the request, as of
+	// one that is too large.
+	ownFaultBelow = 0.5
+	// refillBelow is the share of its places below which an endpoint that held more than these gets requests again.
+	refillBelow = 0.8
 	// borrowBelow is the share of an endpoint's room up to which an instance may exceed its own part.
 	borrowBelow = 0.5
 	// borrowShare is the share of a tolerance that may be used up by instances that exceed their parts at the same time.
@@ -73,6 +82,8 @@
 	abandoned   []time.Time // until when requests that were given up may still occupy a slot
 	part        partition
 	borrowing   pacer
+	// overfull means that the endpoint held more requests than it has places, and has not got rid of enough since.
+	overfull bool
 }
 
 // places returns for how many requests of all instances a fragile endpoint is taken to have room. Waiting requests have none: the endpoint
@@ -121,10 +132,10 @@
 }
 
 // roomHold returns for how long an endpoint's room does not grow after a rejection. The instances together probe for more at most as often
-// as the endpoint tolerates; one that tolerates no rejection is not probed.
+// as the endpoint tolerates; one that tolerates no rejection is hardly probed.
 func roomHold(rejections, instances int) time.Duration {
 	if rejections == 0 {
-		return toleranceTTL
+		return unprobedHold
 	}
 	return max(minRoomHold, rejectionPause(rejections, instances))
 }
@@ -141,18 +152,34 @@
 // partition is an instance's part of an endpoint's places, with what it was computed from.
 type partition struct {
 	members []machine.Member
+	loadsAt time.Time // of the peers
 	places  int
 	part    int
 	// next is how many instances get one more place before this one if there are more.
 	next int
 }
 
-// update computes the part of the instance self again if the members or the places have changed.
-func (p *partition) update(endpoint uint64, places int, self machine.InstanceID, members []machine.Member) {
-	same := len(members) == len(p.members) && (len(members) == 0 || &members[0] == &p.members[0])
-	if !same || places != p.places || p.members == nil {
-		*p = split(endpoint, places, self, members)
+// update computes the part of the instance self again if the members, the places or the peers' loads have changed. What a peer has beyond
+// an even part, as after an uneven time without a bound, is taken from the parts of the others. The caller holds the endpoint's lock and
+// has called total.
+func (p *partition) update(e *Endpoint, places int, self machine.InstanceID, members []machine.Member) {
+	if sameSlice(members, p.members) && places == p.places && p.members != nil && p.loadsAt.Equal(e.peerTotalAt) {
+		return
+	}
+	even := places/max(len(members), 1) + 1
+	left, sharing := places, members
+	for id, peer := range e.peers {
+		if peer.requests <= even {
+			continue
+		}
+		left -= peer.requests
+		if len(sharing) == len(members) {
+			sharing = slices.Clone(members)
+		}
+		sharing = slices.DeleteFunc(sharing, func(m machine.Member) bool { return m.ID == id })
 	}
+	*p = split(e.hash, max(left, 0), self, sharing)
+	p.members, p.loadsAt, p.places = members, e.peerTotalAt, places
 }
 
 // split splits places evenly over the instances and returns the part of the instance self. Those left over go to the instances that
@@ -168,9 +195,9 @@
 		}
 	}
 	if higher < left {
-		return partition{members: members, places: places, part: part + 1, next: higher + count - left}
+		return partition{part: part + 1, next: higher + count - left}
 	}
-	return partition{members: members, places: places, part: part, next: higher - left}
+	return partition{part: part, next: higher - left}
 }
 
 // fragileServices holds what the endpoints of each service state. Safe for concurrent use.
@@ -283,7 +310,8 @@
 }
 
 // fragileRoom returns whether the endpoint may get one more request as far as it tolerates few rejections: this instance has a place left
-// of its part. Beyond its part it may have one request for each service, at an endpoint that is hardly used, if the few instances that do
+// of its part, and the known requests of all instances leave one. After more requests than places, as many were sent before the tolerance
+// was known, it gets none for a while: what is known of the others is not new enough to fill it to the last place. Beyond its part it may have one request for each service, at an endpoint that is hardly used, if the few instances that do
 // so can't use up the tolerance. The caller holds the lock.
 func (t *Table) fragileRoom(e *Endpoint, now time.Time) fragileRoom {
 	rejections, fragile := t.tolerance(e, now)
@@ -298,15 +326,20 @@
 	}
 	f.abandoned = slices.DeleteFunc(f.abandoned, func(until time.Time) bool { return !now.Before(until) })
 	places := f.places(e.report.Slots, now)
-	members := t.sharers.current(t.members.Live(), now)
-	f.part.update(e.hash, int(places), t.self, members)
+	members := t.currentSharers(now)
+	total := e.total(now).requests + len(f.abandoned)
+	f.part.update(e, int(places), t.self, members)
+	f.overfull = total > int(places) || f.overfull && float64(total) >= refillBelow*places
+	if f.overfull {
+		return fragileRoom{}
+	}
 	used := e.ownLoad.requests + len(f.abandoned)
 	if used < f.part.part {
-		return fragileRoom{admits: true}
+		return fragileRoom{admits: total < int(places)}
 	}
 	budget := borrowShare * float64(rejections)
 	room := fragileRoom{none: f.part.part == 0, rate: budget / float64(max(len(members), 1))}
-	room.borrows = used == f.part.part && float64(e.total(now).requests+len(f.abandoned)) < borrowBelow*places &&
+	room.borrows = used == f.part.part && float64(total) < borrowBelow*places &&
 		(float64(f.part.next) < budget-1 || f.borrowing.ready(room.rate, now)) && t.fragile.of(e.report.Service).mayBorrow(now)
 	room.admits = room.borrows
 	return room
@@ -425,14 +458,14 @@
 
 // RecordNoRoom records that the endpoint has rejected the request. held is the number of requests that it then held, -1 if that is not
 // known. A fragile endpoint gets nothing more from this instance for a time. If it has less room than was assumed, all endpoints of the
-// service get fewer requests: their rooms shrink together.
+// service get fewer requests: their rooms shrink together. An endpoint with most of its room unused tells nothing about room.
 func (g *Grant) RecordNoRoom(held int, request string) {
 	t, e := g.table, g.Endpoint
 	if !t.fragile.any.Load() {
 		return
 	}
 	now := time.Now()
-	instances := len(t.sharers.current(t.members.Live(), now))
+	instances := len(t.currentSharers(now))
 	service := t.fragile.of(g.Report.Service)
 	_, since := service.load()
 	drained := g.startedAt.After(since.Add(drainTime))
@@ -447,7 +480,9 @@
 	if drained {
 		pause = rejectionPause(rejections, instances)
 	}
-	shrinks := drained && f.rejected(e.report.Slots, held, g.startedAt, now)
+	known := max(held, e.total(now).requests-1) // without the request itself
+	ownFault := float64(known) < ownFaultBelow*f.places(e.report.Slots, now)
+	shrinks := drained && !ownFault && f.rejected(e.report.Slots, held, g.startedAt, now)
 	if shrinks {
 		f.hold = roomHold(rejections, instances)
 		service.recordCut(f.roomCut, e.report.Slots)
@@ -480,15 +515,15 @@
 	}
 }
 
-// departedHold is how long an instance that is no longer live keeps its part: it may be cut off from its peers only, and requests of it
-// may run.
+// departedHold is how long an instance that is no longer live keeps its part even if the platform does not list it: requests of it may run.
 const departedHold = 15 * time.Second
 
-// sharers are the instances that share the places of fragile endpoints: the live ones, and those that were live lately. Safe for
-// concurrent use.
+// sharers are the instances that share the places of fragile endpoints: the live ones, those that the platform lists, as they may be cut
+// off from their peers only, and those that were live lately. Safe for concurrent use.
 type sharers struct {
 	mu       sync.Mutex
 	live     []machine.Member
+	present  []machine.Member
 	departed []departedMember
 	all      []machine.Member
 }
@@ -498,12 +533,20 @@
 	until time.Time
 }
 
-// current returns the sharers. It has to be called whenever the live ones may have changed.
-func (s *sharers) current(live []machine.Member, now time.Time) []machine.Member {
+// currentSharers returns the instances that share the places of fragile endpoints now.
+func (t *Table) currentSharers(now time.Time) []machine.Member {
+	var present []machine.Member
+	if list, ok := t.members.(interface{ Present() []machine.Member }); ok {
+		present = list.Present()
+	}
+	return t.sharers.current(t.members.Live(), present, now)
+}
+
+// current returns the sharers. It has to be called whenever the live or present ones may have changed.
+func (s *sharers) current(live, present []machine.Member, now time.Time) []machine.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	same := len(live) == len(s.live) && (len(live) == 0 || &live[0] == &s.live[0])
-	if same && (len(s.departed) == 0 || now.Before(s.departed[0].until)) {
+	if sameSlice(live, s.live) && sameSlice(present, s.present) && (len(s.departed) == 0 || now.Before(s.departed[0].until)) {
 		return s.all
 	}
 	contains := func(members []machine.Member, id machine.InstanceID) bool {
@@ -516,10 +559,23 @@
 	}
 	s.departed = slices.DeleteFunc(s.departed, func(d departedMember) bool { return !now.Before(d.until) || contains(live, d.ID) })
 	slices.SortStableFunc(s.departed, func(a, b departedMember) int { return a.until.Compare(b.until) })
-	s.live, s.all = live, slices.Clone(live)
+	all := slices.Clone(live)
+	for _, member := range present {
+		if !contains(live, member.ID) {
+			all = append(all, member)
+		}
+	}
 	for _, d := range s.departed {
-		s.all = append(s.all, d.Member)
+		if !contains(all, d.ID) {
+			all = append(all, d.Member)
+		}
 	}
-	slices.SortFunc(s.all, func(a, b machine.Member) int { return cmp.Compare(a.ID, b.ID) })
-	return s.all
+	slices.SortFunc(all, func(a, b machine.Member) int { return cmp.Compare(a.ID, b.ID) })
+	s.live, s.present, s.all = live, present, all
+	return all
+}
+
+// sameSlice reports whether a and b are the same slice.
+func sameSlice(a, b []machine.Member) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
