entry: a request is sent once more only where the newest configuration allows it

Callers of entry were served after their key was withdrawn, and a request whose route may not be repeated any more ran a second time. What may have run was refused with 401, 403 or 404, the statuses of what has not run.

authorize decides in one place, from customer, key, route and the verdict so far; the request changes only if the newest configuration allows it, and what may have run is refused with 502.

--- a/entry/authenticate.go
+++ b/entry/authenticate.go
@@ -70,8 +70,8 @@
 		}
 		return nil, verdict.Refuse(verdict.UnknownKey, "customer %s is not configured here", forwarded.customer)
 	}
-	key, ok := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
-	if !ok || key == "" {
+	key := apiKey(c)
+	if key == "" {
 		return nil, verdict.Refuse(verdict.MissingKey, "send the API key as a bearer token")
 	}
 	customer := snapshot.CustomerByKey(key)
@@ -81,6 +81,15 @@
 	return customer, nil
 }
 
+// apiKey returns the caller's bearer token, or "" without one. Forwarded requests have none.
+func apiKey(c echo.Context) string {
+	key, ok := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return key
+}
+
 // checkConfirmed refuses a request if its route requires a confirmed configuration and the one in
 // force may be out of date.
 func (s *Server) checkConfirmed(route *contract.Route) error {
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	flow := &chatFlow{bodyBytes: len(body), requestState: s.newRequestState(snapshot, request, session, &exchangeOf(c).record), context: c, chat: chat}
+	flow := &chatFlow{bodyBytes: len(body), requestState: s.newRequestState(c, snapshot, request, session), context: c, chat: chat}
 	serve := func() error { return flow.serveHere(c.Request().Context()) }
 	if !snapshot.ZoneInService(s.Self.Zone) {
 		return s.forwardOrServe(flow.requestState, c, "", body, serve)
--- a/entry/requeststate.go
+++ b/entry/requeststate.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/labstack/echo/v4"
+
 	"plumbarrow.example/plumbarrow/contract"
 	"plumbarrow.example/plumbarrow/decide"
 	"plumbarrow.example/plumbarrow/ledger"
@@ -19,6 +22,7 @@
 	server   *Server
 	snapshot *contract.Snapshot
 	request  *decide.Request
+	key      string // the caller's API key; empty for a forwarded request, whose customer a peer has authenticated
 	session  *session
 	record   *Record
 	random   *rand.Rand
@@ -41,12 +45,14 @@
 	version   contract.VersionID
 }
 
-func (s *Server) newRequestState(snapshot *contract.Snapshot, request *decide.Request, session *session, record *Record) *requestState {
+func (s *Server) newRequestState(c echo.Context, snapshot *contract.Snapshot, request *decide.Request, session *session) *requestState {
+	record := &exchangeOf(c).record
 	record.Route = request.Route.Name
 	return &requestState{
 		server:       s,
 		snapshot:     snapshot,
 		request:      request,
+		key:          apiKey(c),
 		session:      session,
 		record:       record,
 		random:       s.random(),
@@ -54,23 +60,45 @@
 	}
 }
 
-// refresh switches the request to the configuration now in force, and refuses it if that no longer
-// has its customer or route.
+// refresh switches the request to the configuration now in force. A request that it does not allow any more keeps the configuration under
+// which it was admitted, and is refused.
 func (r *requestState) refresh() *verdict.Refusal {
-	r.snapshot = r.server.Source.Current()
-	customer := r.snapshot.Customers[r.request.Customer.Name]
-	if customer == nil {
-		return verdict.Refuse(verdict.UnknownKey, "the customer is no longer configured")
+	newest := r.server.Source.Current()
+	if newest == r.snapshot {
+		return nil
 	}
-	route := r.snapshot.Routes[r.request.Route.Name]
-	if route == nil {
-		return verdict.Refuse(verdict.UnknownRoute, "route %s is no longer configured", r.request.Route.Name)
+	customer, route, refusal := r.authorize(newest)
+	if refusal != nil {
+		if r.worstVerdict != verdict.NotRun {
+			// The statuses of these reasons are those of requests that have not run.
+			refusal = verdict.Uncertain(verdict.UpstreamError, "the newest configuration allows no further attempt: %s", refusal.Detail)
+		}
+		return refusal
 	}
-	r.request.Customer = customer
-	r.request.Route = route
+	r.snapshot, r.request.Customer, r.request.Route = newest, customer, route
+	r.request.Idempotent = r.request.Idempotent && route.Idempotent(r.request.Method)
 	return nil
 }
 
+// authorize finds the request's customer and route, both known by their names, in a newer snapshot.
+func (r *requestState) authorize(snapshot *contract.Snapshot) (*contract.Customer, *contract.Route, *verdict.Refusal) {
+	customer := snapshot.Customers[r.request.Customer.Name]
+	if customer == nil || r.key != "" && snapshot.CustomerByKey(r.key) != customer {
+		return nil, nil, verdict.Refuse(verdict.UnknownKey, "the API key is no longer known")
+	}
+	route := snapshot.Routes[r.request.Route.Name]
+	if route == nil {
+		return nil, nil, verdict.Refuse(verdict.UnknownRoute, "route %s is no longer configured", r.request.Route.Name)
+	}
+	if !slices.Contains(route.Customers, customer.Name) {
+		return nil, nil, verdict.Refuse(verdict.ModelNotAllowed, "route %s is no longer open to customer %s", route.Name, customer.Name)
+	}
+	if r.worstVerdict != verdict.NotRun && !route.Idempotent(r.request.Method) {
+		return nil, nil, verdict.Refuse(verdict.UpstreamError, "route %s may no longer be repeated", route.Name)
+	}
+	return customer, route, nil
+}
+
 // fail returns err as a refusal with the worst verdict of it and all attempts so far: the refusal must
 // not say that nothing ran if an earlier attempt may have run.
 func (r *requestState) fail(err error) error {
--- a/entry/service.go
+++ b/entry/service.go
@@ -65,7 +65,7 @@
 	if refusal := s.checkStop(routed); refusal != nil {
 		return refusal
 	}
-	requestState := s.newRequestState(snapshot, routed, &session{}, &exchangeOf(c).record)
+	requestState := s.newRequestState(c, snapshot, routed, &session{})
 	flow := &serviceFlow{requestState: requestState, context: c, body: body, dispatchContext: request.Context()}
 	if !requestState.request.Idempotent {
 		var detach func()
