canary: versions that fail under load are found (EXPOSURE)

Cause: most of the allowed exposure went to idle endpoints, where such a version is sound, and one test compared all its answers with all of the old version's, failures and slow answers in one count.

Change (design 0023): from the half of the duration on the exposure goes to few endpoints in bursts, with the allowed number of requests beside the share; repeats go to the old version. A sequential likelihood ratio test compares by route, load and the phase in which the attempt began; doubt is enough before the share becomes 1 and before the completion. Older instances understand the stages and the old counts, which stay; TestTalliesOfEarlierVersion has their bytes and descriptor.

Tests: TestErrorRates simulates both errors (targets 1 in 100 good versions, 1 in 20 bad ones). The old judge gives the wrong verdict in four cases of TestEvidence (at load only, one route only, both fail at load, slow at an unknown load). TestEvidence, TestFullAt (now TestSchedule) and the counts of TestOverdueAnswers follow the new judge and schedule; TestDriverLost waits 0.6 s longer, since all requests come later. Each asks at least what it asked before.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -70,17 +70,21 @@
 	peers        map[machine.InstanceID]tally
 	paces        paces // seen by this instance
 	peerPaces    map[machine.InstanceID]*paces
-	oldLatency   ewma  // the old version's mean of Attempt.relativeLatency
-	atStageStart tally // counts of all instances when the stage began
-	rejected     bool  // the evidence shows that the new version is worse
+	oldLatency   ewma    // the old version's mean of Attempt.relativeLatency
+	atStageStart tally   // counts of all instances when the stage began
+	samples      samples // counted by this instance
+	peerSamples  map[machine.InstanceID]samples
+	total        samples // of this instance and its peers
+	rejected     bool    // the evidence shows that the new version is worse
 	// replaced is the roll-out that this one's order replaced, completed or in progress. Its share no longer changes; requests that do
 	// not use the present target keep to it.
 	replaced *rollout
+	paced    bool // the service answers with streams, whose paces are compared
 }
 
 // Rollouts holds the roll-outs of all services. Safe for concurrent use.
 type Rollouts struct {
-	exposure float64 // see New
+	exposure Exposure
 	counters *telemetry.Counters
 	log      *slog.Logger
 
@@ -99,9 +103,8 @@
 	at       time.Time
 }
 
-// New returns an empty set of roll-outs. exposure is the share of a service's requests, 0 to 1, that a bad version
-// may get by the end of its roll-out, whether its faults are detected or not.
-func New(exposure float64, counters *telemetry.Counters, log *slog.Logger) *Rollouts {
+// New returns an empty set of roll-outs.
+func New(exposure Exposure, counters *telemetry.Counters, log *slog.Logger) *Rollouts {
 	return &Rollouts{
 		exposure: exposure, counters: counters, log: log,
 		byService: make(map[string]*rollout), stages: make(map[string]storedStage),
@@ -122,7 +125,8 @@
 		r.restate(known, order)
 		return
 	}
-	ro := &rollout{order: order, seed: order.Revision, seenAt: time.Now(), peers: make(map[machine.InstanceID]tally), peerPaces: make(map[machine.InstanceID]*paces)}
+	ro := &rollout{order: order, seed: order.Revision, seenAt: time.Now(), peers: make(map[machine.InstanceID]tally), peerPaces: make(map[machine.InstanceID]*paces),
+		samples: make(samples), total: make(samples), peerSamples: make(map[machine.InstanceID]samples)}
 	if known != nil {
 		r.recordEnd(known)
 		ro.replaced = known.base()
@@ -173,7 +177,7 @@
 	if stored.stage == ro.stage || stored.stage.behind(ro.stage) {
 		return
 	}
-	ro.stage, ro.stageAt = stored.stage, stored.at
+	ro.stage, ro.stageAt, ro.paced = stored.stage, stored.at, ro.isPaced()
 	ro.atStageStart = ro.sum()
 	r.recordEnd(ro)
 	r.log.Info("roll-out stage applied", "service", ro.order.Service, "target", ro.order.Target, "state", string(ro.stage.State),
@@ -205,8 +209,8 @@
 
 // Choose returns which version a request may use. session is empty for a request without a session. Requests of one
 // session get the same result at every instance. Since the share only grows, a session moves to the new version at
-// most once.
-func (r *Rollouts) Choose(service, session, request string) Choice {
+// most once. repeat reports that an earlier attempt of the request may have run.
+func (r *Rollouts) Choose(service, session, request string, repeat bool) Choice {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ro := r.byService[service]
@@ -225,7 +229,8 @@
 	case ro.stage.State == Reverted || ro.rejected:
 		return other
 	case session == "" && ro.underStress():
-		if ro.inBurst(time.Now()) {
+		// Repeats would be exposed without being evidence, and their callers are better off with the old version.
+		if ro.inBurst(time.Now()) && !repeat {
 			return target
 		}
 		return other
@@ -260,24 +265,28 @@
 	return Choice{ExcludedVersions: withVersion(excluded, before.order.Target)}
 }
 
-// underStress reports whether the roll-out is in the stress stage, in which the new version's endpoints get about
-// twice their usual load.
+// underStress reports whether the roll-out is in the stress stage, in which few of the new version's endpoints get several times
+// their usual load.
 func (ro *rollout) underStress() bool {
-	return ro.stage.State == Running && ro.stage.Share == stressShare
+	return ro.stage.State == Running && ro.stage.Share >= stressShare && ro.stage.Share < 1
 }
 
 // spread returns the share of the new version's endpoints that serve its requests; 0 means all. The caller holds
 // the lock.
 func (ro *rollout) spread() float64 {
-	if ro.underStress() {
-		return stressShare / 2
+	switch {
+	case ro.underStress():
+		return stressSpread
+	case ro.stage.State == Running && ro.stage.Share == 1 && !ro.paced:
+		return fullSpread
+	default:
+		return 0
 	}
-	return 0
 }
 
 // inBurst reports whether requests without a session go to the new version at the moment, see stressPeriod.
 func (ro *rollout) inBurst(now time.Time) bool {
-	burst := time.Duration(stressShare * float64(stressPeriod))
+	burst := time.Duration(ro.stage.Share * float64(stressPeriod))
 	return now.Sub(ro.stageAt)%stressPeriod < burst
 }
 
--- a/canary/driver.go
+++ b/canary/driver.go
@@ -36,59 +36,6 @@
 	acquireSpread   = 20 * time.Millisecond
 )
 
-// A roll-out leaves all requests on the old version for the first half of its duration: a session may only move in
-// the second half, and its requests may reach any instance. Then the new version gets a small canary share, which
-// yields the evidence against a bad version, next a larger share on few endpoints, and at last all requests. Ages
-// are fractions of the roll-out's duration.
-const (
-	// canaryAt is the age at which the new version gets the canary share, which is canaryExposureShare of the
-	// allowed exposure. Over three tenths of the duration that uses less than a fifth of the allowed exposure.
-	canaryAt            = 0.5
-	canaryExposureShare = 0.6
-	// stressAt is the age at which the new version gets stressShare of the requests, on half that share of its
-	// endpoints. Each of these then has about twice its usual load, which reveals faults that a small share hides.
-	// Roll-outs of some ten seconds need at least a tenth of their duration to reveal them.
-	stressAt    = 0.8
-	stressShare = 0.2
-	// stressPeriod is the period of the stress stage's bursts. For stressShare of each period all requests without
-	// a session go to the new version, then none. Spread evenly, they would leave endpoints with few slots idle.
-	stressPeriod = 1500 * time.Millisecond
-	// plannedExposure is the share of the allowed exposure that the schedule uses. The rest is a reserve for retries
-	// and uneven traffic.
-	plannedExposure = 0.93
-	// minFullAt and maxFullAt bound the age at which the new version gets all requests. After maxFullAt no time
-	// would be left to complete the roll-out. Where the allowed exposure would require a later age, only the
-	// evidence limits the exposure to a bad version.
-	minFullAt = 0.85
-	maxFullAt = 0.94
-	// completeAt is the earliest age at which the roll-out completes and the old version is no longer used. The
-	// remaining time allows for a store that is slow or briefly unavailable.
-	completeAt = 0.9
-	// overdueAt is the age at which the roll-out completes though many attempts at the new version still wait for
-	// their answers, for example those of instances that have stopped.
-	overdueAt = 1.15
-)
-
-// Minimum times for which a share is held, also by a driver that is behind schedule. In these times a service with
-// a few requests per second answers enough of them for the evidence, and requests at the old version finish.
-const (
-	minCanaryHold = 1500 * time.Millisecond
-	minStressHold = 1200 * time.Millisecond
-	minFullHold   = 550 * time.Millisecond
-)
-
-// fullAt returns the age at which a new version gets all requests. With even traffic, a version whose faults are not
-// detected has then got at most the allowed share of all requests at the end of the duration.
-func fullAt(exposure float64) float64 {
-	canary := firstShare(exposure) * (stressAt - canaryAt)
-	// canary + stressShare*(at-stressAt) + (1-at) = plannedExposure*exposure
-	at := (1 - plannedExposure*exposure + canary - stressShare*stressAt) / (1 - stressShare)
-	return min(max(at, minFullAt), maxFullAt)
-}
-
-// firstShare returns the canary share. It stays below stressShare, so that shares only grow.
-func firstShare(exposure float64) float64 { return min(canaryExposureShare*exposure, stressShare/2) }
-
 // Publisher encodes the public status of a roll-out in the platform's format.
 type Publisher interface {
 	// Status returns the document for the operators.
@@ -341,38 +288,3 @@
 	}
 	return true
 }
-
-// next returns the stage that the roll-out's age and evidence call for under an allowed exposure. ok is false if
-// the stage does not change and the store has it.
-func (ro *rollout) next(now time.Time, exposure float64) (stage Stage, ok bool) {
-	elapsed := ro.elapsed(now)
-	stage = Stage{
-		OrderRevision: ro.order.Revision, State: Running, Share: ro.stage.Share, ElapsedMS: elapsed.Milliseconds(), Seed: ro.statedSeed(),
-	}
-	if ro.ended() {
-		stage.State = ro.stage.State
-		return stage, ro.lost()
-	}
-	age := float64(elapsed) / float64(max(ro.order.Duration, 1))
-	held := now.Sub(ro.stageAt)
-	switch {
-	case ro.rejected:
-		stage.State, stage.Share = Reverted, 0
-	case ro.stage.Share == 0:
-		if age >= canaryAt {
-			stage.Share = firstShare(exposure)
-		}
-	case ro.stage.Share < stressShare:
-		if age >= stressAt && held >= minCanaryHold {
-			stage.Share = stressShare
-		}
-	case ro.stage.Share < 1:
-		if age >= fullAt(exposure) && held >= minStressHold {
-			stage.Share = 1
-		}
-	case age >= completeAt && held >= minFullHold && (ro.keepsUp() || age >= overdueAt):
-		stage.State = Completed
-	}
-	changed := stage.State != ro.stage.State || stage.Share != ro.stage.Share
-	return stage, changed || ro.lost()
-}
--- a/canary/pace.go
+++ b/canary/pace.go
@@ -130,3 +130,9 @@
 	}
 	return &sum
 }
+
+// isPaced reports whether the service answers with streams, so that the versions' paces can be compared.
+func (ro *rollout) isPaced() bool {
+	observed := ro.sumPaces()
+	return observed.old.total() >= minOldPaces
+}
--- a/daemon/gatewaysettings.go
+++ b/daemon/gatewaysettings.go
@@ -41,6 +41,8 @@
 	// CanaryShare is the largest share of a service's requests, above 0 and at most 1, that a bad version may
 	// get during its roll-out. Default 0.1.
 	CanaryShare float64 `toml:"canary_share"`
+	// CanarySlack is the number of requests that it may get beyond that share.
+	CanarySlack float64 `toml:"canary_slack"`
 	// StatedLoadsFrom is the number of live instances from which on placement uses the load and pace that endpoints state in their
 	// answers, for services whose endpoints state a pace; 0 means never. Default 12: with fewer, a round of the exchange reaches all
 	// instances.
@@ -114,6 +116,8 @@
 		return errors.New("stop_seconds: must be positive")
 	case s.CanaryShare <= 0 || s.CanaryShare > 1:
 		return errors.New("canary_share: must be above 0 and at most 1")
+	case s.CanarySlack < 0:
+		return errors.New("canary_slack: must not be negative")
 	}
 	if s.StatedLoadsFrom < 0 {
 		return errors.New("stated_loads_from: must not be negative")
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -78,7 +78,8 @@
 		slog.Int("load", grant.Load), slog.Float64("pace", grant.Pace), slog.Int64("expected_ms", grant.Expected.Milliseconds()),
 		slog.Int64("left_ms", f.deadline.Sub(started).Milliseconds()))
 	f.tries++
-	trial := f.server.Versions.Begin(f.service, grant.Report.Version, grant.Expected, grant.Load)
+	at := canary.Circumstances{Route: f.route.Name, Load: grant.Load, Slots: grant.Report.Slots, Repeat: f.runs > 0}
+	trial := f.server.Versions.Begin(f.service, grant.Report.Version, at, grant.Expected)
 	defer trial.Cancel()
 	exposure := f.server.Quarantine.Begin(grant.Endpoint.ID(), grant.Report.Address, f.service, f.call.SharedParts())
 	ending := quarantine.Closed
@@ -103,6 +104,7 @@
 	reply := f.server.EndpointProtocol.Reply(answer.Status, answer.Header)
 	grant.ExtendCold(reply.ColdFor)
 	if reply.HasLoad {
+		trial.RecordLoad(reply.Running + reply.Waiting)
 		grant.RecordStatement(reply.Running, reply.Waiting, reply.Pace, reply.Signed && !reply.NotRun && !reply.Misdirected)
 	}
 	if reply.Leaving {
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -379,7 +379,7 @@
 // need returns the requirements that an endpoint must meet for the next attempt.
 func (f *requestState) need() *upstream.Need {
 	f.chooseModel()
-	version := f.server.Versions.Choose(f.service, f.call.Session, f.call.ID)
+	version := f.server.Versions.Choose(f.service, f.call.Session, f.call.ID, f.runs > 0)
 	return &upstream.Need{
 		Service: f.service, Version: version.RequiredVersion, ExcludedVersions: version.ExcludedVersions, Spread: version.Spread, PromptParts: f.call.PromptParts,
 		PromptTokens: f.call.PromptTokens, Avoid: f.avoid, Model: f.modelName(),
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -61,11 +61,10 @@
 
 // Versions chooses between the versions of a service during a roll-out.
 type Versions interface {
-	// Choose returns the version that the request may use.
-	Choose(service, session, request string) canary.Choice
-	// Begin records the start of an attempt at a version. expected is the time to its first byte, load
-	// the number of other requests at its endpoint.
-	Begin(service, version string, expected time.Duration, load int) *canary.Trial
+	// Choose returns the version that the request may use. repeat reports that an earlier attempt may have run.
+	Choose(service, session, request string, repeat bool) canary.Choice
+	// Begin records the start of an attempt at a version. expected is the time to its first byte.
+	Begin(service, version string, at canary.Circumstances, expected time.Duration) *canary.Trial
 }
 
 var (
