canary: a completed version stays the base of the next order though an instance rejected it

A version can be completed while the evidence of one instance rejects it. After the next order that instance let requests use any version again, also the one before the completed one, whose endpoints are in discovery for a while.

base asked for the rejection before it asked for the completion, unlike Choose and recordEnd.

Evidence: TestRejectedWhileCompleted, before: no required version instead of v2.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -245,7 +245,7 @@
 // share of the requests uses its target, else the one that it replaced. It is nil if no request uses either.
 func (ro *rollout) base() *rollout {
 	switch {
-	case ro.stage.State == Reverted || ro.rejected || ro.stage.Share == 0:
+	case ro.stage.State != Completed && (ro.stage.State == Reverted || ro.rejected || ro.stage.Share == 0):
 		return ro.replaced
 	default:
 		return &rollout{order: ro.order, seed: ro.seed, stage: ro.stage}
--- a/canary/reverted_test.go
+++ b/canary/reverted_test.go
@@ -167,3 +167,19 @@
 		}
 	})
 }
+
+// TestRejectedWhileCompleted guards against requests that may use any version after the next order: the version before it was completed while the
+// evidence of an instance rejected it.
+func TestRejectedWhileCompleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := newFakeStore()
+		instances := []*instance{store.addInstance("a")}
+		store.orderVersion("v2", instances...)
+		run(t, store, duration, instances, nil)
+		c.Assert(store.status(), qt.Equals, "completed")
+		instances[0].rollouts.byService["app"].rejected = true
+		store.orderVersion("v3", instances...)
+		c.Check(instances[0].rollouts.Choose("app", "s", "r", false).RequiredVersion, qt.Equals, "v2")
+	})
+}
