--- a/canary/judge_test.go
+++ b/canary/judge_test.go
@@ -137,6 +137,16 @@
 	c.Check(ro.rejected, qt.IsTrue) // 12 of 21 failed, 12 of 120 of the old version
 	c.Check(ro.sum(), qt.Equals, tally{newAnswers: 21, newFailures: 12, oldAnswers: 120, oldFailures: 12, newStarted: 3})
 
+	// A sender whose roll-out has ended leaves the strata out, too; what it told apart before stays.
+	told := New(exposure, telemetry.New(), slog.New(slog.DiscardHandler))
+	told.Apply(ro.order)
+	told.Observe("app", "v1", Attempt{Circumstances: Circumstances{Route: "read"}})
+	rollouts.Receive(machine.Member{ID: "told"}, told.Message(machine.Member{}))
+	kept := len(ro.total)
+	told.byService["app"].stage.State = Completed
+	rollouts.Receive(machine.Member{ID: "told"}, told.Message(machine.Member{}))
+	c.Check(ro.total, qt.HasLen, kept)
+
 	for i := range 30 {
 		at := Circumstances{Route: "read", Load: i % 3, Slots: 6, Repeat: i%5 == 0}
 		rollouts.Observe("app", "v1", Attempt{Circumstances: at, Failed: i%10 == 0, FirstByte: 50 * time.Millisecond})
