--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -71,32 +72,60 @@
 // head is the request line and fields, each ended by a line break. Send returns once all clients have ended sending; their connections
 // stay open until leave is called.
 func (k Kind) Send(address, head string) (leave func()) {
+	sent, leave := k.Start(address, head)
+	<-sent
+	return leave
+}
+
+// Start is Send without waiting. sent is closed once all clients have ended sending; leave also ends those that still send, for example to a
+// process that is suspended.
+func (k Kind) Start(address, head string) (sent <-chan struct{}, leave func()) {
 	request := []byte(head + k.Header + "\r\n")
 	if k.Payload != nil {
 		request = append(append(request, "\r\n"...), k.Payload()...)
 	}
 	var sending sync.WaitGroup
-	conns := make([]net.Conn, Size)
-	for n := range conns {
+	var mu sync.Mutex
+	var conns []net.Conn
+	ctx, cancel := context.WithCancel(context.Background())
+	open := func() net.Conn {
+		conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if ctx.Err() != nil {
+			_ = conn.Close()
+		}
+		conns = append(conns, conn)
+		return conn
+	}
+	for range Size {
 		sending.Go(func() {
-			conn, err := net.Dial("tcp", address)
-			if err != nil {
+			conn := open()
+			if conn == nil {
 				return
 			}
-			conns[n] = conn
 			if k.Unread {
 				_ = conn.(*net.TCPConn).SetReadBuffer(unreadBuffer)
 			}
 			_, _ = conn.Write(request)
 		})
 	}
-	sending.Wait()
-	return func() {
+	done := make(chan struct{})
+	go func() {
+		sending.Wait()
+		close(done)
+	}()
+	return done, func() {
+		mu.Lock()
+		cancel()
 		for _, conn := range conns {
-			if conn != nil {
-				_ = conn.Close()
-			}
+			_ = conn.Close()
 		}
+		mu.Unlock()
+		<-done
 	}
 }
 
