--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -144,7 +144,7 @@
 	for range next.repeated - 1 {
 		body = io.MultiReader(body, strings.NewReader(next.body))
 	}
-	if next.rest != "" {
+	if next.pause > 0 {
 		paused := &pausedReader{ctx: ctx, pause: next.pause, rest: strings.NewReader(next.rest)}
 		if next.onSilence != nil {
 			paused.onSilence = sync.OnceFunc(func() { next.onSilence(out) })
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -130,6 +130,8 @@
 		origin: from,
 	}
 	f.answer()
+	// net/http still writes the end of the answer; the time limit of the last event may be over.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	return f.verdict
 }
 
