gateway: a request that may run once is not escalated

On a route with models whose requests may run only once, callers got a 502: a good answer of low confidence was dropped, and no other run was allowed.

Cause: escalate asked whether an attempt is left, not whether the route may be repeated. Such a request now goes to the largest model at once, as with one attempt, and its answer is delivered.

Evidence: TestCascadeRunsOnce, before: 502 instead of 200.

--- a/gateway/cascade.go
+++ b/gateway/cascade.go
@@ -18,10 +18,10 @@
 )
 
 // chooseModel sets the model of the next attempt. A request begins with the smallest model and escalates to a
-// larger one if the confidence of its answer is too low. Where only one attempt is allowed, escalation is
+// larger one if the confidence of its answer is too low. Where only one run is allowed, escalation is
 // impossible, so the request goes to the largest model at once.
 func (f *requestState) chooseModel() {
-	if last := len(f.route.Models) - 1; last >= 0 && f.route.MaxAttempts == 1 {
+	if last := len(f.route.Models) - 1; last >= 0 && (f.route.MaxAttempts == 1 || !f.route.Repeatable()) {
 		f.model = last
 	}
 }
@@ -31,7 +31,7 @@
 func (f *requestState) escalate(reply Reply) bool {
 	last := len(f.route.Models) - 1
 	headerSent := f.stream != nil && f.stream.headerSent
-	if !f.call.OpenModel || f.model >= last || headerSent || !reply.HasConfidence || f.runs >= f.route.MaxAttempts {
+	if !f.call.OpenModel || !f.route.Repeatable() || f.model >= last || headerSent || !reply.HasConfidence || f.runs >= f.route.MaxAttempts {
 		return false
 	}
 	if f.model > 0 {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -249,6 +249,22 @@
 	}
 }
 
+// TestCascadeRunsOnce guards against good answers that are dropped for another run which the route does not allow: a request that may run only once
+// goes to the largest model, and its answer is delivered whatever its confidence.
+func TestCascadeRunsOnce(t *testing.T) {
+	c := qt.New(t)
+	unsure := events("id: 1\ndata: a\n\n")
+	unsure.header += "\nConfidence: 20"
+	f := newFixture(unsure)
+	d := draft(2)
+	eachRoute(d, func(r *catalog.Route) { r.Models = []string{"small", "large"} })
+	f.current.Set(catalog.New(d))
+	got := f.call("once", "Model", "any")
+	c.Check(got.status, qt.Equals, http.StatusOK)
+	c.Check(got.body, qt.Equals, "id: 1\ndata: a\n\n")
+	c.Check(f.sender.sent[0].Header.Get("Model"), qt.Equals, "large")
+}
+
 // TestCascadeUnderLoad checks that the required confidence falls as the larger model's answer would come later, and
 // that every answer is accepted once it would miss the goal.
 func TestCascadeUnderLoad(t *testing.T) {
