--- a/entry/chatattempt.go
+++ b/entry/chatattempt.go
@@ -22,6 +22,9 @@
 		placed, err := f.place(ctx, step.Pool)
 		if !f.zoneBound {
 			err = f.forwardIfOutOfService(err)
+			if err != nil {
+				err = f.forwardIfUnreachable(err)
+			}
 		}
 		if _, otherZone := otherZoneOf(err); otherZone {
 			return nil, err
--- a/entry/requeststate.go
+++ b/entry/requeststate.go
@@ -30,6 +30,7 @@
 	lines               []ledger.BillLine
 	worstVerdict        verdict.Verdict      // worst verdict of all attempts so far
 	excluded            []machine.EndpointID // endpoints that failed this request
+	unsent              int                  // attempts that did not reach their endpoint
 	firstAttemptCounted bool                 // the retry budget has counted the request
 	// queueDeadline is the common deadline of all waits in queues; zero before the first wait.
 	queueDeadline time.Time
@@ -126,6 +127,9 @@
 	if ctx.Err() != nil {
 		return r.fail(cancelled(ctx, verdict.Worst(failed.failure.Verdict, r.worstVerdict)))
 	}
+	if failed.failure.Reason == verdict.RetryNotSent {
+		r.unsent++
+	}
 	decision := decide.Retry(r.request, decide.FailedAttempt{
 		Verdict:   failed.failure.Verdict,
 		Reason:    failed.failure.Reason,
@@ -137,7 +141,7 @@
 	r.note(decision.Notes...)
 	if decision.Action == decide.Stop {
 		decision.Refusal.RetryAfter = failed.failure.RetryAfter
-		return r.fail(decision.Refusal)
+		return r.forwardIfUnreachable(r.fail(decision.Refusal))
 	}
 	reason := failed.failure.Reason
 	if decision.Action == decide.Resume {
--- a/entry/service.go
+++ b/entry/service.go
@@ -120,6 +120,9 @@
 	f.zoneBound = true
 	for attempts := 1; ; attempts++ {
 		placed, err := f.placeClaimed(ctx)
+		if err != nil {
+			err = f.forwardIfUnreachable(err)
+		}
 		if _, otherZone := otherZoneOf(err); otherZone {
 			f.finishClaim(ledger.Outcome{Verdict: verdict.NotRun})
 			return err
@@ -134,7 +137,11 @@
 			return err
 		}
 		if err := f.decideRetry(f.dispatchContext, placed, &failedAttempt{failure: failure, attempts: attempts}); err != nil {
-			f.finishClaim(refusedOutcome(err))
+			outcome := refusedOutcome(err)
+			if _, otherZone := otherZoneOf(err); otherZone {
+				outcome = ledger.Outcome{Verdict: verdict.NotRun}
+			}
+			f.finishClaim(outcome)
 			return err
 		}
 	}
