mirror: an older state of a peer does not bring back deleted documents (DRAIN)

An instance that starts, asks a peer and reads the store at the same time could use an endpoint that has left for as long as it runs.

Cause: a document of an older state was taken over if the copy knew no newer one; after a full read the copy has no tombstone of what was deleted before it. Of an older state only documents written after the copy's position are taken over now.

Evidence: TestOlderStateOfPeer, before: the document is back, by a full copy and by changes. go test ./mirror ./replica ./platform passes.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -245,10 +245,19 @@
 	if position.Era != m.position.Era {
 		return
 	}
+	if m.position.After(position) {
+		changed = m.unseen(changed)
+	}
 	m.merge(changed, false)
 	m.setPosition(position)
 }
 
+// unseen returns the documents of an older state that were written after the copy's position. An earlier one that the copy lacks was deleted before
+// the copy was read, and the copy has no tombstone of it. The caller holds the lock.
+func (m *Mirror) unseen(documents []Document) []Document {
+	return slices.DeleteFunc(slices.Clone(documents), func(d Document) bool { return !d.Position().After(m.position) })
+}
+
 // replace merges a full state whose first page was read at position from. Documents that it lacks
 // were deleted, unless they are newer than from: those may have been written while the pages were
 // read. A state of an older era is ignored.
@@ -260,7 +269,7 @@
 	}
 	if m.position.After(from) {
 		// The state is older than the copy, so that a document it lacks may have been created since.
-		m.merge(documents, false)
+		m.merge(m.unseen(documents), false)
 		return
 	}
 	restored := from.Era > m.position.Era && m.position != Position{}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -356,3 +356,25 @@
 		})
 	}
 }
+
+// TestOlderStateOfPeer guards against endpoints that come back after they have left, for as long as the process runs: a peer's older state holds a
+// document that was deleted before this copy was read.
+func TestOlderStateOfPeer(t *testing.T) {
+	c := qt.New(t)
+	left := Document{Key: "servers/left", Value: []byte("x"), Revision: 5}
+	later := Document{Key: "servers/later", Value: []byte("x"), Revision: 11}
+	for name, receive := range map[string]func(m *Mirror){
+		"full copy": func(m *Mirror) { m.replace([]Document{left, later}, Position{Revision: 7}) },
+		"changes":   func(m *Mirror) { m.apply([]Document{left, later}, Position{Revision: 7}) },
+	} {
+		var heard []Document
+		m := New(slog.New(slog.DiscardHandler), func(changed []Document, _ time.Time) { heard = append(heard, changed...) })
+		m.replace([]Document{{Key: "servers/a", Value: []byte("x"), Revision: 3}}, Position{Revision: 10})
+		receive(m)
+		_, found := m.Get(left.Key)
+		c.Check(found, qt.IsFalse, qt.Commentf(name))
+		_, found = m.Get(later.Key)
+		c.Check(found, qt.IsTrue, qt.Commentf(name))
+		c.Check(heard, qt.HasLen, 2, qt.Commentf(name))
+	}
+}
