daemon, deploy: canary_slack is text, so that tools which do not know it can fill in the template

The setting is text now; empty, or a placeholder that was left as it is, means none. A number is read as before.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -155,7 +155,8 @@
 	g.table.UseStatedLoads(upstream.StatedLoads{From: g.settings.StatedLoadsFrom, Unpaced: g.settings.StatedLoadsUnpaced})
 	g.counters.Gauge("plumbarrow_endpoints_leaving", func() float64 { return float64(len(g.table.Leaving())) })
 	g.counters.Gauge("plumbarrow_endpoints_fragile", func() float64 { return float64(g.table.Fragile()) })
-	g.rollouts = canary.New(canary.Exposure{Share: g.settings.CanaryShare, Slack: g.settings.CanarySlack}, g.counters, g.log)
+	slack, _ := g.settings.canarySlack() // checked when the settings were loaded
+	g.rollouts = canary.New(canary.Exposure{Share: g.settings.CanaryShare, Slack: slack}, g.counters, g.log)
 	g.driver = canary.NewDriver(g.rollouts, g.mirror, g.store, platform.Publisher{}, g.membership, g.log)
 	decoder.Endpoints = g.table
 	decoder.Rollouts = g.rollouts
--- a/daemon/gatewaysettings.go
+++ b/daemon/gatewaysettings.go
@@ -6,6 +6,8 @@
 	"io"
 	"log/slog"
 	"os"
+	"strconv"
+	"strings"
 
 	"plumbarrow.example/plumbarrow/internal/tomlfile"
 	"plumbarrow.example/plumbarrow/zone"
@@ -41,8 +43,9 @@
 	// CanaryShare is the largest share of a service's requests, above 0 and at most 1, that a bad version may
 	// get during its roll-out. Default 0.1.
 	CanaryShare float64 `toml:"canary_share"`
-	// CanarySlack is the number of requests that it may get beyond that share.
-	CanarySlack float64 `toml:"canary_slack"`
+	// CanarySlack is the number of requests that it may get beyond that share, as text: empty, or a placeholder that a tool which does not
+	// know the field left as it is, for none.
+	CanarySlack string `toml:"canary_slack"`
 	// StatedLoadsFrom is the number of live instances from which on placement uses the load and pace that endpoints state in their
 	// answers, for services whose endpoints state a pace; 0 means never. Default 12: with fewer, a round of the exchange reaches all
 	// instances.
@@ -116,8 +119,9 @@
 		return errors.New("stop_seconds: must be positive")
 	case s.CanaryShare <= 0 || s.CanaryShare > 1:
 		return errors.New("canary_share: must be above 0 and at most 1")
-	case s.CanarySlack < 0:
-		return errors.New("canary_slack: must not be negative")
+	}
+	if slack, err := s.canarySlack(); err != nil || !(slack >= 0) {
+		return errors.New("canary_slack: must be empty or a number that is not negative")
 	}
 	if s.StatedLoadsFrom < 0 {
 		return errors.New("stated_loads_from: must not be negative")
@@ -164,3 +168,11 @@
 	}
 	return slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level})).With("instance", s.Instance)
 }
+
+// canarySlack returns CanarySlack as a number.
+func (s *GatewaySettings) canarySlack() (float64, error) {
+	if s.CanarySlack == "" || strings.HasPrefix(s.CanarySlack, "{{") {
+		return 0, nil
+	}
+	return strconv.ParseFloat(s.CanarySlack, 64)
+}
