upstream: requests are confined to as many endpoints as a plain service's work needs

Cause: the bursts of the stress stage confined all requests, some 15 in progress, to one of seven endpoints of six slots. A sound version waits there.

Change: the part has at least as many endpoints as the service's requests in progress need at three quarters of their slots. Model services keep theirs.

Evidence: TestSpreadFollowsLoad, before: one endpoint for 4, 11 and 40 requests in progress.

--- a/upstream/place.go
+++ b/upstream/place.go
@@ -45,6 +45,9 @@
 	// too many requests rejects them without running them.
 	overcommitModel = 1.25
 	overcommitPlain = 3
+	// spreadLoad is the number of requests per slot up to which requests are confined to few endpoints of a plain service, see Need.Spread. Hardly
+	// any waits there, but most meet others.
+	spreadLoad = 0.75
 )
 
 // Need holds a request's requirements on an endpoint.
@@ -53,8 +56,8 @@
 	// Version is the software version that the endpoint must have; empty for any. ExcludedVersions are those that it must not have.
 	Version          string
 	ExcludedVersions []string
-	// Spread is the share of the matching endpoints, 0 to 1, to which the request is confined while
-	// they have free capacity; 0 means all.
+	// Spread is the share of the matching endpoints, 0 to 1, to which the request is confined while they have free capacity; 0 means all.
+	// For a plain service they are at least as many as its requests in progress need.
 	Spread float64
 	// PromptParts are the parts of the prompt in order; empty for requests without a prompt. The last
 	// one is specific to the request, the others may be shared with other requests.
@@ -99,6 +102,7 @@
 	cost       time.Duration // expected time to the request's first event, penalties, and what the request costs others
 	cached     bool          // the endpoint is expected to hold a good part of the prompt
 	near       bool          // in this instance's zone
+	slots      int           // of the endpoint
 	lastResort bool          // chosen only if all candidates are last resorts
 }
 
@@ -148,8 +152,12 @@
 	endpoints := t.view.Load().byService[need.Service]
 	evacuated := *t.evacuated.Load()
 	preferred := t.preferred(endpoints, need, evacuated, now)
+	inProgress := 0 // at endpoints of all versions
 	for _, endpoint := range endpoints {
 		endpoint.mu.Lock()
+		if need.Spread > 0 {
+			inProgress += endpoint.total(now).requests
+		}
 		if endpoint.available(now) && !evacuated[endpoint.report.Zone] && endpoint.matchesVersion(need) {
 			if t.hasCapacity(endpoint, service, now) {
 				candidates = append(candidates, t.score(endpoint, need, endpoint == preferred, now))
@@ -160,7 +168,11 @@
 		endpoint.mu.Unlock()
 	}
 	if need.Spread > 0 && need.Spread < 1 {
-		candidates = subset(candidates, need.Spread)
+		needed := 0
+		if service == nil || !service.Model {
+			needed = endpointsFor(inProgress, candidates)
+		}
+		candidates = subset(candidates, need.Spread, needed)
 	}
 	if t.usesStatedLoads(need.Service) && len(need.PromptParts) > 0 {
 		candidates = sample(candidates)
@@ -182,15 +194,27 @@
 	}
 }
 
-// subset returns the given share of the candidates, rounded up, without last resorts if there are
+// endpointsFor returns how many of the candidates can serve a number of requests at spreadLoad.
+func endpointsFor(requests int, candidates []candidate) int {
+	slots := 0
+	for _, c := range candidates {
+		slots += c.slots
+	}
+	if slots == 0 {
+		return 0
+	}
+	return int(math.Ceil(float64(requests*len(candidates)) / (spreadLoad * float64(slots))))
+}
+
+// subset returns the given share of the candidates, rounded up, and no fewer than a least number, without last resorts if there are
 // others. It selects by hash, so that all instances choose the same endpoints.
-func subset(candidates []candidate, share float64) []candidate {
+func subset(candidates []candidate, share float64, least int) []candidate {
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.endpoint.hash, b.endpoint.hash) })
 	healthy := slices.DeleteFunc(slices.Clone(candidates), func(c candidate) bool { return c.lastResort })
 	if len(healthy) > 0 {
 		candidates = healthy
 	}
-	return candidates[:min(len(candidates), int(math.Ceil(share*float64(len(candidates)))))]
+	return candidates[:min(len(candidates), max(least, int(math.Ceil(share*float64(len(candidates))))))]
 }
 
 // matchesVersion reports whether the endpoint's software version may serve the request. The caller holds
@@ -269,7 +293,7 @@
 func (t *Table) score(e *Endpoint, need *Need, preferred bool, now time.Time) candidate {
 	considered := t.consider(e, need, preferred, now)
 	return candidate{
-		endpoint: e, cost: considered.Cost, near: e.report.Zone == t.zone,
+		endpoint: e, cost: considered.Cost, near: e.report.Zone == t.zone, slots: e.report.Slots,
 		cached:     float64(considered.Cached) >= cachedShare*float64(need.PromptTokens),
 		lastResort: considered.LastResort,
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -270,6 +270,26 @@
 	}
 }
 
+// TestSpreadFollowsLoad guards against good versions that are rejected as slow: all requests of a busy plain service were confined to one endpoint,
+// more than it can serve. Requests are confined to as many endpoints as the service's requests in progress need.
+func TestSpreadFollowsLoad(t *testing.T) {
+	c := qt.New(t)
+	for inProgress, want := range map[int]int{0: 1, 2: 1, 4: 2, 11: 4, 40: 7} { // an endpoint has four slots
+		table := newTable()
+		for i := range 7 {
+			old, next := report(fmt.Sprintf("old-%d", i), "app", "a"), report(fmt.Sprintf("new-%d", i), "app", "a")
+			next.Version = "v2"
+			table.Apply(old)
+			table.Apply(next)
+		}
+		for range inProgress {
+			place(table, Need{Service: "app", Version: "v1"})
+		}
+		candidates, _ := table.filter(&Need{Service: "app", Version: "v2", Spread: 0.05}, &catalog.Service{Name: "app"}, time.Now())
+		c.Check(candidates, qt.HasLen, want, qt.Commentf("%d in progress", inProgress))
+	}
+}
+
 // TestFewEndpointsLeft checks that the expected time to the first event includes the backlog reported by
 // peers, as after the loss of many endpoints, when the remaining ones hold the backlog.
 func TestFewEndpointsLeft(t *testing.T) {
