read-through: one mean of logarithms, terms and comments of the roll-outs' judge

canary and rollout each had the same function; internal/logspace has it once. toldApart is stratified; comments say what the code does in the field's terms.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -229,7 +229,7 @@
 	case ro.stage.State == Reverted || ro.rejected:
 		return other
 	case session == "" && ro.underStress():
-		// Repeats would be exposed without being evidence, and their callers are better off with the old version.
+		// A repeated request is no evidence, so it does not use up exposure.
 		if ro.inBurst(time.Now()) && !repeat {
 			return target
 		}
--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -1,6 +1,10 @@
 package canary
 
-import "time"
+import (
+	"time"
+
+	"plumbarrow.example/plumbarrow/internal/logspace"
+)
 
 const (
 	// An answer counts as slow if its first byte takes at least slowMin and its relative latency exceeds
@@ -57,7 +61,7 @@
 // logEvidence returns the logarithm of the evidence of all instances that the new version is worse, either since the start of the roll-out
 // or in the present stage alone. The latter keeps earlier answers from outweighing a fault that came later.
 func (ro *rollout) logEvidence() float64 {
-	return logMeanExp([]float64{ro.total.evidence(canaryPhase), ro.total.evidence(ro.stage.phase())})
+	return logspace.MeanExp(ro.total.evidence(canaryPhase), ro.total.evidence(ro.stage.phase()))
 }
 
 // ewma is an exponentially weighted moving average.
--- a/canary/exchange.go
+++ b/canary/exchange.go
@@ -21,8 +21,8 @@
 	return strata
 }
 
-// decodeSamples returns the samples of a received tally. A sender of an earlier version tells neither routes and loads apart nor slow answers
-// from failures; its answers form a stratum of their own, with the usual rate of bad answers of such senders.
+// decodeSamples returns the samples of a received tally. Senders of earlier versions do not count by stratum, and count slow answers as
+// failures; their answers form one stratum.
 func decodeSamples(received *canarypb.Tally) samples {
 	decoded := make(samples)
 	if len(received.GetStrata()) == 0 && received.GetOldAnswers()+received.GetNewAnswers() > 0 {
@@ -41,8 +41,8 @@
 	return decoded
 }
 
-// toldApart reports whether the samples come from a sender that tells strata apart.
-func (s samples) toldApart() bool {
+// stratified reports whether the samples come from a sender that counts by stratum.
+func (s samples) stratified() bool {
 	_, together := s[stratum{}]
 	return len(s) > 1 || len(s) == 1 && !together
 }
@@ -114,8 +114,9 @@
 		peerPaces.new.merge(received.GetNewPaces())
 		peerPaces.newIdle.merge(received.GetNewIdlePaces())
 		ro.peerPaces[from.ID] = peerPaces
-		if decoded := decodeSamples(received); decoded.toldApart() || !ro.peerSamples[from.ID].toldApart() {
-			ro.peerSamples[from.ID] = decoded // a sender whose roll-out has ended leaves them out
+		if decoded := decodeSamples(received); decoded.stratified() || !ro.peerSamples[from.ID].stratified() {
+			// Without strata the sender is of an earlier version, or its roll-out has ended.
+			ro.peerSamples[from.ID] = decoded
 			ro.sumSamples()
 		}
 		if received.GetRejected() && !ro.rejected {
--- a/canary/judge.go
+++ b/canary/judge.go
@@ -4,6 +4,8 @@
 	"math"
 
 	"github.com/cespare/xxhash/v2"
+
+	"plumbarrow.example/plumbarrow/internal/logspace"
 )
 
 // The judge compares a new version with the old one among requests of one route at equal load. It is a sequential test: the evidence may be
@@ -87,7 +89,7 @@
 	}
 }
 
-// otherRoutes is the route of answers that are not told apart.
+// otherRoutes is the route of all answers that are not counted by route.
 const otherRoutes = 0
 
 func hashRoute(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
@@ -151,7 +153,7 @@
 	if old.all.answers < minOldAnswers || len(next) == 0 {
 		return 0
 	}
-	return logMeanExp([]float64{old.failureEvidence(next), old.slowEvidence(next, since)})
+	return logspace.MeanExp(old.failureEvidence(next), old.slowEvidence(next, since))
 }
 
 // oldRates are the counts of the old version by what its rates may depend on.
@@ -201,7 +203,7 @@
 			alternatives = append(alternatives, ratio)
 		}
 	}
-	return logMeanExp(alternatives)
+	return logspace.MeanExp(alternatives...)
 }
 
 // slowEvidence compares the shares of slow answers at equal load, over all routes.
@@ -226,7 +228,7 @@
 		}
 		alternatives = append(alternatives, sum)
 	}
-	return logMeanExp(alternatives)
+	return logspace.MeanExp(alternatives...)
 }
 
 // logRatio returns the logarithm of the likelihood ratio of events among answers: a fault that spoils a share of the answers, against the
@@ -236,16 +238,3 @@
 	spoiled := min(usual+share*(1-usual), (1+maxRate)/2)
 	return float64(events)*math.Log(spoiled/usual) + float64(answers-events)*math.Log((1-spoiled)/(1-usual))
 }
-
-// logMeanExp returns the logarithm of the mean of values given by their logarithms.
-func logMeanExp(logs []float64) float64 {
-	top := math.Inf(-1)
-	for _, value := range logs {
-		top = max(top, value)
-	}
-	var sum float64
-	for _, value := range logs {
-		sum += math.Exp(value - top)
-	}
-	return top + math.Log(sum/float64(len(logs)))
-}
--- a/canary/judge_test.go
+++ b/canary/judge_test.go
@@ -54,7 +54,7 @@
 }
 
 // TestErrorRates guards against a judge that lets versions through which fail under load, or rejects good ones: it simulates the requests that a
-// roll-out of 16 s of a service with 30 requests a second buys, at loads as the stages of few endpoints bring them.
+// roll-out of 16 s of a service with 30 requests a second buys, at the loads of the stress stage.
 func TestErrorRates(t *testing.T) {
 	const rollouts = 400
 	for name, test := range map[string]struct {
@@ -122,8 +122,8 @@
 	return n
 }
 
-// TestTalliesOfEarlierVersion guards against instances of two builds that do not understand each other's evidence: the bytes of the build before
-// are acted on, and its descriptor reads the same counts in this build's bytes.
+// TestTalliesOfEarlierVersion guards against fleets of two builds that lose evidence: messages of the build before count, and its descriptor decodes
+// the same counts from messages of this build.
 func TestTalliesOfEarlierVersion(t *testing.T) {
 	c := qt.New(t)
 	golden, err := os.ReadFile("testdata/tallies-c5a4c44.bin")
@@ -137,14 +137,14 @@
 	c.Check(ro.rejected, qt.IsTrue) // 12 of 21 failed, 12 of 120 of the old version
 	c.Check(ro.sum(), qt.Equals, tally{newAnswers: 21, newFailures: 12, oldAnswers: 120, oldFailures: 12, newStarted: 3})
 
-	// A sender whose roll-out has ended leaves the strata out, too; what it told apart before stays.
-	told := New(exposure, telemetry.New(), slog.New(slog.DiscardHandler))
-	told.Apply(ro.order)
-	told.Observe("app", "v1", Attempt{Circumstances: Circumstances{Route: "read"}})
-	rollouts.Receive(machine.Member{ID: "told"}, told.Message(machine.Member{}))
+	// A sender whose roll-out has ended leaves the strata out, too; those it sent before stay.
+	ended := New(exposure, telemetry.New(), slog.New(slog.DiscardHandler))
+	ended.Apply(ro.order)
+	ended.Observe("app", "v1", Attempt{Circumstances: Circumstances{Route: "read"}})
+	rollouts.Receive(machine.Member{ID: "ended"}, ended.Message(machine.Member{}))
 	kept := len(ro.total)
-	told.byService["app"].stage.State = Completed
-	rollouts.Receive(machine.Member{ID: "told"}, told.Message(machine.Member{}))
+	ended.byService["app"].stage.State = Completed
+	rollouts.Receive(machine.Member{ID: "ended"}, ended.Message(machine.Member{}))
 	c.Check(ro.total, qt.HasLen, kept)
 
 	for i := range 30 {
--- a/daemon/gatewaysettings.go
+++ b/daemon/gatewaysettings.go
@@ -43,8 +43,8 @@
 	// CanaryShare is the largest share of a service's requests, above 0 and at most 1, that a bad version may
 	// get during its roll-out. Default 0.1.
 	CanaryShare float64 `toml:"canary_share"`
-	// CanarySlack is the number of requests that it may get beyond that share, as text: empty, or a placeholder that a tool which does not
-	// know the field left as it is, for none.
+	// CanarySlack is the number of requests that it may get beyond that share, as text. Empty means 0, as does a placeholder of the settings template
+	// that was not replaced.
 	CanarySlack string `toml:"canary_slack"`
 	// StatedLoadsFrom is the number of live instances from which on placement uses the load and pace that endpoints state in their
 	// answers, for services whose endpoints state a pace; 0 means never. Default 12: with fewer, a round of the exchange reaches all
--- a/entry/otherzone.go
+++ b/entry/otherzone.go
@@ -33,8 +33,8 @@
 	return err
 }
 
-// forwardIfUnreachable replaces a refusal by errOtherZone if no attempt has reached an endpoint and the hop limit allows forwarding: an instance that
-// has lost its links to the endpoints of its zone is no reason to refuse what another zone would serve.
+// forwardIfUnreachable replaces a refusal by errOtherZone if no attempt has reached an endpoint and the hop limit allows forwarding. An instance
+// can lose its links to all endpoints of its zone while other zones still reach theirs.
 func (r *requestState) forwardIfUnreachable(err error) error {
 	if r.unsent > 0 && r.unsent == len(r.record.Attempts) && r.request.Hops < maxHops && r.server.Forwarder != nil {
 		return errOtherZone{}
--- a/entry/takenaway_test.go
+++ b/entry/takenaway_test.go
@@ -32,7 +32,7 @@
 		"key":           {"401 not_run", "502 may_have_run", "cut"},
 		"customer":      {"401 not_run", "502 may_have_run", "cut"},
 		"access":        {"403 not_run", "502 may_have_run", "cut"},
-		"repeatability": {"200 ", "502 may_have_run", "whole"}, // engines have no side effects
+		"repeatability": {"200 ", "502 may_have_run", "whole"}, // chat requests may always be repeated
 	} {
 		for phase := range 3 {
 			t.Run(name+"/"+[]string{"not sent", "may have run", "streaming"}[phase], func(t *testing.T) {
--- a/gateway/keptconn_test.go
+++ b/gateway/keptconn_test.go
@@ -55,7 +55,7 @@
 
 const keptHead = "POST /%s/x HTTP/1.1\r\nHost: host\r\nId: %s\r\nKey: key\r\nWait-Ms: 30000\r\nContent-Length: 4\r\n%s\r\n"
 
-// TestExpectOnKeptConnection guards against uploads that are lost on a kept connection: the time limit of the answer before, long over, holds for the
+// TestExpectOnKeptConnection guards against uploads that fail on a kept connection because the write deadline of the previous answer applies to the
 // 100 Continue of the next request.
 func TestExpectOnKeptConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -80,8 +80,7 @@
 	})
 }
 
-// TestStreamEndsAfterSilence guards against whole streams that break off at their end: the time limit of the last event, long over, holds for the last
-// chunk.
+// TestStreamEndsAfterSilence guards against complete streams that are truncated because the write deadline of the last event applies to the last chunk.
 func TestStreamEndsAfterSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -130,7 +130,7 @@
 		origin: from,
 	}
 	f.answer()
-	// net/http still writes the end of the answer; the time limit of the last event may be over.
+	// net/http writes the end of the answer; the write deadline of the last event may have passed.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	return f.verdict
 }
--- a/rollout/evalue.go
+++ b/rollout/evalue.go
@@ -77,17 +77,3 @@
 	}
 	return (low + high) / 2
 }
-
-// logMeanExp returns the logarithm of the mean of e-processes given by their logarithms. The mean
-// is an e-process itself.
-func logMeanExp(logs ...float64) float64 {
-	top := math.Inf(-1)
-	for _, value := range logs {
-		top = max(top, value)
-	}
-	var sum float64
-	for _, value := range logs {
-		sum += math.Exp(value - top)
-	}
-	return top + math.Log(sum/float64(len(logs)))
-}
--- a/rollout/tally.go
+++ b/rollout/tally.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "plumbarrow.example/plumbarrow/rollout/rolloutpb"
+import (
+	"plumbarrow.example/plumbarrow/internal/logspace"
+	"plumbarrow.example/plumbarrow/rollout/rolloutpb"
+)
 
 // ratingLevels is the number of equal parts into which scores from 0 to 1 are sorted.
 const ratingLevels = 10
@@ -45,11 +48,11 @@
 // CombinedLogEValue returns the logarithm of an e-process against the hypothesis that next is worse
 // than previous by no more than the margins, in failures, time to first byte and ratings together.
 // Ratings are compared by the share below each of the levels, which shows a shift of closely spaced
-// scores much sooner than their mean does.
+// scores much sooner than their mean does. The mean of e-processes is an e-process itself.
 func CombinedLogEValue(settings Settings, previous, next Tally) float64 {
 	failures := logEValue(previous.failures(), next.failures(), settings.ErrorMargin)
 	slow := logEValue(previous.slow(), next.slow(), settings.SlowMargin)
-	return logMeanExp(failures, slow, ratingsLogEValue(previous, next, settings.RatingMargin))
+	return logspace.MeanExp(failures, slow, ratingsLogEValue(previous, next, settings.RatingMargin))
 }
 
 // ratingsLogEValue returns the logarithm of the mean of the e-processes of all rating levels.
@@ -64,7 +67,7 @@
 		nextArm.sum += float64(next.Ratings[i])
 		levels[i] = logEValue(previousArm, nextArm, margin)
 	}
-	return logMeanExp(levels[:]...)
+	return logspace.MeanExp(levels[:]...)
 }
 
 func toProto(id uint64, t Tally) *rolloutpb.Source {
