mirror: large documents travel packed between instances; state instead of history from the store (CONFIG, DRAIN)

Cause: a reply to a poll that exceeded 16 KiB was replaced by a watch of each instance, which transfers all versions since its position in base64. It was discarded, whatever had arrived, 0.8 s after its wait, and started over with more to carry; the small documents were in the same answer. Peers of the exchange that were ahead sent the same version whole once more. Class: a retry that costs more than what it repeats, with a limit on the whole transfer.

Change: replies carry large documents packed with zstd, against the version that the receiver has if the sender still has it, and the small ones beside them whatever their size. What exceeds the sender's link is omitted by name; the receiver reads that document from the store, in one version. The instances with the fastest links watch the store. Calls to the store end when no byte arrives, not when the whole takes long, and a watch whose history is larger than the documents is replaced by reading these, the small ones first. A version that was replaced within one batch is not decoded. Instances of the version before ask without "packed" and get replies as before; their replies, without packed documents, are understood.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -113,6 +113,7 @@
 		relayDialer: link.NewRelayDialer(),
 		peers:       drpcmux.New(),
 	}
+	g.self.LinkMbps, _ = settings.linkMbps() // checked when the settings were loaded
 	limits := settings.callers().limits()
 	limits.HeadBytes = g.headBytes
 	g.callers = intake.New(limits, g.counters, log)
@@ -144,6 +145,7 @@
 	decoder := &platform.DocumentDecoder{Current: g.current, Log: g.log, OnConfiguration: func(*catalog.Snapshot) { g.exchange.TriggerRound() }}
 	g.mirror = mirror.New(g.log, decoder.OnChange)
 	g.mirror.SetRestoreHold(platform.RestoreHold)
+	g.mirror.OnLag(func(lag time.Duration) { g.counters.Observe("plumbarrow_change_lag_seconds", lag.Seconds()) })
 	g.presence = mirror.NewPresence(g.mirror, g.store, g.self, g.log)
 	g.membership = zone.NewMembership(g.settings.Exchange, g.self, g.presence, g.log)
 	g.exchange = zone.NewExchange(g.settings.Exchange, g.membership, g.dialer, g.counters, g.log)
--- a/daemon/gatewaysettings.go
+++ b/daemon/gatewaysettings.go
@@ -46,6 +46,9 @@
 	// CanarySlack is the number of requests that it may get beyond that share, as text. Empty means 0, as does a placeholder of the settings template
 	// that was not replaced.
 	CanarySlack string `toml:"canary_slack"`
+	// LinkMbps is the rate of the instance's network link in Mbit/s, as text. The instances with the fastest links watch the store. Empty means
+	// unknown, as does a placeholder of the settings template that was not replaced.
+	LinkMbps string `toml:"link_mbps"`
 	// StatedLoadsFrom is the number of live instances from which on placement uses the load and pace that endpoints state in their
 	// answers, for services whose endpoints state a pace; 0 means never. Default 12: with fewer, a round of the exchange reaches all
 	// instances.
@@ -123,6 +126,9 @@
 	if slack, err := s.canarySlack(); err != nil || !(slack >= 0) {
 		return errors.New("canary_slack: must be empty or a number that is not negative")
 	}
+	if mbps, err := s.linkMbps(); err != nil || !(mbps >= 0) {
+		return errors.New("link_mbps: must be empty or a number that is not negative")
+	}
 	if s.StatedLoadsFrom < 0 {
 		return errors.New("stated_loads_from: must not be negative")
 	}
@@ -170,9 +176,15 @@
 }
 
 // canarySlack returns CanarySlack as a number.
-func (s *GatewaySettings) canarySlack() (float64, error) {
-	if s.CanarySlack == "" || strings.HasPrefix(s.CanarySlack, "{{") {
+func (s *GatewaySettings) canarySlack() (float64, error) { return templateNumber(s.CanarySlack) }
+
+// linkMbps returns LinkMbps as a number.
+func (s *GatewaySettings) linkMbps() (float64, error) { return templateNumber(s.LinkMbps) }
+
+// templateNumber returns a number that the settings template gives as text; 0 if it is empty or a placeholder that was not replaced.
+func templateNumber(text string) (float64, error) {
+	if text == "" || strings.HasPrefix(text, "{{") {
 		return 0, nil
 	}
-	return strconv.ParseFloat(s.CanarySlack, 64)
+	return strconv.ParseFloat(text, 64)
 }
--- a/infra/instances.go
+++ b/infra/instances.go
@@ -35,6 +35,8 @@
 	Model   string `json:"model,omitempty"`
 	Version string `json:"version,omitempty"`
 	State   State  `json:"state"`
+	// LinkMbps is the rate of an entry instance's network link in Mbit/s; 0 if unknown.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
 
 // InstanceList is the platform's list of live and leaving instances. It lags behind the real state, and two
--- a/machine/types.go
+++ b/machine/types.go
@@ -55,6 +55,8 @@
 	Incarnation Incarnation
 	Zone        string
 	Address     string // IP:port of its peer service
+	// LinkMbps is the rate of its network link in Mbit/s, as its registration states it; 0 if that is not known.
+	LinkMbps float64
 }
 
 // Members gives the entry instances that this instance considers live, itself included, in the
--- a/mirror/fleet_test.go
+++ b/mirror/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -24,10 +25,12 @@
 
 // storeLink is one instance's path to the store. It counts the calls and can lose them.
 type storeLink struct {
-	store *fakeStore
+	store    *fakeStore
+	transmit func(ctx context.Context, bytes int) error // takes the time that the bytes need on the instance's link
 
 	mu     sync.Mutex
 	calls  int
+	bytes  int64
 	broken error // returned by every call
 	silent bool  // calls, also waiting ones, get no answer
 	cut    chan struct{}
@@ -62,15 +65,52 @@
 }
 
 // Range implements Store.
-func (l *storeLink) Range(ctx context.Context, after string) (Page, error) {
+func (l *storeLink) Range(ctx context.Context, after string, progress Progress) (Page, error) {
 	if _, err := l.call(ctx); err != nil {
 		return Page{}, err
 	}
-	return l.store.Range(ctx, after)
+	page, err := l.store.Range(ctx, after, progress)
+	if err != nil {
+		return Page{}, err
+	}
+	return page, l.receive(ctx, page.Documents, progress)
+}
+
+// Get implements Store.
+func (l *storeLink) Get(ctx context.Context, key string, progress Progress) (Document, error) {
+	if _, err := l.call(ctx); err != nil {
+		return Document{}, err
+	}
+	document, err := l.store.Get(ctx, key, progress)
+	if err != nil {
+		return Document{}, err
+	}
+	return document, l.receive(ctx, []Document{document}, progress)
+}
+
+// receive takes the time that an answer with the documents needs on the instance's link.
+func (l *storeLink) receive(ctx context.Context, documents []Document, progress Progress) error {
+	total := int64(0)
+	for _, document := range documents {
+		total += int64(len(document.Key) + base64.StdEncoding.EncodedLen(len(document.Value)) + 100)
+	}
+	l.mu.Lock()
+	l.bytes += total
+	l.mu.Unlock()
+	const piece = 8 << 10
+	for received := int64(0); received < total; received += piece {
+		if err := progress(received, total); err != nil {
+			return err
+		}
+		if err := l.transmit(ctx, int(min(piece, total-received))); err != nil {
+			return err
+		}
+	}
+	return progress(total, total)
 }
 
 // Watch implements Store.
-func (l *storeLink) Watch(ctx context.Context, after Position, wait time.Duration) (Changes, error) {
+func (l *storeLink) Watch(ctx context.Context, after Position, wait time.Duration, progress Progress) (Changes, error) {
 	cut, err := l.call(ctx)
 	if err != nil {
 		return Changes{}, err
@@ -83,7 +123,10 @@
 	defer cancel()
 	done := make(chan result, 1)
 	go func() {
-		changes, err := l.store.Watch(watchCtx, after, wait)
+		changes, err := l.store.Watch(watchCtx, after, wait, progress)
+		if err == nil {
+			err = l.receive(watchCtx, changes.Documents, progress)
+		}
 		done <- result{changes, err}
 	}()
 	select {
@@ -117,6 +160,14 @@
 	mirror *Mirror
 	topic  *Topic
 	stop   context.CancelFunc
+	// applied are the changes that took effect, oldest first. Only the mirror's tasks write to it.
+	applied []appliedChange
+}
+
+type appliedChange struct {
+	key      string
+	revision uint64
+	at       time.Time
 }
 
 func (i *fleetInstance) watching() bool { return i.topic.watchers.Watching() }
@@ -130,13 +181,21 @@
 	instances []*fleetInstance
 }
 
-func startFleet(t *testing.T, size int) *fleet {
+func startFleet(t *testing.T, size int) *fleet { return startFleetOn(t, size, nil) }
+
+// startFleetOn starts a fleet whose members have links of the given rates, by index in Mbit/s; nil for links without a limit.
+func startFleetOn(t *testing.T, size int, linkMbps func(i int) float64) *fleet {
 	f := &fleet{store: newFakeStore(), network: peers.New(time.Millisecond)}
 	f.store.pageSize = 500
 	f.store.put("op/config", "1")
 	for i := range size {
 		id := fmt.Sprintf("entry-%03d", i)
-		f.members = append(f.members, machine.Member{ID: machine.InstanceID(id), Address: id})
+		member := machine.Member{ID: machine.InstanceID(id), Address: id}
+		if linkMbps != nil {
+			member.LinkMbps = linkMbps(i)
+			f.network.SetBandwidth(id, member.LinkMbps*1e6/8)
+		}
+		f.members = append(f.members, member)
 	}
 	// All nodes are registered before the first one is called.
 	for _, member := range f.members {
@@ -150,12 +209,21 @@
 
 func (f *fleet) create(t *testing.T, member machine.Member) *fleetInstance {
 	node := f.network.Node(member.Address)
-	m := New(slog.New(slog.DiscardHandler), func([]Document, time.Time) {})
+	instance := &fleetInstance{member: member, link: &storeLink{store: f.store, cut: make(chan struct{}), transmit: node.Transmit}}
+	m := New(slog.New(slog.DiscardHandler), instance.record)
 	topic := NewTopic(m, node, NewWatchers(fleetMembers{self: member, live: &f.members}))
 	if err := topic.Register(node); err != nil {
 		t.Fatal(err)
 	}
-	return &fleetInstance{member: member, link: &storeLink{store: f.store, cut: make(chan struct{})}, mirror: m, topic: topic}
+	instance.mirror, instance.topic = m, topic
+	return instance
+}
+
+// record is the instance's listener.
+func (i *fleetInstance) record(changed []Document, _ time.Time) {
+	for _, document := range changed {
+		i.applied = append(i.applied, appliedChange{document.Key, document.Revision, time.Now()})
+	}
 }
 
 // run starts the instance's tasks.
@@ -409,7 +477,7 @@
 		f.store.remove("op/config")
 		time.Sleep(maxChangeDelay)
 		for _, instance := range f.instances {
-			_, _, _ = instance.topic.fetch(t.Context(), old.member, 0, time.Second, 0)
+			_, _, _ = instance.topic.fetch(t.Context(), old.member, 0, time.Second)
 			c.Check(value(instance.mirror, "op/config"), qt.Equals, "none", qt.Commentf("%s", instance.member.ID))
 		}
 	})
@@ -426,10 +494,12 @@
 		sourceMirror.apply([]Document{{Key: "k", Revision: 3}}, Position{Revision: 3})
 		sourceMirror.confirm(time.Now())
 		time.Sleep(500 * time.Millisecond)
-		c.Assert(NewTopic(sourceMirror, source, nil).Register(source), qt.IsNil)
+		members := []machine.Member{{ID: "source", Address: "source"}}
+		watchers := NewWatchers(fleetMembers{self: members[0], live: &members})
+		c.Assert(NewTopic(sourceMirror, source, watchers).Register(source), qt.IsNil)
 		targetMirror := New(slog.New(slog.DiscardHandler), func([]Document, time.Time) {})
 		topic := NewTopic(targetMirror, target, nil)
-		_, _, err := topic.fetch(t.Context(), machine.Member{ID: "source", Address: "source"}, 0, time.Second, 0)
+		_, _, err := topic.fetch(t.Context(), machine.Member{ID: "source", Address: "source"}, 0, time.Second)
 		c.Assert(err, qt.IsNil)
 		age, ok := targetMirror.ConfirmedAge()
 		c.Assert(ok, qt.IsTrue)
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -13,6 +12,8 @@
 var (
 	// ErrCompacted means that the store no longer has the history after the position of a watch, or that it is of a newer era.
 	ErrCompacted = errors.New("history compacted")
+	// ErrNotFound means that a document does not exist.
+	ErrNotFound = errors.New("document not found")
 	// ErrOlderEra means that an answer is of an older era than an earlier one.
 	ErrOlderEra = errors.New("answer of an older era")
 )
@@ -34,12 +35,14 @@
 
 // Store is what a mirror needs of the platform's store.
 type Store interface {
+	// Get returns one document, or ErrNotFound.
+	Get(ctx context.Context, key string, progress Progress) (Document, error)
 	// Range returns the first page of the documents whose keys come after a key, in the order of
 	// their keys; an empty key means from the start.
-	Range(ctx context.Context, after string) (Page, error)
+	Range(ctx context.Context, after string, progress Progress) (Page, error)
 	// Watch returns the changes after a position as soon as there are some, or none once wait has
 	// passed. It returns ErrCompacted if the history does not reach back that far or the store is of a newer era.
-	Watch(ctx context.Context, after Position, wait time.Duration) (Changes, error)
+	Watch(ctx context.Context, after Position, wait time.Duration, progress Progress) (Changes, error)
 }
 
 const (
@@ -54,8 +57,8 @@
 	// minBatchDelay applies if the copy would get too old meanwhile.
 	batchDelay    = 250 * time.Millisecond
 	minBatchDelay = 100 * time.Millisecond
-	// watchGrace is how much longer than its wait a watch may take: two round trips to a store that
-	// is a hundred times slower than usual.
+	// watchGrace is how much longer than its wait a watch's answer may take to begin: two round trips to a store
+	// that is a hundred times slower than usual.
 	watchGrace = 800 * time.Millisecond
 	// maxUnconfirmed is the age of the copy from which an instance calls the store itself. It exceeds the
 	// age that polls of a watcher usually lead to. Together with a round trip to the store it stays below
@@ -63,7 +66,7 @@
 	maxUnconfirmed = 1300 * time.Millisecond
 	// roleInterval is the time between checks whether this instance has become a watcher.
 	roleInterval = 200 * time.Millisecond
-	// readTimeout bounds the read of one page.
+	// readTimeout bounds the time until the answer to a read begins.
 	readTimeout = 2 * time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call. It doubles with each failure.
 	minBackoff = 50 * time.Millisecond
@@ -77,22 +80,26 @@
 )
 
 // Follow keeps the copy in step with the store until ctx ends. While watching returns false, it calls the
-// store only if the copy has not been confirmed for maxUnconfirmed, or for changes that are too large for a poll.
+// store only if the copy has not been confirmed for maxUnconfirmed, or for changes that replies to polls omit.
 func (m *Mirror) Follow(ctx context.Context, store Store, watching func() bool) error {
 	synced, compacted := false, false // compacted: the last watch found no history
 	delay := minBackoff
 	for ctx.Err() == nil {
 		m.releaseHeld()
+		m.dropVersions()
 		watcher := watching()
 		if synced && !watcher && m.confirmed(maxUnconfirmed) && !m.awaitStoreCall(ctx, m.untilDue()) {
 			continue
 		}
 		var changed int
 		var err error
-		if synced {
-			changed, err = m.watch(ctx, store)
-		} else {
+		switch omitted := m.takeOmitted(); {
+		case !synced:
 			err = m.readAll(ctx, store)
+		case omitted != nil && !watcher:
+			err = m.readOmitted(ctx, store, omitted)
+		default:
+			changed, err = m.watch(ctx, store)
 		}
 		if errors.Is(err, ErrCompacted) {
 			m.log.Warn("store history compacted; reading all documents again", "revision", m.Revision())
@@ -161,10 +168,14 @@
 	}
 	wait := min(max(watchWait-age, probeWait), watchWait)
 	started := time.Now()
-	watchCtx, cancel := context.WithTimeout(ctx, wait+watchGrace)
-	defer cancel()
+	call := m.beginTransfer(ctx, wait+watchGrace, m.answerLimit())
+	defer call.end()
 	after := m.Position()
-	changes, err := store.Watch(watchCtx, after, wait)
+	changes, err := store.Watch(call.ctx, after, wait, call.progress)
+	if errors.Is(err, ErrLargeAnswer) {
+		m.log.Info("history since the last change is larger than the documents; reading these instead", "revision", after.Revision, "error", err)
+		return 1, m.readAll(ctx, store)
+	}
 	if err != nil {
 		if ctx.Err() != nil {
 			return 0, nil // this instance stops
@@ -172,6 +183,7 @@
 		return 0, err
 	}
 	m.recordContact()
+	m.setKnownAt(changes.Documents, call.began)
 	m.apply(changes.Documents, Position{Era: after.Era, Revision: max(after.Revision, changes.Revision)})
 	m.pruneTombstones(maxTombstones)
 	if len(changes.Documents) == 0 && time.Since(started) >= wait {
@@ -182,40 +194,6 @@
 	return len(changes.Documents), nil
 }
 
-// readAll takes over the whole state.
-func (m *Mirror) readAll(ctx context.Context, store Store) error {
-	started := time.Now()
-	var documents []Document
-	var from Position
-	for after := ""; ; {
-		page, err := readPage(ctx, store, after)
-		if err != nil {
-			return err
-		}
-		if from == (Position{}) {
-			from = Position{Era: page.Era, Revision: page.Revision} // of the first page: the watch repeats later changes
-		}
-		if page.Era != from.Era {
-			return fmt.Errorf("era %d after %d: %w", page.Era, from.Era, ErrCompacted)
-		}
-		documents = append(documents, page.Documents...)
-		if !page.More || len(page.Documents) == 0 {
-			break
-		}
-		after = page.Documents[len(page.Documents)-1].Key
-	}
-	m.recordContact()
-	m.replace(documents, from)
-	m.confirm(started)
-	return nil
-}
-
-func readPage(ctx context.Context, store Store, after string) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	return store.Range(ctx, after)
-}
-
 // backoff sleeps for the delay with jitter and then doubles the delay up to limit. It returns false if
 // ctx ended.
 func backoff(ctx context.Context, delay *time.Duration, limit time.Duration) bool {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,6 +26,9 @@
 	Revision uint64 // store revision of the last change or of the deletion
 	Deleted  bool
 	Era      uint64 // of the store that had this revision; see Position
+	// KnownAt is when the first instance had this version, as far as known; zero if unknown. Values of other instances come with delays
+	// added, never left out.
+	KnownAt time.Time
 }
 
 // Position returns the position of the last change.
@@ -70,7 +74,14 @@
 	// confirmedAt is the latest time for which the copy is known to include every change acknowledged by
 	// then; zero if unknown. It is a lower bound that allows for delays of messages.
 	confirmedAt time.Time
-	advanced    chan struct{} // closed and replaced when position grows
+	advanced    chan struct{}            // closed and replaced when position grows
+	versions    map[string][]keptVersion // earlier versions of large documents, oldest first
+	omitted     *omittedChanges          // to be read from the store; nil for none
+	behindSince time.Time                // when another instance was first known to be ahead; zero if none is
+	lastLag     time.Duration
+	observeLag  func(time.Duration)
+
+	received, fromPeers, underWay atomic.Int64 // see Traffic
 
 	storeCall chan struct{} // see callStore; capacity 1
 }
@@ -79,7 +90,7 @@
 func New(log *slog.Logger, listener Listener) *Mirror {
 	return &Mirror{
 		log: log, documents: make(map[string]Document), held: make(map[string]heldDocument), hold: holdNothing, listener: listener,
-		advanced: make(chan struct{}), storeCall: make(chan struct{}, 1),
+		advanced: make(chan struct{}), versions: make(map[string][]keptVersion), observeLag: func(time.Duration) {}, storeCall: make(chan struct{}, 1),
 	}
 }
 
@@ -172,6 +183,7 @@
 		return
 	}
 	m.position = position
+	m.behindSince = time.Time{}
 	close(m.advanced)
 	m.advanced = make(chan struct{})
 }
@@ -237,6 +249,15 @@
 	return found
 }
 
+// mergePart merges changes without those between them, so that the copy's position stays.
+func (m *Mirror) mergePart(changed []Document, position Position) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if position.Era == m.position.Era {
+		m.merge(m.unseen(changed), false)
+	}
+}
+
 // apply merges changes, after which the copy is complete up to position. Changes of another era than the copy's are ignored: an older
 // one is outdated, a newer one must be read in full.
 func (m *Mirror) apply(changed []Document, position Position) {
@@ -297,11 +318,12 @@
 // that they are the first state of a new era. The caller holds the lock.
 func (m *Mirror) merge(documents []Document, restored bool) {
 	var changed []Document
-	for _, document := range documents {
+	for _, document := range newestVersions(documents) {
 		known, exists := m.documents[document.Key]
 		if !document.Position().After(known.Position()) {
 			continue
 		}
+		m.keepVersion(known)
 		if document.Deleted {
 			document.Value = known.Value
 		}
@@ -312,9 +334,24 @@
 			changed = append(changed, document)
 		}
 	}
+	m.recordLag(changed)
 	m.notify(changed)
 }
 
+// newestVersions returns the documents without those of which a later version is among them.
+func newestVersions(documents []Document) []Document {
+	newest := make(map[string]Position, len(documents))
+	for _, document := range documents {
+		if document.Position().After(newest[document.Key]) {
+			newest[document.Key] = document.Position()
+		}
+	}
+	if len(newest) == len(documents) {
+		return documents
+	}
+	return slices.DeleteFunc(slices.Clone(documents), func(d Document) bool { return d.Position() != newest[d.Key] })
+}
+
 // notify calls the listener with changed documents, if there are any. The caller holds the lock.
 func (m *Mirror) notify(changed []Document) {
 	if len(changed) == 0 {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -70,7 +70,20 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *fakeStore) Range(_ context.Context, after string) (Page, error) {
+func (s *fakeStore) Get(_ context.Context, key string, _ Progress) (Document, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	document, ok := s.documents[key]
+	if s.down || s.silent {
+		return Document{}, errors.New("down")
+	}
+	if !ok || document.Deleted {
+		return Document{}, ErrNotFound
+	}
+	return document, nil
+}
+
+func (s *fakeStore) Range(_ context.Context, after string, _ Progress) (Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down || s.silent {
@@ -98,7 +111,7 @@
 	return page, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, after Position, wait time.Duration) (Changes, error) {
+func (s *fakeStore) Watch(ctx context.Context, after Position, wait time.Duration, _ Progress) (Changes, error) {
 	ends := time.NewTimer(wait)
 	defer ends.Stop()
 	for {
--- a/mirror/peers.go
+++ b/mirror/peers.go
@@ -1,16 +1,19 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 
+	"plumbarrow.example/plumbarrow/internal/delta"
 	"plumbarrow.example/plumbarrow/internal/pause"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
@@ -27,9 +30,13 @@
 	// pollGrace is how much longer than its wait a poll may take: several round trips between data
 	// centres.
 	pollGrace = 300 * time.Millisecond
-	// maxPollBytes bounds the documents in the reply to a poll. Some instances have links of 10 Mbit/s, and a
-	// watcher sends its replies to up to membersPerWatcher instances at the same time.
+	// maxPollBytes bounds the documents in the reply of an instance of the version before, which does not pack them.
 	maxPollBytes = 16 << 10
+	// replyTime is how long the replies with a change may take the sender's link, for all instances that poll it. It is below pollGrace.
+	replyTime = 250 * time.Millisecond
+	// minReplyBytes and maxReplyBytes bound the documents in a reply. Some instances have links of 10 Mbit/s.
+	minReplyBytes = 16 << 10
+	maxReplyBytes = 128 << 10
 	// maxSourceAge is the age of a source's copy from which another source is polled. A watcher that
 	// reaches the store stays below it.
 	maxSourceAge = watchWait + 3*minBatchDelay
@@ -46,6 +53,7 @@
 	mirror   *Mirror
 	peers    link.Peers
 	watchers *Watchers
+	packs    *packCache
 	ahead    chan machine.Member // a peer that is ahead of this copy; capacity 1
 }
 
@@ -56,7 +64,7 @@
 
 // NewTopic returns the topic of a mirror. It fetches changes only while Run and Poll are running.
 func NewTopic(mirror *Mirror, peers link.Peers, watchers *Watchers) *Topic {
-	return &Topic{mirror: mirror, peers: peers, watchers: watchers, ahead: make(chan machine.Member, 1)}
+	return &Topic{mirror: mirror, peers: peers, watchers: watchers, packs: newPackCache(), ahead: make(chan machine.Member, 1)}
 }
 
 // Register serves the copy to peers.
@@ -90,6 +98,7 @@
 	if !position.After(own) {
 		return
 	}
+	t.mirror.recordBehind(position)
 	select {
 	case t.ahead <- from:
 	default: // a fetch is already due
@@ -132,10 +141,14 @@
 		if source.ID != current {
 			wait = 0 // whether its copy is fresh is to be known at once
 		}
-		changed, confirmedAt, err := t.fetch(ctx, source, wait, wait+pollGrace, t.pollLimit())
+		changed, confirmedAt, err := t.fetch(ctx, source, wait, wait+pollGrace)
 		current = source.ID
-		if errors.Is(err, errTooLarge) {
+		if omitted := (*omittedError)(nil); errors.As(err, &omitted) {
+			t.mirror.readOmittedSoon(omitted.changes)
+		} else if errors.Is(err, errTooLarge) {
 			t.mirror.callStore()
+		}
+		if errors.Is(err, errTooLarge) {
 			if !pause.Sleep(ctx, minBatchDelay) {
 				return nil
 			}
@@ -153,9 +166,9 @@
 	return nil
 }
 
-// pollLimit returns the most bytes of documents in the reply to a poll; 0 means no limit. An instance that does
+// fetchLimit returns the most bytes of documents in a reply to this instance; 0 means no limit. An instance that does
 // not reach the store can get large documents from its peers only.
-func (t *Topic) pollLimit() uint32 {
+func (t *Topic) fetchLimit() uint32 {
 	if !t.mirror.storeReachable() {
 		return 0
 	}
@@ -178,16 +191,18 @@
 	return machine.Member{}, false
 }
 
-// catchUp fetches from a peer that is ahead what has changed after this copy's revision.
+// catchUp fetches from a peer that is ahead what has changed after this copy's revision. Documents that the peer omits come with the
+// polls.
 func (t *Topic) catchUp(ctx context.Context, peer machine.Member) error {
-	_, _, err := t.fetch(ctx, peer, 0, catchUpTimeout, 0)
+	_, _, err := t.fetch(ctx, peer, 0, catchUpTimeout)
 	return err
 }
 
 // fetch asks a peer for what has changed after this copy's revision and applies it. The peer waits for a
 // change for at most wait. confirmedAt is the time for which the answer confirms the copy; zero if the
-// peer's copy is not confirmed. If the changes exceed maxBytes, the error is errTooLarge and nothing is applied.
-func (t *Topic) fetch(ctx context.Context, peer machine.Member, wait, timeout time.Duration, maxBytes uint32) (changed int, confirmedAt time.Time, err error) {
+// peer's copy is not confirmed. If changes are too large for a reply, the error is an omittedError, and the others are applied, or
+// errTooLarge, and nothing is.
+func (t *Topic) fetch(ctx context.Context, peer machine.Member, wait, timeout time.Duration) (changed int, confirmedAt time.Time, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := t.peers.Conn(ctx, peer)
@@ -195,20 +210,37 @@
 		return 0, time.Time{}, err
 	}
 	after, asked := t.mirror.Position(), time.Now()
-	reply, err := mirrorpb.NewDRPCMirrorClient(conn).Changes(ctx, &mirrorpb.ChangesRequest{
-		After: after.Revision, AfterEra: &after.Era, WaitMs: uint32(wait.Milliseconds()), MaxBytes: maxBytes,
-	})
+	request := &mirrorpb.ChangesRequest{
+		After: after.Revision, AfterEra: &after.Era, WaitMs: uint32(wait.Milliseconds()), MaxBytes: t.fetchLimit(), Packed: true,
+	}
+	for key, position := range t.mirror.largeVersions() {
+		if position.Era == after.Era {
+			request.Held = append(request.Held, &mirrorpb.Version{Key: key, Revision: position.Revision})
+		}
+	}
+	reply, err := mirrorpb.NewDRPCMirrorClient(conn).Changes(ctx, request)
 	if err != nil {
 		return 0, time.Time{}, err
 	}
 	if reply.GetTooLarge() {
+		t.mirror.recordBehind(Position{Era: after.Era, Revision: after.Revision + 1})
 		return 0, time.Time{}, errTooLarge
 	}
 	position := Position{Era: reply.GetEra(), Revision: reply.GetRevision()}
-	documents := documentsOf(reply.GetDocuments(), position.Era)
+	documents, err := t.unpack(reply.GetDocuments(), position.Era)
+	if err != nil {
+		return 0, time.Time{}, err
+	}
 	if reply.GetSteady() && position.Era == after.Era {
 		t.mirror.recordPeerSteady()
 	}
+	if reply.ConfirmedAgeMs != nil {
+		// The reply left the peer no earlier than the time waited after the question left this instance.
+		confirmedAt = asked.Add(milliseconds(reply.GetWaitedMs()) - milliseconds(reply.GetConfirmedAgeMs()))
+	}
+	if len(reply.GetOmitted()) > 0 {
+		return len(documents), confirmedAt, t.applyPart(documents, reply, position, confirmedAt)
+	}
 	if reply.GetFull() {
 		t.mirror.replace(documents, position)
 	} else {
@@ -217,11 +249,7 @@
 	if t.mirror.Era() != position.Era {
 		return 0, time.Time{}, fmt.Errorf("%w: peer's copy is of era %d", errOtherEra, position.Era)
 	}
-	if reply.ConfirmedAgeMs != nil {
-		// The reply left the peer no earlier than the time waited after the question left this instance.
-		confirmedAt = asked.Add(milliseconds(reply.GetWaitedMs()) - milliseconds(reply.GetConfirmedAgeMs()))
-		t.mirror.confirm(confirmedAt)
-	}
+	t.mirror.confirm(confirmedAt)
 	if len(documents) > 0 {
 		t.mirror.log.Info("documents fetched from a peer", "peer", peer.ID, "after", after.Revision,
 			"revision", reply.GetRevision(), "documents", len(documents), "full", reply.GetFull())
@@ -229,25 +257,77 @@
 	return len(documents), confirmedAt, nil
 }
 
+// applyPart applies the documents of a reply from which others were omitted, and returns an omittedError with these.
+func (t *Topic) applyPart(documents []Document, reply *mirrorpb.ChangesReply, position Position, confirmedAt time.Time) error {
+	t.mirror.recordBehind(position)
+	t.mirror.mergePart(documents, position)
+	changes := &omittedChanges{revisions: make(map[string]uint64), position: position, confirmedAt: confirmedAt}
+	for _, version := range reply.GetOmitted() {
+		changes.revisions[version.GetKey()] = version.GetRevision()
+	}
+	return &omittedError{changes}
+}
+
+// unpack decodes the documents of a reply of an era.
+func (t *Topic) unpack(messages []*mirrorpb.Document, era uint64) ([]Document, error) {
+	now := time.Now()
+	documents := make([]Document, 0, len(messages))
+	for _, message := range messages {
+		document := Document{
+			Key: message.GetKey(), Value: message.GetValue(), Revision: message.GetRevision(), Deleted: message.GetDeleted(), Era: era,
+		}
+		if message.KnownMs != nil {
+			document.KnownAt = now.Add(-milliseconds(message.GetKnownMs()))
+		}
+		size := len(document.Value)
+		if packed := message.GetPacked(); len(packed) > 0 {
+			size = len(packed)
+			base, baseValue, ok := t.base(document.Key, era, message.GetBase())
+			if !ok {
+				return nil, fmt.Errorf("%w: %s of revision %d", errNoBase, document.Key, message.GetBase())
+			}
+			value, err := delta.Decode(packed, baseValue, maxDocumentBytes)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", document.Key, err)
+			}
+			document.Value = value
+			t.packs.add(document.Key, document.Position(), base, packed)
+		}
+		t.mirror.fromPeers.Add(int64(size))
+		documents = append(documents, document)
+	}
+	return documents, nil
+}
+
+// base returns the position and value of the version against which a document is packed; all zero if the revision is 0.
+func (t *Topic) base(key string, era, revision uint64) (base Position, value []byte, ok bool) {
+	if revision == 0 {
+		return Position{}, nil, true
+	}
+	base = Position{Era: era, Revision: revision}
+	value, ok = t.mirror.version(key, base)
+	return base, value, ok
+}
+
 var (
 	// errTooLarge means that the changes exceed the size asked for.
 	errTooLarge = errors.New("changes too large for a poll")
 	// errOtherEra means that changes are of an era older than the copy's, or newer and not complete.
 	errOtherEra = errors.New("changes of another era")
+	// errNoBase means that a document is packed against a version that the copy no longer has.
+	errNoBase = errors.New("no base of a packed document")
 )
 
-func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+// omittedError means that a reply lacks some of the changes.
+type omittedError struct{ changes *omittedChanges }
 
-func documentsOf(messages []*mirrorpb.Document, era uint64) []Document {
-	documents := make([]Document, 0, len(messages))
-	for _, message := range messages {
-		documents = append(documents, Document{
-			Key: message.GetKey(), Value: message.GetValue(), Revision: message.GetRevision(), Deleted: message.GetDeleted(), Era: era,
-		})
-	}
-	return documents
+// Error implements error.
+func (e *omittedError) Error() string {
+	return fmt.Sprintf("%d changes omitted up to revision %d", len(e.changes.revisions), e.changes.position.Revision)
 }
 
+func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // Changes implements mirrorpb.DRPCMirrorServer.
 func (t *Topic) Changes(ctx context.Context, request *mirrorpb.ChangesRequest) (*mirrorpb.ChangesReply, error) {
 	arrived := time.Now()
@@ -259,7 +339,8 @@
 	t.mirror.awaitAfter(ctx, after, min(milliseconds(request.GetWaitMs()), maxPollWait))
 	waited := time.Since(arrived)
 	changes := t.mirror.changesAfter(after)
-	if limit := int(request.GetMaxBytes()); limit > 0 && sizeOf(changes.documents) > limit {
+	limit := int(request.GetMaxBytes())
+	if limit > 0 && !request.GetPacked() && sizeOf(changes.documents) > limit {
 		return &mirrorpb.ChangesReply{TooLarge: true}, nil
 	}
 	reply := &mirrorpb.ChangesReply{
@@ -269,8 +350,14 @@
 		age := min((ageOf(changes.confirmedAt) + time.Millisecond - 1).Milliseconds(), math.MaxUint32)
 		reply.ConfirmedAgeMs = proto.Uint32(uint32(age))
 	}
+	if request.GetPacked() {
+		if limit > 0 {
+			limit = t.replyLimit()
+		}
+		return reply, t.addPacked(reply, changes.documents, t.heldBy(request), limit)
+	}
 	for _, document := range changes.documents {
-		message := &mirrorpb.Document{Key: document.Key, Revision: document.Revision, Deleted: document.Deleted}
+		message := messageOf(document)
 		if !document.Deleted {
 			message.Value = document.Value
 		}
@@ -279,6 +366,64 @@
 	return reply, nil
 }
 
+// messageOf returns a document's message without its value.
+func messageOf(document Document) *mirrorpb.Document {
+	message := &mirrorpb.Document{Key: document.Key, Revision: document.Revision, Deleted: document.Deleted}
+	if lag, ok := document.Lag(); ok {
+		message.KnownMs = proto.Uint32(uint32(min(lag.Milliseconds(), math.MaxUint32)))
+	}
+	return message
+}
+
+// heldBy returns the positions of the large documents that the sender of a request has.
+func (t *Topic) heldBy(request *mirrorpb.ChangesRequest) map[string]Position {
+	held := make(map[string]Position, len(request.GetHeld()))
+	for _, version := range request.GetHeld() {
+		held[version.GetKey()] = Position{Era: request.GetAfterEra(), Revision: version.GetRevision()}
+	}
+	return held
+}
+
+// addPacked adds documents to a reply, the large ones packed against the versions held if this copy has these, too. The smallest come
+// first; from limit bytes on, documents are omitted. A limit of 0 means none.
+func (t *Topic) addPacked(reply *mirrorpb.ChangesReply, documents []Document, held map[string]Position, limit int) error {
+	size := 0
+	slices.SortFunc(documents, func(a, b Document) int { return cmp.Compare(len(a.Value), len(b.Value)) })
+	for _, document := range documents {
+		message := messageOf(document)
+		switch {
+		case document.Deleted:
+		case len(document.Value) < largeBytes:
+			message.Value = document.Value
+		default:
+			base := held[document.Key]
+			value, ok := t.mirror.version(document.Key, base)
+			if !ok || base.Era != document.Era {
+				base, value = Position{}, nil
+			}
+			packed, err := t.packs.pack(document, base, value)
+			if err != nil {
+				return err
+			}
+			message.Packed, message.Base = packed, base.Revision
+		}
+		size += len(document.Key) + len(message.GetValue()) + len(message.GetPacked())
+		if limit > 0 && size > limit {
+			reply.Omitted = append(reply.Omitted, &mirrorpb.Version{Key: document.Key, Revision: document.Revision})
+			continue
+		}
+		reply.Documents = append(reply.Documents, message)
+	}
+	return nil
+}
+
+// replyLimit returns the most bytes of documents in a reply, so that the replies to all instances that poll this one take its link for
+// replyTime.
+func (t *Topic) replyLimit() int {
+	perSecond, receivers := t.watchers.replyCapacity()
+	return min(max(int(perSecond*replyTime.Seconds())/receivers, minReplyBytes), maxReplyBytes)
+}
+
 func sizeOf(documents []Document) int {
 	size := 0
 	for _, document := range documents {
--- a/mirror/presence.go
+++ b/mirror/presence.go
@@ -38,6 +38,8 @@
 	Incarnation string `json:"incarnation"`
 	Group       string `json:"group"` // the exchange group: the zone, in gateway mode the region
 	Address     string `json:"address"`
+	// LinkMbps is the rate of the instance's network link in Mbit/s; 0 if unknown. Earlier versions leave it out.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
 
 // Presence registers an entry instance in the store under a lease and lists the registered ones.
@@ -82,7 +84,7 @@
 		}
 		instances = append(instances, infra.Instance{
 			ID: strings.TrimPrefix(document.Key, MembersPrefix), Incarnation: member.Incarnation, Kind: infra.KindEntry,
-			Zone: member.Group, Address: member.Address, State: infra.StateLive,
+			Zone: member.Group, Address: member.Address, State: infra.StateLive, LinkMbps: member.LinkMbps,
 		})
 	}
 	return instances
@@ -139,7 +141,9 @@
 			return lease, err
 		}
 	}
-	value, err := json.Marshal(memberDocument{Incarnation: string(p.self.Incarnation), Group: p.self.Zone, Address: p.self.Address})
+	value, err := json.Marshal(memberDocument{
+		Incarnation: string(p.self.Incarnation), Group: p.self.Zone, Address: p.self.Address, LinkMbps: p.self.LinkMbps,
+	})
 	if err != nil {
 		return Lease{}, err
 	}
--- a/mirror/watchers.go
+++ b/mirror/watchers.go
@@ -65,11 +65,26 @@
 	w.sources = rankMembers(slices.DeleteFunc(watchers, isSelf), string(self)+"/")
 }
 
-// selectWatchers returns the watchers among the members by rendezvous hashing.
+// selectWatchers returns the watchers among the members: those with the fastest links, by rendezvous hashing among equal ones.
 func selectWatchers(members []machine.Member) []machine.Member {
-	count := minWatchers + len(members)/membersPerWatcher
 	ranked := rankMembers(members, "watcher/")
-	return ranked[:min(count, len(ranked))]
+	slices.SortStableFunc(ranked, func(a, b machine.Member) int { return cmp.Compare(b.LinkMbps, a.LinkMbps) })
+	return ranked[:min(watcherCount(len(members)), len(ranked))]
+}
+
+func watcherCount(members int) int { return minWatchers + members/membersPerWatcher }
+
+// defaultLinkMbps is the rate of a link that is not known, in Mbit/s.
+const defaultLinkMbps = 10
+
+// replyCapacity returns the bytes a second that this instance's link carries, and how many instances a watcher serves; at least one.
+func (w *Watchers) replyCapacity() (bytesPerSecond float64, receivers int) {
+	members := len(w.members.Live())
+	mbps := w.members.Self().LinkMbps
+	if mbps <= 0 {
+		mbps = defaultLinkMbps
+	}
+	return mbps * 1e6 / 8, max(members/watcherCount(members), 1)
 }
 
 // rankMembers returns the members by descending hash of key and id.
--- a/standin/peers/network.go
+++ b/standin/peers/network.go
@@ -1,5 +1,5 @@
 // Package peers is a stand-in for the network between entry instances. It delivers unary RPCs within
-// the process and injects delays, silent addresses and partitions.
+// the process and injects delays, links of limited bandwidth, silent addresses and partitions.
 package peers
 
 import (
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 
+	"plumbarrow.example/plumbarrow/internal/pause"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
 )
@@ -26,11 +27,21 @@
 	nodes     map[string]*Node
 	silent    map[string]bool            // addresses whose messages are dropped
 	partition func(from, to string) bool // pairs whose messages are dropped; may be nil
+	links     map[string]*hostLink       // of the addresses with limited bandwidth
 }
 
+// hostLink is the link of one address. Messages on it queue in pieces of pieceBytes, so that small ones pass between large ones.
+type hostLink struct {
+	bytesPerSecond float64
+	freeAt         time.Time
+}
+
+// pieceBytes is the size of the pieces in which messages share a link.
+const pieceBytes = 8 << 10
+
 // New returns a network that delays each message by delay, so that a call takes twice that.
 func New(delay time.Duration) *Network {
-	return &Network{delay: delay, nodes: make(map[string]*Node), silent: make(map[string]bool)}
+	return &Network{delay: delay, nodes: make(map[string]*Node), silent: make(map[string]bool), links: make(map[string]*hostLink)}
 }
 
 // Node is one address on the network: the dialer and the RPC mux of an entry instance.
@@ -74,6 +85,46 @@
 	n.silent[address] = silent
 }
 
+// SetBandwidth limits the link of the address, for both directions together.
+func (n *Network) SetBandwidth(address string, bytesPerSecond float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[address] = &hostLink{bytesPerSecond: bytesPerSecond}
+}
+
+// occupy takes the time that the bytes need on the links of the addresses.
+func (n *Network) occupy(ctx context.Context, bytes int, addresses ...string) error {
+	for ; bytes > 0; bytes -= pieceBytes {
+		for _, address := range addresses {
+			if wait := n.reserve(address, min(bytes, pieceBytes)); wait > 0 && !pause.Sleep(ctx, wait) {
+				return context.Cause(ctx)
+			}
+		}
+	}
+	return nil
+}
+
+// reserve puts bytes into the queue of an address's link and returns the time until they have passed.
+func (n *Network) reserve(address string, bytes int) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	link := n.links[address]
+	if link == nil {
+		return 0
+	}
+	now := time.Now()
+	if link.freeAt.Before(now) {
+		link.freeAt = now
+	}
+	link.freeAt = link.freeAt.Add(time.Duration(float64(bytes) / link.bytesPerSecond * float64(time.Second)))
+	return link.freeAt.Sub(now)
+}
+
+// Transmit takes the time that bytes from or to another system need on the node's link.
+func (n *Node) Transmit(ctx context.Context, bytes int) error {
+	return n.network.occupy(ctx, bytes, n.address)
+}
+
 // Partition partitions the network: messages are dropped where separated returns true. nil ends the
 // partition. separated runs with the network locked, so it must not call it.
 func (n *Network) Partition(separated func(from, to string) bool) {
@@ -132,7 +183,7 @@
 
 // Invoke implements drpc.Conn. It copies the messages, so that caller and server share no memory.
 func (c *conn) Invoke(ctx context.Context, rpc string, _ drpc.Encoding, in, out drpc.Message) error {
-	target, err := c.transfer(ctx, c.from.address, c.to)
+	target, err := c.transfer(ctx, c.from.address, c.to, in)
 	if err != nil {
 		return err
 	}
@@ -144,7 +195,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := c.transfer(ctx, c.to, c.from.address); err != nil {
+	if _, err := c.transfer(ctx, c.to, c.from.address, answer); err != nil {
 		return err
 	}
 	proto.Merge(out.(proto.Message), answer.(proto.Message))
@@ -153,7 +204,7 @@
 
 // transfer delays one message and returns the node that receives it. If the message is dropped, it blocks
 // until ctx ends.
-func (c *conn) transfer(ctx context.Context, from, to string) (*Node, error) {
+func (c *conn) transfer(ctx context.Context, from, to string, message drpc.Message) (*Node, error) {
 	network := c.from.network
 	network.mu.Lock()
 	node := network.nodes[to]
@@ -167,6 +218,9 @@
 	if node == nil {
 		return nil, fmt.Errorf("node %s: %w", to, errUnreachable)
 	}
+	if err := network.occupy(ctx, proto.Size(message.(proto.Message)), from, to); err != nil {
+		return nil, err
+	}
 	select {
 	case <-time.After(delay):
 		return node, nil
--- a/zone/membership.go
+++ b/zone/membership.go
@@ -165,6 +165,7 @@
 		Incarnation: machine.Incarnation(instance.Incarnation),
 		Zone:        instance.Zone,
 		Address:     instance.Address,
+		LinkMbps:    instance.LinkMbps,
 	}
 }
 
@@ -258,5 +259,7 @@
 	if record == nil || !record.failingSince.IsZero() || time.Since(record.lastHeardAt) > recordTTL {
 		return listed
 	}
-	return record.member
+	announced := record.member
+	announced.LinkMbps = listed.LinkMbps // announcements leave it out
+	return announced
 }
