--- a/cmd/plumbarrow/route.go
+++ b/cmd/plumbarrow/route.go
@@ -16,8 +16,8 @@
 	"plumbarrow.example/plumbarrow/upstream"
 )
 
-// routeTimeout bounds the call to the instance.
-const routeTimeout = 5 * time.Second
+// instanceTimeout bounds a call to an instance's metrics address.
+const instanceTimeout = 5 * time.Second
 
 type routeCommand struct {
 	Host      string   `arg:"positional,required" help:"the request's host"`
@@ -77,20 +77,30 @@
 	if err != nil {
 		return nil, err
 	}
-	client := http.Client{Timeout: routeTimeout}
-	response, err := client.Post("http://"+address+"/route", "application/json", bytes.NewReader(body))
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/route", bytes.NewReader(body))
 	if err != nil {
-		return nil, &exitError{exitUnreachable, err}
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	preview := &gateway.Preview{}
+	return preview, callInstance(request, preview)
+}
+
+// callInstance sends a request to an instance's metrics address and decodes its answer.
+func callInstance(request *http.Request, answer any) error {
+	client := http.Client{Timeout: instanceTimeout}
+	response, err := client.Do(request)
+	if err != nil {
+		return &exitError{exitUnreachable, err}
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%s answered %s", address, response.Status)
+		return fmt.Errorf("%s answered %s", request.URL.Host, response.Status)
 	}
-	var preview gateway.Preview
-	if err := json.NewDecoder(response.Body).Decode(&preview); err != nil {
-		return nil, fmt.Errorf("answer of %s: %w", address, err)
+	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
+		return fmt.Errorf("answer of %s: %w", request.URL.Host, err)
 	}
-	return &preview, nil
+	return nil
 }
 
 // printPreview prints the decision, what led to it, and the endpoints of the service.
--- a/cmd/plumbarrow/route_test.go
+++ b/cmd/plumbarrow/route_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"plumbarrow.example/plumbarrow/daemon"
 	"plumbarrow.example/plumbarrow/gateway"
 	"plumbarrow.example/plumbarrow/upstream"
 )
@@ -54,3 +55,24 @@
 	command.Parts = []string{"no hexadecimal:1"}
 	c.Check(exitCode(command.run()), qt.Equals, exitUsage)
 }
+
+// TestGatewayStatus checks the table of gateway instances, of which one does not answer.
+func TestGatewayStatus(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.Check(r.URL.Path, qt.Equals, "/status")
+		_ = json.NewEncoder(w).Encode(daemon.GatewayStatus{
+			Instance: "front-1", Zone: "a", Ready: true, Configuration: 9, Routes: 3000,
+			Copy: daemon.CopyStatus{Revision: 41, AgeMS: 120, LagMS: 35, FromStoreBytes: 800, FromPeersBytes: 60},
+		})
+	}))
+	defer server.Close()
+	var out strings.Builder
+	command := &statusCommand{Metrics: []string{"127.0.0.1:1", server.Listener.Addr().String()}}
+	c.Assert(command.runGateways(&out), qt.IsNil)
+	c.Check(out.String(), qt.Equals, `INSTANCE  ZONE  READY  CONFIGURATION  ROUTES  REVISION  AGE MS  LAG MS  WATCHING  FROM STORE  FROM PEERS  UNDER WAY
+front-1   a     true   9              3000    41        120     35      false     800         60          0
+`)
+	command.Metrics = command.Metrics[:1]
+	c.Check(exitCode(command.runGateways(&out)), qt.Equals, exitUnreachable)
+}
--- a/cmd/plumbarrow/status.go
+++ b/cmd/plumbarrow/status.go
@@ -3,18 +3,27 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
+	"os"
 	"strings"
+	"text/tabwriter"
 
+	"plumbarrow.example/plumbarrow/daemon"
 	"plumbarrow.example/plumbarrow/operate/api"
 )
 
 type statusCommand struct {
 	remoteOptions
+	Metrics []string `arg:"--metrics,separate" help:"metrics_address, IP:port, of a gateway instance; repeat it for others"`
 }
 
 // run prints the status of each instance, or why it could not be read. It returns an error if all
 // instances failed.
 func (c *statusCommand) run() error {
+	if len(c.Metrics) > 0 {
+		return c.runGateways(os.Stdout)
+	}
 	client, err := c.client()
 	if err != nil {
 		return err
@@ -40,6 +49,43 @@
 	return err
 }
 
+// runGateways prints the status of each gateway instance, or why it could not be read. It returns an error if all instances failed.
+func (c *statusCommand) runGateways(out io.Writer) error {
+	var statuses []daemon.GatewayStatus
+	var failure error
+	for _, address := range c.Metrics {
+		var status daemon.GatewayStatus
+		request, err := http.NewRequest(http.MethodGet, "http://"+address+"/status", nil)
+		if err == nil {
+			err = callInstance(request, &status)
+		}
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "%s: %v\n", address, err)
+			failure = err
+			continue
+		}
+		statuses = append(statuses, status)
+	}
+	switch {
+	case len(statuses) == 0:
+		return failure
+	case c.JSON:
+		return printJSON(statuses)
+	}
+	return printGateways(out, statuses)
+}
+
+func printGateways(out io.Writer, statuses []daemon.GatewayStatus) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "INSTANCE\tZONE\tREADY\tCONFIGURATION\tROUTES\tREVISION\tAGE MS\tLAG MS\tWATCHING\tFROM STORE\tFROM PEERS\tUNDER WAY")
+	for i := range statuses {
+		s := &statuses[i]
+		fmt.Fprintf(table, "%s\t%s\t%t\t%d\t%d\t%d\t%d\t%d\t%t\t%d\t%d\t%d\n", s.Instance, s.Zone, s.Ready, s.Configuration, s.Routes,
+			s.Copy.Revision, s.Copy.AgeMS, s.Copy.LagMS, s.Copy.Watching, s.Copy.FromStoreBytes, s.Copy.FromPeersBytes, s.Copy.UnderWayBytes)
+	}
+	return table.Flush()
+}
+
 // address returns the i-th address that client uses.
 func (r *remoteOptions) address(i int) string {
 	if len(r.Operators) == 0 {
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -145,14 +144,12 @@
 	decoder := &platform.DocumentDecoder{Current: g.current, Log: g.log, OnConfiguration: func(*catalog.Snapshot) { g.exchange.TriggerRound() }}
 	g.mirror = mirror.New(g.log, decoder.OnChange)
 	g.mirror.SetRestoreHold(platform.RestoreHold)
-	g.mirror.OnLag(func(lag time.Duration) { g.counters.Observe("plumbarrow_change_lag_seconds", lag.Seconds()) })
 	g.presence = mirror.NewPresence(g.mirror, g.store, g.self, g.log)
 	g.membership = zone.NewMembership(g.settings.Exchange, g.self, g.presence, g.log)
 	g.exchange = zone.NewExchange(g.settings.Exchange, g.membership, g.dialer, g.counters, g.log)
 	g.watchers = mirror.NewWatchers(g.membership)
 	g.mirrorTopic = mirror.NewTopic(g.mirror, g.dialer, g.watchers)
-	g.counters.Gauge("plumbarrow_mirror_age_seconds", g.mirrorAge)
-	g.counters.Gauge("plumbarrow_store_era", func() float64 { return float64(g.mirror.Era()) })
+	g.registerMirrorMetrics()
 	g.table = upstream.NewTable(g.self.ID, g.settings.Zone, g.current, g.membership, g.counters, g.log)
 	g.table.UseStatedLoads(upstream.StatedLoads{From: g.settings.StatedLoadsFrom, Unpaced: g.settings.StatedLoadsUnpaced})
 	g.counters.Gauge("plumbarrow_endpoints_leaving", func() float64 { return float64(len(g.table.Leaving())) })
@@ -250,16 +247,6 @@
 	}
 }
 
-// mirrorAge returns how old the state of the store is that the copy is known to include, in seconds; infinite
-// before the first confirmation.
-func (g *Gateway) mirrorAge() float64 {
-	age, ok := g.mirror.ConfirmedAge()
-	if !ok {
-		return math.Inf(1)
-	}
-	return age.Seconds()
-}
-
 func (g *Gateway) servePeers(ctx context.Context) error {
 	listener, err := net.Listen("tcp", g.settings.PeersAddress)
 	if err != nil {
@@ -339,6 +326,7 @@
 		g.counters.Write(c.Response())
 		return nil
 	})
+	e.GET("/status", g.statusHandler)
 	e.POST("/route", echo.WrapHandler(g.server.PreviewHandler()))
 	return e
 }
