--- a/mirror/lag.go
+++ b/mirror/lag.go
@@ -42,12 +42,13 @@
 	}
 }
 
-// recordLag records the lag of changes that take effect, the largest if they differ. The caller holds the lock.
+// recordLag records the lag of changes that take effect, the largest if they differ. Changes that are older than this process do not
+// count. The caller holds the lock.
 func (m *Mirror) recordLag(changed []Document) {
 	var lag time.Duration
 	var latest Document
 	for _, document := range changed {
-		if l, ok := document.Lag(); ok && l >= lag {
+		if l, ok := document.Lag(); ok && l >= lag && document.KnownAt.After(m.startedAt) {
 			lag, latest = l, document
 		}
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -78,6 +78,7 @@
 	versions    map[string][]keptVersion // earlier versions of large documents, oldest first
 	omitted     *omittedChanges          // to be read from the store; nil for none
 	behindSince time.Time                // when another instance was first known to be ahead; zero if none is
+	startedAt   time.Time
 	lastLag     time.Duration
 	observeLag  func(time.Duration)
 
@@ -90,7 +91,7 @@
 func New(log *slog.Logger, listener Listener) *Mirror {
 	return &Mirror{
 		log: log, documents: make(map[string]Document), held: make(map[string]heldDocument), hold: holdNothing, listener: listener,
-		advanced: make(chan struct{}), versions: make(map[string][]keptVersion), observeLag: func(time.Duration) {}, storeCall: make(chan struct{}, 1),
+		advanced: make(chan struct{}), versions: make(map[string][]keptVersion), startedAt: time.Now(), observeLag: func(time.Duration) {}, storeCall: make(chan struct{}, 1),
 	}
 }
 
