mirror: a poll's reply that comes late counts, and sources are not avoided where a link delays all replies

Where packets queue on an instance's link for longer, which callers' prompts do to links of 10 Mbit/s, all polls failed, their replies were discarded, and the instance read each version from the store. Class as in 0040: a limit on the whole transfer. Change: the next source is polled after that time as before, while the reply may come up to 1.5 s after the wait; the time to the next source follows the time of the last reply, up to 0.9 s; where all sources are late they are polled again at once.

--- a/mirror/bandwidth_test.go
+++ b/mirror/bandwidth_test.go
@@ -156,9 +156,9 @@
 				f.store.put("op/config", string(routesDocument(50)))
 				f.pressLinks(t, play.pressed)
 				time.Sleep(3 * time.Second)
-				before := f.bytes()
+				before := bytesOf(f.instances)
 				afterWrite, afterFirst := f.play(play.changes)
-				c.Logf("after the write %v, after the first instance %v; %d KB from the store", afterWrite, afterFirst, (f.bytes()-before)/1000)
+				c.Logf("after the write %v, after the first instance %v; %d KB from the store", afterWrite, afterFirst, (bytesOf(f.instances)-before)/1000)
 				for key, took := range afterWrite {
 					c.Check(took <= siteChangeDelay, qt.IsTrue, qt.Commentf("%s after %v", key, took))
 					c.Check(play.aim == 0 || afterFirst[key] <= play.aim, qt.IsTrue, qt.Commentf("%s %v after the first instance", key, afterFirst[key]))
@@ -208,6 +208,35 @@
 	}
 }
 
+// TestFleetQueuedLinks guards against instances that fall back to the store because replies of peers take longer than usual on their links: from there
+// each change of the configuration takes them seconds.
+func TestFleetQueuedLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := startFleetOn(t, 86, siteLinks, nil)
+		f.store.put("op/config", string(routesDocument(1500)))
+		time.Sleep(3 * time.Second)
+		var queued []*fleetInstance
+		for i, instance := range f.instances {
+			if siteLinks(i) == 10 && i%2 == 0 {
+				f.network.SetQueue(instance.member.Address, 450*time.Millisecond)
+				queued = append(queued, instance)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		before := bytesOf(queued)
+		changes := series(8, time.Second, 3000)
+		afterWrite, _ := f.play(changes)
+		perInstance := (bytesOf(queued) - before) / int64(len(queued))
+		c.Logf("after the write %v; %d KB from the store at each of %d instances", afterWrite, perInstance/1000, len(queued))
+		for key, took := range afterWrite {
+			c.Check(took <= siteChangeDelay, qt.IsTrue, qt.Commentf("%s after %v", key, took))
+		}
+		versions := perInstance / int64(len(changes[0].value))
+		c.Check(versions <= 2, qt.IsTrue, qt.Commentf("%d of 8 versions were read from the store", versions))
+	})
+}
+
 // TestTransferTimeouts guards against answers that are discarded while they arrive (incident 0040): a transfer ends when no byte has come for a
 // while, however long it takes, and at transferTimeout.
 func TestTransferTimeouts(t *testing.T) {
@@ -285,10 +314,10 @@
 	f.instances[index].run(f.t)
 }
 
-// bytes returns the bytes that the instances have received from the store.
-func (f *fleet) bytes() int64 {
+// bytesOf returns the bytes that instances have received from the store.
+func bytesOf(instances []*fleetInstance) int64 {
 	var total int64
-	for _, instance := range f.instances {
+	for _, instance := range instances {
 		instance.link.mu.Lock()
 		total += instance.link.bytes
 		instance.link.mu.Unlock()
--- a/mirror/fleet_test.go
+++ b/mirror/fleet_test.go
@@ -507,7 +507,7 @@
 		f.store.remove("op/config")
 		time.Sleep(maxChangeDelay)
 		for _, instance := range f.instances {
-			_, _, _ = instance.topic.fetch(t.Context(), old.member, 0, time.Second)
+			_, _ = instance.topic.fetch(t.Context(), old.member, 0, time.Second)
 			c.Check(value(instance.mirror, "op/config"), qt.Equals, "none", qt.Commentf("%s", instance.member.ID))
 		}
 	})
@@ -527,7 +527,7 @@
 		c.Assert(NewTopic(sourceMirror, source, watchersAmong("source")).Register(source), qt.IsNil)
 		targetMirror := New(slog.New(slog.DiscardHandler), func([]Document, time.Time) {})
 		topic := NewTopic(targetMirror, target, nil)
-		_, _, err := topic.fetch(t.Context(), machine.Member{ID: "source", Address: "source"}, 0, time.Second)
+		_, err := topic.fetch(t.Context(), machine.Member{ID: "source", Address: "source"}, 0, time.Second)
 		c.Assert(err, qt.IsNil)
 		age, ok := targetMirror.ConfirmedAge()
 		c.Assert(ok, qt.IsTrue)
--- a/mirror/peers.go
+++ b/mirror/peers.go
@@ -27,9 +27,14 @@
 	// pollWait is the long-poll timeout of a poll. maxPollWait bounds what a peer may ask for.
 	pollWait    = 300 * time.Millisecond
 	maxPollWait = 2 * time.Second
-	// pollGrace is how much longer than its wait a poll may take: several round trips between data
-	// centres.
-	pollGrace = 300 * time.Millisecond
+	// pollGrace is how much longer than its wait a poll may take before the next source is polled: several round trips between data
+	// centres. Where packets queue on a link it is longer, up to maxPollGrace.
+	pollGrace    = 300 * time.Millisecond
+	maxPollGrace = 900 * time.Millisecond
+	// latePollGrace is how much longer than its wait a poll may take altogether. A reply that comes after the next source was polled counts.
+	latePollGrace = 1500 * time.Millisecond
+	// maxPolls bounds the polls that wait for replies at the same time.
+	maxPolls = 3
 	// maxPollBytes bounds the documents in the reply of an instance of the version before, which does not pack them.
 	maxPollBytes = 16 << 10
 	// replyTime is how long the replies with a change may take the sender's link, for all instances that poll it. It is below pollGrace.
@@ -124,13 +129,17 @@
 func (t *Topic) Poll(ctx context.Context) error {
 	avoided := make(map[machine.InstanceID]time.Time)
 	var current machine.InstanceID
+	polls := newPolls(t)
+	defer polls.running.Wait()
 	for ctx.Err() == nil {
 		source, ok := t.source(avoided)
 		if !ok {
 			interval := roleInterval
 			if len(avoided) > 0 {
-				interval = allAvoidedRetry
 				clear(avoided)
+				if interval = allAvoidedRetry; polls.takeLate() {
+					interval = minBatchDelay // the sources answer, though late
+				}
 			}
 			if !pause.Sleep(ctx, interval) {
 				return nil
@@ -141,25 +150,20 @@
 		if source.ID != current {
 			wait = 0 // whether its copy is fresh is to be known at once
 		}
-		changed, confirmedAt, err := t.fetch(ctx, source, wait, wait+pollGrace)
+		result, err := polls.poll(ctx, source, wait)
 		current = source.ID
-		if omitted := (*omittedError)(nil); errors.As(err, &omitted) {
-			t.mirror.readOmittedSoon(omitted.changes)
-		} else if errors.Is(err, errTooLarge) {
-			t.mirror.callStore()
-		}
 		if errors.Is(err, errTooLarge) {
 			if !pause.Sleep(ctx, minBatchDelay) {
 				return nil
 			}
 			continue
 		}
-		if err != nil || ageOf(confirmedAt) > maxSourceAge {
+		if err != nil || ageOf(result.confirmedAt) > maxSourceAge {
 			avoided[source.ID] = time.Now().Add(sourceRetry)
 			current = ""
-			t.mirror.log.Debug("source of changes avoided", "peer", source.ID, "age_ms", ageOf(confirmedAt).Milliseconds(), "error", err)
+			t.mirror.log.Debug("source of changes avoided", "peer", source.ID, "age_ms", ageOf(result.confirmedAt).Milliseconds(), "error", err)
 		}
-		if changed > 0 && !pause.Sleep(ctx, minBatchDelay/2) {
+		if result.changed > 0 && !pause.Sleep(ctx, minBatchDelay/2) {
 			return nil
 		}
 	}
@@ -194,20 +198,26 @@
 // catchUp fetches from a peer that is ahead what has changed after this copy's revision. Documents that the peer omits come with the
 // polls.
 func (t *Topic) catchUp(ctx context.Context, peer machine.Member) error {
-	_, _, err := t.fetch(ctx, peer, 0, catchUpTimeout)
+	_, err := t.fetch(ctx, peer, 0, catchUpTimeout)
 	return err
 }
 
+// fetched is what a peer's reply has brought.
+type fetched struct {
+	changed     int           // documents
+	confirmedAt time.Time     // for which the reply confirms the copy; zero if the peer's copy is not confirmed
+	waited      time.Duration // for which the peer held back the reply
+}
+
 // fetch asks a peer for what has changed after this copy's revision and applies it. The peer waits for a
-// change for at most wait. confirmedAt is the time for which the answer confirms the copy; zero if the
-// peer's copy is not confirmed. If changes are too large for a reply, the error is an omittedError, and the others are applied, or
+// change for at most wait. If changes are too large for a reply, the error is an omittedError, and the others are applied, or
 // errTooLarge, and nothing is.
-func (t *Topic) fetch(ctx context.Context, peer machine.Member, wait, timeout time.Duration) (changed int, confirmedAt time.Time, err error) {
+func (t *Topic) fetch(ctx context.Context, peer machine.Member, wait, timeout time.Duration) (fetched, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := t.peers.Conn(ctx, peer)
 	if err != nil {
-		return 0, time.Time{}, err
+		return fetched{}, err
 	}
 	after, asked := t.mirror.Position(), time.Now()
 	request := &mirrorpb.ChangesRequest{
@@ -220,26 +230,27 @@
 	}
 	reply, err := mirrorpb.NewDRPCMirrorClient(conn).Changes(ctx, request)
 	if err != nil {
-		return 0, time.Time{}, err
+		return fetched{}, err
 	}
+	result := fetched{waited: milliseconds(reply.GetWaitedMs())}
 	if reply.GetTooLarge() {
 		t.mirror.recordBehind(Position{Era: after.Era, Revision: after.Revision + 1})
-		return 0, time.Time{}, errTooLarge
+		return result, errTooLarge
 	}
 	position := Position{Era: reply.GetEra(), Revision: reply.GetRevision()}
 	documents, err := t.unpack(reply.GetDocuments(), position.Era)
 	if err != nil {
-		return 0, time.Time{}, err
+		return result, err
 	}
 	if reply.GetSteady() && position.Era == after.Era {
 		t.mirror.recordPeerSteady()
 	}
 	if reply.ConfirmedAgeMs != nil {
 		// The reply left the peer no earlier than the time waited after the question left this instance.
-		confirmedAt = asked.Add(milliseconds(reply.GetWaitedMs()) - milliseconds(reply.GetConfirmedAgeMs()))
+		result.confirmedAt = asked.Add(result.waited - milliseconds(reply.GetConfirmedAgeMs()))
 	}
 	if len(reply.GetOmitted()) > 0 {
-		return len(documents), confirmedAt, t.applyPart(documents, reply, position, confirmedAt)
+		return result, t.applyPart(documents, reply, position, result.confirmedAt)
 	}
 	if reply.GetFull() {
 		t.mirror.replace(documents, position)
@@ -247,14 +258,15 @@
 		t.mirror.apply(documents, position)
 	}
 	if t.mirror.Era() != position.Era {
-		return 0, time.Time{}, fmt.Errorf("%w: peer's copy is of era %d", errOtherEra, position.Era)
+		return fetched{}, fmt.Errorf("%w: peer's copy is of era %d", errOtherEra, position.Era)
 	}
-	t.mirror.confirm(confirmedAt)
+	t.mirror.confirm(result.confirmedAt)
 	if len(documents) > 0 {
 		t.mirror.log.Info("documents fetched from a peer", "peer", peer.ID, "after", after.Revision,
 			"revision", reply.GetRevision(), "documents", len(documents), "full", reply.GetFull())
 	}
-	return len(documents), confirmedAt, nil
+	result.changed = len(documents)
+	return result, nil
 }
 
 // applyPart applies the documents of a reply from which others were omitted, and returns an omittedError with these.
@@ -318,9 +330,12 @@
 	errNoBase = errors.New("no base of a packed document")
 )
 
-// omittedError means that a reply lacks some of the changes.
+// omittedError means that a reply lacks some of the changes. It is an errTooLarge.
 type omittedError struct{ changes *omittedChanges }
 
+// Is makes the error an errTooLarge.
+func (e *omittedError) Is(target error) bool { return target == errTooLarge }
+
 // Error implements error.
 func (e *omittedError) Error() string {
 	return fmt.Sprintf("%d changes omitted up to revision %d", len(e.changes.revisions), e.changes.position.Revision)
--- a/mirror/restore_test.go
+++ b/mirror/restore_test.go
@@ -52,9 +52,9 @@
 		c.Check(took <= maxChangeDelay, qt.IsTrue, qt.Commentf("in force after %d ms", took.Milliseconds()))
 		c.Check(f.calls()-calls <= 4*len(f.instances), qt.IsTrue, qt.Commentf("%d calls", f.calls()-calls))
 		other := f.watchers()[1]
-		_, confirmedAt, err := other.topic.fetch(t.Context(), old.member, 0, time.Second)
+		got, err := other.topic.fetch(t.Context(), old.member, 0, time.Second)
 		c.Check(err, qt.ErrorIs, errOtherEra)
-		c.Check(confirmedAt.IsZero(), qt.IsTrue)
+		c.Check(got.confirmedAt.IsZero(), qt.IsTrue)
 		for _, instance := range f.instances {
 			if instance != old {
 				c.Check(value(instance.mirror, "op/config"), qt.Equals, "3")
--- a/mirror/upgrade_test.go
+++ b/mirror/upgrade_test.go
@@ -102,15 +102,15 @@
 		copied, _ := startMirror(t, f.store)
 		topic := NewTopic(copied, earlier, NewWatchers(fleetMembers{self: f.members[1], live: &f.members}))
 		time.Sleep(time.Second)
-		changed, confirmedAt, err := topic.fetch(t.Context(), f.members[0], 300*time.Millisecond, time.Second)
+		got, err := topic.fetch(t.Context(), f.members[0], 300*time.Millisecond, time.Second)
 		c.Assert(err, qt.IsNil)
-		c.Check([]any{changed, time.Since(confirmedAt), copied.Revision(), value(copied, "op/config")}, qt.DeepEquals,
+		c.Check([]any{got.changed, time.Since(got.confirmedAt), copied.Revision(), value(copied, "op/config")}, qt.DeepEquals,
 			[]any{2, 37 * time.Millisecond, uint64(9), "new"})
 		field := decodeAsEarlier(c, "ChangesRequest", earlier.request)
 		c.Check([]uint64{field("after").Uint(), field("wait_ms").Uint(), field("max_bytes").Uint(), field("after_era").Uint()}, qt.DeepEquals,
 			[]uint64{3, 300, maxPollBytes, 2})
 		earlier.answer = golden(c, "toolarge-60e72ea.bin")
-		_, _, err = topic.fetch(t.Context(), f.members[0], 0, time.Second)
+		_, err = topic.fetch(t.Context(), f.members[0], 0, time.Second)
 		c.Check(errors.Is(err, errTooLarge), qt.IsTrue, qt.Commentf("%v", err))
 	})
 }
--- a/standin/peers/network.go
+++ b/standin/peers/network.go
@@ -28,6 +28,7 @@
 	silent    map[string]bool            // addresses whose messages are dropped
 	partition func(from, to string) bool // pairs whose messages are dropped; may be nil
 	links     map[string]*hostLink       // of the addresses with limited bandwidth
+	queues    map[string]time.Duration   // further delay of messages to an address
 }
 
 // hostLink is the link of one address. Messages on it queue in pieces of pieceBytes, so that small ones pass between large ones.
@@ -41,7 +42,7 @@
 
 // New returns a network that delays each message by delay, so that a call takes twice that.
 func New(delay time.Duration) *Network {
-	return &Network{delay: delay, nodes: make(map[string]*Node), silent: make(map[string]bool), links: make(map[string]*hostLink)}
+	return &Network{delay: delay, nodes: make(map[string]*Node), silent: make(map[string]bool), links: make(map[string]*hostLink), queues: make(map[string]time.Duration)}
 }
 
 // Node is one address on the network: the dialer and the RPC mux of an entry instance.
@@ -92,6 +93,13 @@
 	n.links[address] = &hostLink{bytesPerSecond: bytesPerSecond}
 }
 
+// SetQueue delays each message to the address, as a link on which packets wait.
+func (n *Network) SetQueue(address string, delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.queues[address] = delay
+}
+
 // occupy takes the time that the bytes need on the links of the addresses.
 func (n *Network) occupy(ctx context.Context, bytes int, addresses ...string) error {
 	for ; bytes > 0; bytes -= pieceBytes {
@@ -209,7 +217,7 @@
 	network.mu.Lock()
 	node := network.nodes[to]
 	dropped := network.dropped(from, to)
-	delay := network.delay
+	delay := network.delay + network.queues[to]
 	network.mu.Unlock()
 	if dropped {
 		<-ctx.Done()
