--- a/mirror/upgrade_test.go
+++ b/mirror/upgrade_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"os"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +18,7 @@
 	"google.golang.org/protobuf/types/dynamicpb"
 	"storj.io/drpc"
 
+	"plumbarrow.example/plumbarrow/internal/delta"
 	"plumbarrow.example/plumbarrow/link"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/mirror/mirrorpb"
@@ -150,3 +153,46 @@
 func (conn earlierConn) Invoke(ctx context.Context, rpc string, encoding drpc.Encoding, in, out drpc.Message) error {
 	return conn.Conn.Invoke(ctx, rpc, encoding, earlierRequest(in.(*mirrorpb.ChangesRequest)), out)
 }
+
+// TestDamagedPackedDocument guards against configurations that no operator wrote: a packed document that cannot be decoded, or only against another base,
+// changes nothing, not even the copy's position.
+func TestDamagedPackedDocument(t *testing.T) {
+	base, next := routesDocument(100), routesDocument(100)
+	copy(next, "changed")
+	pack := func(document, base []byte) []byte {
+		packed, err := delta.Encode(document, base)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return packed
+	}
+	good := pack(next, base)
+	for name, play := range map[string]struct {
+		packed []byte
+		base   uint64
+		want   string
+	}{
+		"good":            {good, 3, string(next)},
+		"whole":           {pack(next, nil), 0, string(next)},
+		"damaged":         {append(slices.Clone(good[:len(good)-3]), 1, 2, 3), 3, string(base)},
+		"truncated":       {good[:len(good)/2], 3, string(base)},
+		"base not held":   {good, 2, string(base)},
+		"another base":    {pack(next, routesDocument(90)), 3, string(base)},
+		"no base claimed": {good, 0, string(base)},
+		"too large":       {pack(make([]byte, maxDocumentBytes+1), nil), 0, string(base)},
+	} {
+		c := qt.New(t)
+		reply, err := proto.Marshal(&mirrorpb.ChangesReply{Revision: 9, Documents: []*mirrorpb.Document{
+			{Key: "op/config", Revision: 9, Packed: play.packed, Base: play.base},
+		}})
+		c.Assert(err, qt.IsNil)
+		m := New(slog.New(slog.DiscardHandler), func([]Document, time.Time) {})
+		m.apply([]Document{{Key: "op/config", Value: base, Revision: 3}}, Position{Revision: 3})
+		topic := NewTopic(m, &scriptedPeers{answer: reply}, watchersAmong("a"))
+		_, err = topic.fetch(t.Context(), machine.Member{ID: "peer"}, 0, time.Second)
+		taken := play.want == string(next)
+		c.Check(err == nil, qt.Equals, taken, qt.Commentf("%s: %v", name, err))
+		c.Check(value(m, "op/config") == play.want, qt.IsTrue, qt.Commentf(name))
+		c.Check(m.Revision(), qt.Equals, map[bool]uint64{false: 3, true: 9}[taken], qt.Commentf(name))
+	}
+}
