--- a/replica/fleet_test.go
+++ b/replica/fleet_test.go
@@ -18,6 +18,7 @@
 	"plumbarrow.example/plumbarrow/internal/telemetry"
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/standin/kv"
+	"plumbarrow.example/plumbarrow/standin/peers"
 )
 
 // TestMain sets a fixed seed for the property tests.
@@ -44,6 +45,8 @@
 	deltas           int                // documents fetched from peers as deltas
 	fullDocuments    int                // documents fetched from peers whole
 	onlySender       machine.InstanceID // if set, the only instance whose topic messages arrive
+	network          *peers.Network
+	linkMbps         float64 // of each instance, for documents; 0 for no limit
 }
 
 type node struct {
@@ -51,6 +54,7 @@
 	fleet            *fleet
 	self             machine.Member
 	counters         *telemetry.Counters
+	link             *peers.Node
 	stop             context.CancelFunc
 	highestRevision  contract.Revision
 	storeUnreachable bool // the store cannot be reached
@@ -61,6 +65,7 @@
 	return &fleet{
 		store: kv.New(), ctx: ctx, loss: loss, random: rand.New(rand.NewPCG(1, 2)),
 		nodes: make(map[machine.InstanceID]*node), partitionedZones: make(map[string]bool), digests: make(map[contract.Revision]string),
+		network: peers.New(0),
 	}
 }
 
@@ -69,7 +74,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	self := machine.Member{ID: machine.InstanceID(id), Incarnation: machine.Incarnation(fmt.Sprint(id, f.random.Uint32())), Zone: zone}
-	n := &node{fleet: f, self: self, counters: telemetry.New()}
+	n := &node{fleet: f, self: self, counters: telemetry.New(), link: f.network.Node(id)}
+	if f.linkMbps > 0 {
+		f.network.SetBandwidth(id, f.linkMbps*1e6/8)
+	}
 	n.Replica = New(nodeStore{f.store, n}, slog.New(slog.NewTextHandler(io.Discard, nil)), WithCounters(n.counters))
 	n.members, n.fetcher = n, n
 	n.OnChange(n.checkInvariants)
@@ -191,6 +199,11 @@
 	if err != nil {
 		return fetched{}, err
 	}
+	for _, link := range []*peers.Node{other.link, n.link} {
+		if err := link.Transmit(ctx, len(reply.Record)+len(reply.Packed)+len(reply.Delta)); err != nil {
+			return fetched{}, err
+		}
+	}
 	n.fleet.locked(func() {
 		if len(reply.Delta) > 0 {
 			n.fleet.deltas++
@@ -243,7 +256,16 @@
 	if s.node.hasUnreachableStore() {
 		return infra.Entry{}, infra.ErrUnavailable
 	}
-	return s.Store.Get(ctx, key)
+	entry, err := s.Store.Get(ctx, key)
+	return s.receive(ctx, entry, err)
+}
+
+// receive takes the time that an entry needs on the instance's link.
+func (s nodeStore) receive(ctx context.Context, entry infra.Entry, err error) (infra.Entry, error) {
+	if err == nil {
+		err = s.node.link.Transmit(ctx, len(entry.Value)*4/3)
+	}
+	return entry, err
 }
 
 func (s nodeStore) Watch(ctx context.Context, key string, after infra.StoreVersion, wait time.Duration) (infra.Entry, error) {
@@ -254,7 +276,8 @@
 		<-ctx.Done()
 		return infra.Entry{}, ctx.Err()
 	}
-	return s.Store.Watch(ctx, key, after, wait)
+	entry, err := s.Store.Watch(ctx, key, after, wait)
+	return s.receive(ctx, entry, err)
 }
 
 func (n *node) hasUnreachableStore() bool {
--- a/replica/spread_test.go
+++ b/replica/spread_test.go
@@ -85,6 +85,47 @@
 	})
 }
 
+// TestLargeDocumentsOnSlowLinks guards the own interface against the cause of incident 0040: 60 instances with links of 10 Mbit/s, a large
+// document, and a series of versions, each of which replaces most of it.
+func TestLargeDocumentsOnSlowLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(t.Context(), 0)
+		f.linkMbps = 10
+		propose(c, f, 0, randomDocument(0))
+		for i := range 60 {
+			zone := fmt.Sprint("zone", i%3)
+			f.add(fmt.Sprintf("%s-%d", zone, i), zone)
+		}
+		time.Sleep(2 * propagationLimit)
+		var revision contract.Revision
+		for version := 1; version <= 5; version++ {
+			revision = propose(c, f, contract.Revision(version), randomDocument(version))
+			time.Sleep(time.Second)
+		}
+		accepted := time.Now()
+		for len(f.lagging(revision)) > 0 && time.Since(accepted) < time.Minute {
+			time.Sleep(50 * time.Millisecond)
+		}
+		took := time.Since(accepted)
+		f.locked(func() {
+			c.Logf("%d bytes, packed %d: %d s after the last of 5 versions in force everywhere; %d deltas, %d whole documents from peers",
+				len(randomDocument(5)), len(pack(randomDocument(5))), int(took.Seconds()), f.deltas, f.fullDocuments)
+		})
+		c.Check(took <= propagationLimit, qt.IsTrue, qt.Commentf("%v", took))
+	})
+}
+
+// randomDocument returns a document whose customers have other keys in each version, so that it is several hundred KB and a version hardly compresses
+// against another.
+func randomDocument(version int) []byte {
+	document := zonesDocument(1, version+1)
+	for i := range 5_000 {
+		document = fmt.Appendf(document, "[[customers]]\nname = \"c%d\"\nkey_hashes = [%q]\n", i, contract.HashKey(fmt.Sprint(version, i)))
+	}
+	return document
+}
+
 // propagationTimes makes changes and returns the sorted times until each is in force at all
 // instances.
 func (f *fleet) propagationTimes(c *qt.C, changes int) []time.Duration {
