--- a/cmd/plumbarrow/main.go
+++ b/cmd/plumbarrow/main.go
@@ -21,6 +21,7 @@
 	Rollout    *rolloutCommand    `arg:"subcommand:rollout" help:"start, watch, resume and abort roll-outs"`
 	Standin    *standinCommand    `arg:"subcommand:standin" help:"run a stand-in of the platform, an engine or a service"`
 	Status     *statusCommand     `arg:"subcommand:status" help:"print the state of entry instances"`
+	Upgrade    *upgradeCommand    `arg:"subcommand:upgrade" help:"check whether this build may join a fleet"`
 	Version    *versionCommand    `arg:"subcommand:version" help:"withdraw a version"`
 	Zone       *zoneCommand       `arg:"subcommand:zone" help:"take a zone out of service and bring it back"`
 }
@@ -48,6 +49,8 @@
 		err = args.Explain.run()
 	case args.Status != nil:
 		err = args.Status.run()
+	case args.Upgrade != nil:
+		err = args.Upgrade.run()
 	case args.Version != nil:
 		err = args.Version.run()
 	case args.Zone != nil:
--- a/cmd/plumbarrow/route_test.go
+++ b/cmd/plumbarrow/route_test.go
@@ -62,7 +62,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c.Check(r.URL.Path, qt.Equals, "/status")
 		_ = json.NewEncoder(w).Encode(daemon.GatewayStatus{
-			Instance: "front-1", Zone: "a", Ready: true, Configuration: 9, Routes: 3000,
+			Instance: "front-1", Zone: "a", Ready: true, Configuration: 9, Routes: 3000, Protocol: 1,
 			Copy: daemon.CopyStatus{Revision: 41, AgeMS: 120, LagMS: 35, FromStoreBytes: 800, FromPeersBytes: 60},
 		})
 	}))
@@ -70,9 +70,15 @@
 	var out strings.Builder
 	command := &statusCommand{Metrics: []string{"127.0.0.1:1", server.Listener.Addr().String()}}
 	c.Assert(command.runGateways(&out), qt.IsNil)
-	c.Check(out.String(), qt.Equals, `INSTANCE  ZONE  READY  CONFIGURATION  ROUTES  REVISION  AGE MS  LAG MS  WATCHING  FROM STORE  FROM PEERS  UNDER WAY
-front-1   a     true   9              3000    41        120     35      false     800         60          0
+	c.Check(out.String(), qt.Equals, `INSTANCE  ZONE  READY  CONFIGURATION  ROUTES  REVISION  PROTOCOL  AGE MS  LAG MS  WATCHING  FROM STORE  FROM PEERS  UNDER WAY
+front-1   a     true   9              3000    41        1         120     35      false     800         60          0
 `)
+	out.Reset()
+	check := &upgradeCheck{Metrics: command.Metrics[1:]}
+	c.Check(check.run(&out), qt.IsNil)
+	c.Check(out.String(), qt.Equals, "1 instances: the next one may be replaced by this build, protocol 1\n")
+	check.Metrics = command.Metrics
+	c.Check(check.run(&out), qt.ErrorMatches, "the next instance should not be replaced now")
 	command.Metrics = command.Metrics[:1]
 	c.Check(exitCode(command.runGateways(&out)), qt.Equals, exitUnreachable)
 }
--- a/cmd/plumbarrow/status.go
+++ b/cmd/plumbarrow/status.go
@@ -51,37 +51,43 @@
 
 // runGateways prints the status of each gateway instance, or why it could not be read. It returns an error if all instances failed.
 func (c *statusCommand) runGateways(out io.Writer) error {
-	var statuses []daemon.GatewayStatus
-	var failure error
-	for _, address := range c.Metrics {
+	statuses, failures := gatewayStatuses(c.Metrics)
+	for _, failure := range failures {
+		fmt.Fprintln(os.Stderr, failure)
+	}
+	switch {
+	case len(statuses) == 0:
+		return failures[0]
+	case c.JSON:
+		return printJSON(statuses)
+	}
+	return printGateways(out, statuses)
+}
+
+// gatewayStatuses reads the status of the instances at their metrics addresses, and why that of some could not be read.
+func gatewayStatuses(addresses []string) (statuses []daemon.GatewayStatus, failures []error) {
+	for _, address := range addresses {
 		var status daemon.GatewayStatus
 		request, err := http.NewRequest(http.MethodGet, "http://"+address+"/status", nil)
 		if err == nil {
 			err = callInstance(request, &status)
 		}
 		if err != nil {
-			fmt.Fprintf(os.Stderr, "%s: %v\n", address, err)
-			failure = err
+			failures = append(failures, fmt.Errorf("%s: %w", address, err))
 			continue
 		}
 		statuses = append(statuses, status)
 	}
-	switch {
-	case len(statuses) == 0:
-		return failure
-	case c.JSON:
-		return printJSON(statuses)
-	}
-	return printGateways(out, statuses)
+	return statuses, failures
 }
 
 func printGateways(out io.Writer, statuses []daemon.GatewayStatus) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "INSTANCE\tZONE\tREADY\tCONFIGURATION\tROUTES\tREVISION\tAGE MS\tLAG MS\tWATCHING\tFROM STORE\tFROM PEERS\tUNDER WAY")
+	fmt.Fprintln(table, "INSTANCE\tZONE\tREADY\tCONFIGURATION\tROUTES\tREVISION\tPROTOCOL\tAGE MS\tLAG MS\tWATCHING\tFROM STORE\tFROM PEERS\tUNDER WAY")
 	for i := range statuses {
 		s := &statuses[i]
-		fmt.Fprintf(table, "%s\t%s\t%t\t%d\t%d\t%d\t%d\t%d\t%t\t%d\t%d\t%d\n", s.Instance, s.Zone, s.Ready, s.Configuration, s.Routes,
-			s.Copy.Revision, s.Copy.AgeMS, s.Copy.LagMS, s.Copy.Watching, s.Copy.FromStoreBytes, s.Copy.FromPeersBytes, s.Copy.UnderWayBytes)
+		fmt.Fprintf(table, "%s\t%s\t%t\t%d\t%d\t%d\t%d\t%d\t%d\t%t\t%d\t%d\t%d\n", s.Instance, s.Zone, s.Ready, s.Configuration, s.Routes,
+			s.Copy.Revision, s.Protocol, s.Copy.AgeMS, s.Copy.LagMS, s.Copy.Watching, s.Copy.FromStoreBytes, s.Copy.FromPeersBytes, s.Copy.UnderWayBytes)
 	}
 	return table.Flush()
 }
--- a/daemon/gatewaystatus.go
+++ b/daemon/gatewaystatus.go
@@ -8,6 +8,7 @@
 	"github.com/labstack/echo/v4"
 
 	"plumbarrow.example/plumbarrow/mirror"
+	"plumbarrow.example/plumbarrow/upgrade"
 )
 
 // GatewayStatus is the state of a gateway instance: GET /status at its metrics address.
@@ -19,6 +20,17 @@
 	Configuration uint64     `json:"configuration"`
 	Routes        int        `json:"routes"`
 	Copy          CopyStatus `json:"copy"`
+	// Protocol of this instance's build, see upgrade.Protocol, and the number of registered instances by theirs.
+	Protocol  int         `json:"protocol"`
+	Protocols map[int]int `json:"protocols"`
+}
+
+// Member returns the status in the terms of package upgrade.
+func (s *GatewayStatus) Member() upgrade.Member {
+	return upgrade.Member{
+		Name: s.Instance, Ready: s.Ready, Protocol: s.Protocol, Configuration: s.Configuration, Listed: s.Protocols,
+		Age: time.Duration(s.Copy.AgeMS) * time.Millisecond, Lag: time.Duration(s.Copy.LagMS) * time.Millisecond,
+	}
 }
 
 // CopyStatus is the state of an instance's copy of the store's documents.
@@ -38,7 +50,10 @@
 
 // status returns the state of the instance.
 func (g *Gateway) status() GatewayStatus {
-	status := GatewayStatus{Instance: g.settings.Instance, Zone: g.settings.Zone, Ready: g.ready(), Copy: CopyStatus{AgeMS: -1}}
+	status := GatewayStatus{
+		Instance: g.settings.Instance, Zone: g.settings.Zone, Ready: g.ready(), Copy: CopyStatus{AgeMS: -1}, Protocol: upgrade.Protocol,
+		Protocols: g.presence.Protocols(),
+	}
 	if snapshot := g.current.Get(); snapshot != nil {
 		status.Configuration, status.Routes = snapshot.Version, snapshot.Routes()
 	}
--- a/infra/instances.go
+++ b/infra/instances.go
@@ -37,6 +37,8 @@
 	State   State  `json:"state"`
 	// LinkMbps is the rate of an entry instance's network link in Mbit/s; 0 if unknown.
 	LinkMbps float64 `json:"link_mbps,omitempty"`
+	// Protocol is what an entry instance states; see upgrade.Protocol.
+	Protocol int `json:"protocol,omitempty"`
 }
 
 // InstanceList is the platform's list of live and leaving instances. It lags behind the real state, and two
--- a/mirror/presence.go
+++ b/mirror/presence.go
@@ -13,6 +13,7 @@
 	"plumbarrow.example/plumbarrow/infra"
 	"plumbarrow.example/plumbarrow/internal/pause"
 	"plumbarrow.example/plumbarrow/machine"
+	"plumbarrow.example/plumbarrow/upgrade"
 )
 
 // MembersPrefix is the prefix of the keys under which entry instances register.
@@ -40,6 +41,8 @@
 	Address     string `json:"address"`
 	// LinkMbps is the rate of the instance's network link in Mbit/s; 0 if unknown. Earlier versions leave it out.
 	LinkMbps float64 `json:"link_mbps,omitempty"`
+	// Protocol is upgrade.Protocol of the instance's build. Earlier versions leave it out.
+	Protocol int `json:"protocol,omitempty"`
 }
 
 // Presence registers an entry instance in the store under a lease and lists the registered ones.
@@ -73,6 +76,16 @@
 	return p.instances, nil
 }
 
+// Protocols returns the number of registered instances by the protocol that they state.
+func (p *Presence) Protocols() map[int]int {
+	instances, _ := p.Instances(context.Background()) // the copy never fails
+	protocols := make(map[int]int)
+	for i := range instances {
+		protocols[instances[i].Protocol]++
+	}
+	return protocols
+}
+
 // decode returns the registered instances.
 func (p *Presence) decode() []infra.Instance {
 	var instances []infra.Instance
@@ -84,7 +97,7 @@
 		}
 		instances = append(instances, infra.Instance{
 			ID: strings.TrimPrefix(document.Key, MembersPrefix), Incarnation: member.Incarnation, Kind: infra.KindEntry,
-			Zone: member.Group, Address: member.Address, State: infra.StateLive, LinkMbps: member.LinkMbps,
+			Zone: member.Group, Address: member.Address, State: infra.StateLive, LinkMbps: member.LinkMbps, Protocol: member.Protocol,
 		})
 	}
 	return instances
@@ -142,7 +155,7 @@
 		}
 	}
 	value, err := json.Marshal(memberDocument{
-		Incarnation: string(p.self.Incarnation), Group: p.self.Zone, Address: p.self.Address, LinkMbps: p.self.LinkMbps,
+		Incarnation: string(p.self.Incarnation), Group: p.self.Zone, Address: p.self.Address, LinkMbps: p.self.LinkMbps, Protocol: upgrade.Protocol,
 	})
 	if err != nil {
 		return Lease{}, err
