mirror: standbys watch while no watcher's copy is fresh

Change: the next members in rank, as many as there are watchers, watch the store while they find no watcher fresh, and followers that find none poll them.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -234,7 +234,7 @@
 // tasks returns the background tasks; each runs until its context ends.
 func (g *Gateway) tasks() []func(context.Context) error {
 	return []func(context.Context) error{
-		func(ctx context.Context) error { return g.mirror.Follow(ctx, g.store, g.watchers.Watching) },
+		func(ctx context.Context) error { return g.mirror.Follow(ctx, g.store, g.mirrorTopic.Watching) },
 		g.mirrorTopic.Run,
 		g.mirrorTopic.Poll,
 		g.presence.Run,
--- a/daemon/gatewaystatus.go
+++ b/daemon/gatewaystatus.go
@@ -63,7 +63,7 @@
 		status.Copy.AgeMS = age.Milliseconds()
 	}
 	status.Copy.LagMS = g.mirror.LastLag().Milliseconds()
-	status.Copy.Watching = g.watchers.Watching()
+	status.Copy.Watching = g.mirrorTopic.Watching()
 	status.Copy.FromStoreBytes, status.Copy.FromPeersBytes, status.Copy.UnderWayBytes = traffic.FromStore, traffic.FromPeers, traffic.UnderWay
 	return status
 }
--- a/mirror/fleet_test.go
+++ b/mirror/fleet_test.go
@@ -261,7 +261,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	i.stop = cancel
 	var tasks sync.WaitGroup
-	tasks.Go(func() { _ = i.mirror.Follow(ctx, i.link, i.topic.watchers.Watching) })
+	tasks.Go(func() { _ = i.mirror.Follow(ctx, i.link, i.topic.Watching) })
 	tasks.Go(func() { _ = i.topic.Run(ctx) })
 	tasks.Go(func() { _ = i.topic.Poll(ctx) })
 	t.Cleanup(func() { cancel(); tasks.Wait() })
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -26,8 +26,7 @@
 	Revision uint64 // store revision of the last change or of the deletion
 	Deleted  bool
 	Era      uint64 // of the store that had this revision; see Position
-	// KnownAt is when the first instance had this version, as far as known; zero if unknown. Values of other instances come with delays
-	// added, never left out.
+	// KnownAt is when the first instance had this version, as far as known; zero if unknown. The time that a peer's message took is left out.
 	KnownAt time.Time
 }
 
@@ -91,7 +90,8 @@
 func New(log *slog.Logger, listener Listener) *Mirror {
 	return &Mirror{
 		log: log, documents: make(map[string]Document), held: make(map[string]heldDocument), hold: holdNothing, listener: listener,
-		advanced: make(chan struct{}), versions: make(map[string][]keptVersion), startedAt: time.Now(), observeLag: func(time.Duration) {}, storeCall: make(chan struct{}, 1),
+		advanced: make(chan struct{}), versions: make(map[string][]keptVersion), startedAt: time.Now(), observeLag: func(time.Duration) {},
+		storeCall: make(chan struct{}, 1),
 	}
 }
 
@@ -250,7 +250,7 @@
 	return found
 }
 
-// mergePart merges changes without those between them, so that the copy's position stays.
+// mergePart merges some of the changes up to a position, so that the copy's own position stays.
 func (m *Mirror) mergePart(changed []Document, position Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/mirror/peers.go
+++ b/mirror/peers.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -59,6 +60,7 @@
 	peers    link.Peers
 	watchers *Watchers
 	packs    *packCache
+	standby  atomic.Bool         // this instance watches in place of a watcher
 	ahead    chan machine.Member // a peer that is ahead of this copy; capacity 1
 }
 
@@ -124,6 +126,9 @@
 	}
 }
 
+// Watching reports whether this instance watches the store: as one of the watchers, or because none of them has a fresh copy.
+func (t *Topic) Watching() bool { return t.watchers.Watching() || t.standby.Load() }
+
 // Poll keeps polling one of the fleet's watchers until ctx ends. It pauses while this instance is a watcher
 // that reaches the store.
 func (t *Topic) Poll(ctx context.Context) error {
@@ -135,7 +140,7 @@
 		source, ok := t.source(avoided)
 		if !ok {
 			interval := roleInterval
-			if len(avoided) > 0 {
+			if len(avoided) > 0 && !t.standby.Load() {
 				clear(avoided)
 				if interval = allAvoidedRetry; polls.takeLate() {
 					interval = minBatchDelay // the sources answer, though late
@@ -179,15 +184,32 @@
 	return maxPollBytes
 }
 
-// source returns the watcher to poll next; ok is false if none is to be polled now. It drops outdated entries
-// of avoided.
+// source returns the instance to poll next: a watcher, or a standby if all watchers are avoided. ok is false if none is to be polled now. It drops
+// outdated entries of avoided.
 func (t *Topic) source(avoided map[machine.InstanceID]time.Time) (source machine.Member, ok bool) {
-	if t.watchers.Watching() && t.mirror.storeReachable() {
+	reachable := t.mirror.storeReachable()
+	if t.watchers.Watching() && reachable {
+		t.standby.Store(false)
 		return machine.Member{}, false
 	}
 	now := time.Now()
 	maps.DeleteFunc(avoided, func(_ machine.InstanceID, until time.Time) bool { return !now.Before(until) })
-	for _, member := range t.watchers.Sources() {
+	if source, ok = firstOf(t.watchers.Sources(), avoided); ok {
+		t.standby.Store(false)
+		return source, true
+	}
+	standbys, standby := t.watchers.Standbys()
+	standby = standby && len(avoided) > 0
+	t.standby.Store(standby)
+	if standby && reachable {
+		return machine.Member{}, false
+	}
+	return firstOf(standbys, avoided)
+}
+
+// firstOf returns the first member that is not avoided.
+func firstOf(members []machine.Member, avoided map[machine.InstanceID]time.Time) (first machine.Member, ok bool) {
+	for _, member := range members {
 		if _, skip := avoided[member.ID]; !skip {
 			return member, true
 		}
--- a/mirror/watchers.go
+++ b/mirror/watchers.go
@@ -28,7 +28,9 @@
 	mu       sync.Mutex
 	live     []machine.Member // for which the fields below were computed
 	watching bool
+	standby  bool
 	sources  []machine.Member
+	standbys []machine.Member
 }
 
 // NewWatchers returns the selection among the live members.
@@ -51,6 +53,15 @@
 	return w.sources
 }
 
+// Standbys returns the members that watch in place of watchers whose copies are not fresh, in the order in which this instance prefers them, and whether
+// it is one of them. Callers must not modify the result.
+func (w *Watchers) Standbys() (standbys []machine.Member, standby bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.update()
+	return w.standbys, w.standby
+}
+
 // update selects again if the live members have changed. The caller holds the lock.
 func (w *Watchers) update() {
 	live := w.members.Live()
@@ -58,20 +69,25 @@
 		return
 	}
 	self := w.members.Self().ID
-	watchers := selectWatchers(live)
 	isSelf := func(m machine.Member) bool { return m.ID == self }
+	ranked := rankWatchers(live)
+	count := min(watcherCount(len(live)), len(ranked))
+	watchers, standbys := ranked[:count], ranked[count:min(2*count, len(ranked))]
 	w.live = live
-	w.watching = slices.ContainsFunc(watchers, isSelf)
-	w.sources = rankMembers(slices.DeleteFunc(watchers, isSelf), string(self)+"/")
+	w.watching, w.standby = slices.ContainsFunc(watchers, isSelf), slices.ContainsFunc(standbys, isSelf)
+	w.sources = rankMembers(slices.DeleteFunc(slices.Clone(watchers), isSelf), string(self)+"/")
+	w.standbys = rankMembers(slices.DeleteFunc(slices.Clone(standbys), isSelf), string(self)+"/")
 }
 
-// selectWatchers returns the watchers among the members: those with the fastest links, by rendezvous hashing among equal ones.
-func selectWatchers(members []machine.Member) []machine.Member {
+// rankWatchers returns the members in the order in which they are chosen to watch: those with the fastest links first, by rendezvous hashing among equal
+// ones.
+func rankWatchers(members []machine.Member) []machine.Member {
 	ranked := rankMembers(members, "watcher/")
 	slices.SortStableFunc(ranked, func(a, b machine.Member) int { return cmp.Compare(b.LinkMbps, a.LinkMbps) })
-	return ranked[:min(watcherCount(len(members)), len(ranked))]
+	return ranked
 }
 
+// watcherCount returns how many watchers a fleet has, and how many standbys.
 func watcherCount(members int) int { return minWatchers + members/membersPerWatcher }
 
 // defaultLinkMbps is the rate of a link that is not known, in Mbit/s.
