mirror: tests without data races of their own

The stand-in of the store reported progress after a cut watch had returned; TestLag read what a task of the instance wrote. Change: the stand-in ends the call before it returns, as Progress now asks for; the test waits for the tasks.

--- a/mirror/bandwidth_test.go
+++ b/mirror/bandwidth_test.go
@@ -290,6 +290,7 @@
 		follower.mirror.OnLag(func(lag time.Duration) { observed = append(observed, lag) })
 		f.store.put("op/config", "2")
 		time.Sleep(time.Second)
+		synctest.Wait()
 		c.Check(observed, qt.HasLen, 1)
 		f.network.SetSilent(follower.member.Address, true)
 		follower.link.set(nil, true)
@@ -297,6 +298,7 @@
 		time.Sleep(2 * time.Second)
 		f.network.SetSilent(follower.member.Address, false)
 		time.Sleep(6 * time.Second) // its sources are avoided for a while
+		synctest.Wait()
 		c.Assert(observed, qt.HasLen, 2)
 		c.Check(observed[0] < 300*time.Millisecond && observed[1] >= 2*time.Second, qt.IsTrue, qt.Commentf("%v", observed))
 		c.Check(follower.mirror.LastLag(), qt.Equals, observed[1])
--- a/mirror/fleet_test.go
+++ b/mirror/fleet_test.go
@@ -141,6 +141,8 @@
 	case answer := <-done:
 		return answer.changes, answer.err
 	case <-cut:
+		cancel()
+		<-done
 	}
 	l.mu.Lock()
 	broken, silent := l.broken, l.silent
--- a/mirror/transfer.go
+++ b/mirror/transfer.go
@@ -24,7 +24,7 @@
 var ErrLargeAnswer = errors.New("answer too large")
 
 // Progress is told about the answer to a call while it arrives: the bytes received so far, and the size that the answer states, -1 if it
-// states none. If it returns an error, the call must end with that error.
+// states none. If it returns an error, the call must end with that error. It must not be called after the call has returned.
 type Progress func(received, total int64) error
 
 // transfer is one call to the store. Its context ends when the answer does not begin in time, or when no byte arrives for silenceTimeout.
