mirror: a full state from which a large document was omitted also takes away what it lacks (DRAIN)

Where a large document was omitted from it, the position advanced once that was read, without the deletions that the state implies: an endpoint that had left would have stayed until the process ended. Change: the omitted documents complete the state, which then replaces the copy's. Measured: TestOmittedFromFullState keeps the endpoint before the change.

--- a/mirror/peers.go
+++ b/mirror/peers.go
@@ -295,7 +295,10 @@
 func (t *Topic) applyPart(documents []Document, reply *mirrorpb.ChangesReply, position Position, confirmedAt time.Time) error {
 	t.mirror.recordBehind(position)
 	t.mirror.mergePart(documents, position)
-	changes := &omittedChanges{revisions: make(map[string]uint64), position: position, confirmedAt: confirmedAt}
+	changes := &omittedChanges{revisions: make(map[string]uint64), position: position, confirmedAt: confirmedAt, full: reply.GetFull()}
+	if changes.full {
+		changes.documents = documents
+	}
 	for _, version := range reply.GetOmitted() {
 		changes.revisions[version.GetKey()] = version.GetRevision()
 	}
--- a/mirror/read.go
+++ b/mirror/read.go
@@ -12,6 +12,8 @@
 	revisions   map[string]uint64 // by key, at least
 	position    Position          // up to which the copy is complete with them
 	confirmedAt time.Time         // see Mirror.confirmedAt; of the reply
+	full        bool              // the reply was a full state: documents that it lacks were deleted
+	documents   []Document        // of the reply, if full
 }
 
 // readOmittedSoon makes Follow read omitted changes from the store.
@@ -36,6 +38,7 @@
 
 // readOmitted reads the documents whose changes were omitted. Unlike a watch, it transfers each in one version.
 func (m *Mirror) readOmitted(ctx context.Context, store Store, omitted *omittedChanges) error {
+	state := omitted.documents
 	for key, revision := range omitted.revisions {
 		call := m.beginTransfer(ctx, readTimeout, 0)
 		document, err := store.Get(call.ctx, key, call.progress)
@@ -54,8 +57,13 @@
 		documents := []Document{document}
 		m.setKnownAt(documents, call.began)
 		m.mergePart(documents, omitted.position)
+		state = append(state, document)
+	}
+	if omitted.full {
+		m.replace(state, omitted.position)
+	} else {
+		m.apply(nil, omitted.position)
 	}
-	m.apply(nil, omitted.position)
 	m.confirm(omitted.confirmedAt)
 	return nil
 }
--- a/mirror/upgrade_test.go
+++ b/mirror/upgrade_test.go
@@ -196,3 +196,30 @@
 		c.Check(m.Revision(), qt.Equals, map[bool]uint64{false: 3, true: 9}[taken], qt.Commentf(name))
 	}
 }
+
+// TestOmittedFromFullState guards against endpoints that stay after they have left (DRAIN): a full state, from which a large document was omitted, also says
+// by what it lacks that documents were deleted.
+func TestOmittedFromFullState(t *testing.T) {
+	for _, full := range []bool{true, false} {
+		c := qt.New(t)
+		store := newFakeStore()
+		store.revision = 8
+		store.put("op/config", string(routesDocument(100)))
+		reply, err := proto.Marshal(&mirrorpb.ChangesReply{
+			Revision: 9, Full: full, Documents: []*mirrorpb.Document{{Key: "servers/b", Value: []byte("ready"), Revision: 7}},
+			Omitted: []*mirrorpb.Version{{Key: "op/config", Revision: 9}},
+		})
+		c.Assert(err, qt.IsNil)
+		m := New(slog.New(slog.DiscardHandler), func([]Document, time.Time) {})
+		m.apply([]Document{{Key: "servers/a", Value: []byte("ready"), Revision: 3}}, Position{Revision: 3})
+		_, err = NewTopic(m, &scriptedPeers{answer: reply}, watchersAmong("a")).fetch(t.Context(), machine.Member{ID: "peer"}, 0, time.Second)
+		var omitted *omittedError
+		c.Assert(errors.As(err, &omitted), qt.IsTrue)
+		c.Check([]any{value(m, "servers/b"), m.Revision()}, qt.DeepEquals, []any{"ready", uint64(3)})
+		m.readOmittedSoon(omitted.changes)
+		c.Assert(m.readOmitted(t.Context(), store, m.takeOmitted()), qt.IsNil)
+		c.Check(len(value(m, "op/config")) > largeBytes, qt.IsTrue)
+		c.Check([]any{value(m, "servers/a"), value(m, "servers/b"), m.Revision()}, qt.DeepEquals,
+			[]any{map[bool]string{true: "none", false: "ready"}[full], "ready", uint64(9)})
+	}
+}
