--- a/review/_rig3/engine.go
+++ b/review/_rig3/engine.go
@@ -1,10 +1,11 @@
 package main
 
 import (
-	"crypto/rand"
+	crypto "crypto/rand"
 	"encoding/hex"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -22,13 +23,21 @@
 	eventEvery     time.Duration
 	events         int
 	downFor        time.Duration // after a crash by a prompt
-	crashPart      string        // the part that crashes engines; empty for none
+	crashPart      string        // the part that crashes engines; empty for none; see setCrashPart
 	onArrival      func(e *engine, a *arrival)
 	onCrash        func(e *engine, a *arrival)
 	answerHeader   func(e *engine, h http.Header)
 	sameID         bool // a start keeps the engine's id
 	heartbeat      time.Duration
 	missedBeatsEnd time.Duration // after so long without a heartbeat the entry is removed
+
+	crashMu sync.Mutex // of crashPart once engines run
+}
+
+func (k *engineKind) setCrashPart(part string) {
+	k.crashMu.Lock()
+	defer k.crashMu.Unlock()
+	k.crashPart = part
 }
 
 // arrival is one request that reached an engine.
@@ -60,11 +69,15 @@
 	readBusy sync.Mutex
 	lastBeat time.Time
 	muted    bool // sends no heartbeats
+	failing  bool // fails a part of its requests, with a good health
 }
 
+// failShare is the share of its requests that a failing engine answers with a 500.
+const failShare = 0.4
+
 func randomID(n int) string {
 	b := make([]byte, n)
-	_, _ = rand.Read(b)
+	_, _ = crypto.Read(b)
 	return hex.EncodeToString(b)
 }
 
@@ -181,12 +194,15 @@
 
 // crashesOn reports whether a prompt has the part that crashes engines, in a place other than the last.
 func (k *engineKind) crashesOn(prompt string) bool {
-	if k.crashPart == "" {
+	k.crashMu.Lock()
+	crashes := k.crashPart
+	k.crashMu.Unlock()
+	if crashes == "" {
 		return false
 	}
 	parts := strings.Split(prompt, ",")
 	for _, part := range parts[:len(parts)-1] {
-		if id, _, _ := strings.Cut(part, ":"); id == k.crashPart {
+		if id, _, _ := strings.Cut(part, ":"); id == crashes {
 			return true
 		}
 	}
@@ -301,6 +317,14 @@
 	if !ok || !pause(r, e.kind.firstEvent) {
 		return
 	}
+	e.mu.Lock()
+	fails := e.failing && rand.Float64() < failShare
+	e.mu.Unlock()
+	if fails {
+		e.stamp(w)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if a.poison {
 		e.mu.Lock()
 		current := e.epoch == epoch && e.up
--- a/review/_rig3/quarantine.go
+++ b/review/_rig3/quarantine.go
@@ -110,9 +110,11 @@
 	}
 }
 
-// poisonPrompt makes a prompt with the part and others that no other request has.
-func poisonPrompt() (string, int) {
-	return fmt.Sprintf("a10%d:2520,%s:500,f%s:800,e%s:400", rand.IntN(4), poisonPart, randomID(5), randomID(6)), 4220
+func poisonPrompt() (string, int) { return promptWith(poisonPart) }
+
+// promptWith makes a prompt with the part and others that no other request has.
+func promptWith(part string) (string, int) {
+	return fmt.Sprintf("a10%d:2520,%s:500,f%s:800,e%s:400", rand.IntN(4), part, randomID(5), randomID(6)), 4220
 }
 
 func (s *scene) poisonCall(text string, tokens int) {
@@ -230,50 +232,6 @@
 	return watch.verdict(inTouch), nil
 }
 
-func init() {
-	cases["long-prompt"] = longPrompt
-}
-
-// longPrompt sends requests whose prompts have many parts, as those of long conversations: the part that crashes engines is not among the first.
-func longPrompt(s *scene) (int, error) {
-	watch := &crashWatch{record: s.record}
-	err := s.begin(nodeZones, modelConfiguration(3), func() ([]*engine, error) {
-		return s.enginesIn(modelKind(watch), engineZones, 6)
-	})
-	if err != nil {
-		return 0, err
-	}
-	turns := 120
-	if s.trouble {
-		turns = 300
-	}
-	stop := make(chan struct{})
-	var running sync.WaitGroup
-	running.Go(func() {
-		traffic(60, stop, func() {
-			text, tokens := prompt()
-			s.soundCall(watch, text, tokens)
-		})
-	})
-	time.Sleep(2 * time.Second)
-	s.record.line("requests with the part begin, two a second, with %d parts before it", turns)
-	stopPoison := make(chan struct{})
-	running.Go(func() {
-		traffic(2, stopPoison, func() {
-			text := ""
-			for range turns {
-				text += randomID(4) + ":10,"
-			}
-			s.poisonCall(text+poisonPart+":500,f"+randomID(3)+":300", 10*turns+800)
-		})
-	})
-	time.Sleep(25 * time.Second)
-	close(stopPoison)
-	close(stop)
-	running.Wait()
-	return watch.verdict(always), nil
-}
-
 func init() {
 	cases["moved-route"] = movedRoute
 }
@@ -359,3 +317,84 @@
 	running.Wait()
 	return watch.verdict(always), nil
 }
+
+func init() {
+	cases["failing-engines"] = failingEngines
+}
+
+const (
+	greyParts = 4 // parts that crash engines, one after the other
+	greySpan  = 17 * time.Second
+	greyFor   = 6500 * time.Millisecond
+	greyShare = 7 // one engine of so many fails requests
+)
+
+// failingEngines lets a share of the engines fail a part of their requests while requests with a part that crashes engines begin. It does so for
+// several parts, one after the other.
+func failingEngines(s *scene) (int, error) {
+	watch := &crashWatch{record: s.record}
+	kind := modelKind(watch)
+	kind.crashPart = ""
+	var engines []*engine
+	err := s.begin(nodeZones, modelConfiguration(3), func() (made []*engine, err error) {
+		engines, err = s.enginesIn(kind, engineZones, 7)
+		return engines, err
+	})
+	if err != nil {
+		return 0, err
+	}
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	running.Go(func() {
+		traffic(60, stop, func() {
+			text, tokens := prompt()
+			s.soundCall(watch, text, tokens)
+		})
+	})
+	time.Sleep(2 * time.Second)
+	result := held
+	for n := range greyParts {
+		part := fmt.Sprintf("dead%d%s", n, randomID(2))
+		watch.begin(kind, part)
+		s.setFailing(engines, s.trouble)
+		time.Sleep(200 * time.Millisecond)
+		s.record.line("requests with the part %s begin, a batch of six, then two a second", part)
+		stopPart := make(chan struct{})
+		var calls sync.WaitGroup
+		for range batchSize {
+			calls.Go(func() { s.poisonCall(promptWith(part)) })
+			time.Sleep(50 * time.Millisecond)
+		}
+		calls.Go(func() { traffic(2, stopPart, func() { s.poisonCall(promptWith(part)) }) })
+		time.Sleep(greyFor)
+		s.setFailing(engines, false)
+		time.Sleep(greySpan - greyFor)
+		close(stopPart)
+		calls.Wait()
+		result = max(result, watch.verdict(always))
+		time.Sleep(kind.downFor)
+	}
+	close(stop)
+	running.Wait()
+	return result, nil
+}
+
+// begin names the part that crashes engines from now on, and counts anew.
+func (c *crashWatch) begin(kind *engineKind, part string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes, c.fifth, c.crashAt, c.arrivals, c.sound, c.soundDone = 0, time.Time{}, nil, nil, 0, 0
+	kind.setCrashPart(part)
+}
+
+// setFailing makes one engine of greyShare fail a part of its requests, or none.
+func (s *scene) setFailing(engines []*engine, failing bool) {
+	for i, e := range engines {
+		e.mu.Lock()
+		e.failing = failing && i%greyShare == 0
+		e.mu.Unlock()
+	}
+	if failing {
+		s.record.line("%d of %d engines fail %.0f of 100 requests, for %.1f s", len(engines)/greyShare, len(engines), 100*failShare, greyFor.Seconds())
+	}
+}
