--- a/review/_rig3/engine.go
+++ b/review/_rig3/engine.go
@@ -8,9 +8,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,11 +29,33 @@
 	onArrival      func(e *engine, a *arrival)
 	onCrash        func(e *engine, a *arrival)
 	answerHeader   func(e *engine, h http.Header)
-	sameID         bool // a start keeps the engine's id
 	heartbeat      time.Duration
 	missedBeatsEnd time.Duration // after so long without a heartbeat the entry is removed
 
 	crashMu sync.Mutex // of crashPart once engines run
+
+	// tolerance is how many requests an engine can reject in a second without falling over, while brittle is set. It lets none wait from
+	// brittleAfter later.
+	tolerance    int
+	brittle      atomic.Pointer[time.Time] // since when
+	brittleAfter time.Duration
+	onFall       func(e *engine)
+	onRejection  func()
+	spreadWork   bool // work takes a half to one and a half of its mean
+}
+
+// fallsOver reports whether engines let none wait, and fall over from rejections.
+func (k *engineKind) fallsOver() bool {
+	since := k.brittle.Load()
+	return since != nil && time.Since(*since) >= k.brittleAfter
+}
+
+// waitingRoom returns how many requests an engine lets wait.
+func (k *engineKind) waitingRoom() int {
+	if k.fallsOver() {
+		return 0
+	}
+	return k.queue
 }
 
 func (k *engineKind) setCrashPart(part string) {
@@ -68,8 +92,8 @@
 	cached   map[string]bool
 	readBusy sync.Mutex
 	lastBeat time.Time
-	muted    bool // sends no heartbeats
 	failing  bool // fails a part of its requests, with a good health
+	rejected []time.Time
 }
 
 // failShare is the share of its requests that a failing engine answers with a 500.
@@ -89,17 +113,19 @@
 
 // start starts the engine's process.
 func (e *engine) start() error {
+	releasePort(e.address)
 	listener, err := net.Listen("tcp", e.address)
 	if err != nil {
 		return err
 	}
 	e.mu.Lock()
-	if !e.kind.sameID && e.epoch > 0 {
+	if e.epoch > 0 {
 		e.id = "i-" + randomID(4)
 	}
 	e.epoch++
 	e.born, e.seq, e.up, e.listener = time.Now().UnixMilli(), 0, true, listener
 	e.conns, e.cached = map[net.Conn]struct{}{}, map[string]bool{}
+	e.rejected = nil
 	e.active, e.waiting, e.slots = 0, 0, make(chan struct{}, e.kind.slots)
 	epoch, id := e.epoch, e.id
 	e.mu.Unlock()
@@ -151,9 +177,13 @@
 
 // crashFor ends the process and starts it again after a time.
 func (e *engine) crashFor(d time.Duration) {
-	if !e.crash() {
-		return
+	if e.crash() {
+		e.restartAfter(d)
 	}
+}
+
+// restartAfter starts the process again after a time.
+func (e *engine) restartAfter(d time.Duration) {
 	time.AfterFunc(d, func() {
 		for e.start() != nil {
 			time.Sleep(20 * time.Millisecond)
@@ -165,7 +195,7 @@
 	for {
 		time.Sleep(e.kind.heartbeat)
 		e.mu.Lock()
-		due := e.up && !e.muted
+		due := e.up
 		e.mu.Unlock()
 		if due {
 			e.writeEntry()
@@ -246,6 +276,9 @@
 	if e.kind.answerHeader != nil {
 		e.kind.answerHeader(e, w.Header())
 	}
+	if e.kind.brittle.Load() != nil {
+		w.Header().Set("Server-Brittle", strconv.Itoa(e.kind.tolerance))
+	}
 	if !e.take(w, r) {
 		return
 	}
@@ -264,9 +297,17 @@
 // take waits for a slot, or rejects the request.
 func (e *engine) take(w http.ResponseWriter, r *http.Request) bool {
 	e.mu.Lock()
-	if e.active+e.waiting >= e.kind.slots+e.kind.queue {
+	if e.active+e.waiting >= e.kind.slots+e.kind.waitingRoom() {
 		e.load(w)
+		falls := e.reject()
 		e.mu.Unlock()
+		if e.kind.onRejection != nil {
+			e.kind.onRejection()
+		}
+		if falls && e.crash() {
+			e.kind.onFall(e)
+			e.restartAfter(e.kind.downFor)
+		}
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return false
@@ -289,6 +330,16 @@
 	return taken
 }
 
+// reject counts a rejection, and reports whether the engine falls over. The caller holds the lock.
+func (e *engine) reject() bool {
+	if !e.kind.fallsOver() {
+		return false
+	}
+	now := time.Now()
+	e.rejected = append(slices.DeleteFunc(e.rejected, func(at time.Time) bool { return now.Sub(at) >= time.Second }), now)
+	return len(e.rejected) > e.kind.tolerance
+}
+
 func (e *engine) leave() {
 	e.mu.Lock()
 	e.active--
@@ -342,8 +393,12 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	control := http.NewResponseController(w)
+	every := e.kind.eventEvery
+	if e.kind.spreadWork {
+		every = time.Duration((0.5 + rand.Float64()) * float64(every))
+	}
 	for n := last + 1; n <= e.kind.events; n++ {
-		if n > last+1 && !pause(r, e.kind.eventEvery) {
+		if n > last+1 && !pause(r, every) {
 			return
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s piece %d\n\n", n, a.id, n); err != nil || control.Flush() != nil {
--- a/review/_rig3/fleet.go
+++ b/review/_rig3/fleet.go
@@ -4,12 +4,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -21,6 +24,30 @@
 	mu      sync.Mutex
 	file    *os.File
 	started time.Time
+	counts  map[string]int // of the present second
+}
+
+// count counts an event of which there are too many for a line each. The counts are written once a second.
+func (r *record) count(event string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts[event]++
+}
+
+// flushCounts writes the counts of each second, as long as the program runs.
+func (r *record) flushCounts() {
+	for range time.Tick(time.Second) {
+		r.mu.Lock()
+		if len(r.counts) > 0 {
+			_, _ = fmt.Fprintf(r.file, "%8.3f  in this second:", time.Since(r.started).Seconds())
+			for _, event := range slices.Sorted(maps.Keys(r.counts)) {
+				_, _ = fmt.Fprintf(r.file, " %s %d;", event, r.counts[event])
+			}
+			_, _ = fmt.Fprintln(r.file)
+		}
+		clear(r.counts)
+		r.mu.Unlock()
+	}
 }
 
 func (r *record) line(format string, args ...any) {
@@ -32,6 +59,7 @@
 // node is one entry instance: a process of the project's own.
 type node struct {
 	name, zone, callers, ready, settings, log string
+	ports                                     []string
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -39,7 +67,8 @@
 	done    chan struct{}
 }
 
-// freePorts returns n loopback addresses whose ports are free, below the range from which outgoing connections take theirs.
+// freePorts returns n loopback addresses whose ports are free, below the range from which outgoing connections take theirs. They stay taken
+// until they are released.
 func freePorts(n int) ([]string, error) {
 	var addresses []string
 	for tries := 0; len(addresses) < n; tries++ {
@@ -47,21 +76,22 @@
 			return nil, errors.New("no free ports")
 		}
 		address := fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000))
-		if givenPorts[address] {
-			continue
-		}
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+		if l, err := net.Listen("tcp", address); err == nil {
+			takenPorts.Store(address, l)
+			addresses = append(addresses, address)
 		}
-		_ = l.Close()
-		givenPorts[address] = true
-		addresses = append(addresses, address)
 	}
 	return addresses, nil
 }
 
-var givenPorts = map[string]bool{}
+var takenPorts sync.Map // net.Listener by address
+
+// releasePort frees the port of an address for its use.
+func releasePort(address string) {
+	if l, taken := takenPorts.LoadAndDelete(address); taken {
+		_ = l.(net.Listener).Close()
+	}
+}
 
 // newNodes writes the settings of instances, filled in as deploy/settings.toml is; zones has one entry for each.
 func newNodes(dir, storeAddress string, zones []string) ([]*node, error) {
@@ -71,7 +101,7 @@
 		if err != nil {
 			return nil, err
 		}
-		n := &node{name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, callers: ports[0], ready: ports[1]}
+		n := &node{name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, callers: ports[0], ready: ports[1], ports: ports}
 		n.settings, n.log = filepath.Join(dir, n.name+".toml"), filepath.Join(dir, n.name+".log")
 		text := fmt.Sprintf(`instance = "%s"
 zone = "%s"
@@ -103,6 +133,9 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
+	for _, address := range n.ports {
+		releasePort(address)
+	}
 	command := exec.Command("target/plumbarrowd", "--gateway", n.settings)
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -201,6 +234,7 @@
 	whole  bool
 	stamp  bool
 	err    error
+	again  time.Duration // Retry-After; 0 without one
 }
 
 var client = &http.Client{Transport: &http.Transport{
@@ -237,7 +271,11 @@
 	}
 	_, err = io.Copy(io.Discard, response.Body)
 	_ = response.Body.Close()
-	return answer{status: response.StatusCode, whole: err == nil, stamp: response.Header.Get("X-Response-Stamp") != "", err: err}
+	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	return answer{
+		status: response.StatusCode, whole: err == nil, stamp: response.Header.Get("X-Response-Stamp") != "", err: err,
+		again: time.Duration(seconds * float64(time.Second)),
+	}
 }
 
 // traffic calls send at a rate with random pauses until stop is closed, and waits for the calls.
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -53,7 +53,8 @@
 		defer func() { _ = os.RemoveAll(dir) }()
 	}
 	dir, _ = filepath.Abs(dir)
-	s := &scene{record: &record{file: out, started: time.Now()}, trouble: os.Getenv("TROUBLE") != "0", dir: dir}
+	s := &scene{record: &record{file: out, started: time.Now(), counts: map[string]int{}}, trouble: os.Getenv("TROUBLE") != "0", dir: dir}
+	go s.record.flushCounts()
 	defer func() {
 		for _, n := range s.nodes {
 			n.kill()
--- a/review/_rig3/quarantine.go
+++ b/review/_rig3/quarantine.go
@@ -44,6 +44,7 @@
 
 func (c *crashWatch) onArrival(e *engine, a *arrival) {
 	if !a.poison {
+		c.record.count("sound requests reach engines")
 		return
 	}
 	c.mu.Lock()
@@ -101,7 +102,9 @@
 
 // soundCall sends a sound request with a prompt.
 func (s *scene) soundCall(watch *crashWatch, text string, tokens int) {
+	s.record.count("sound requests sent")
 	a := request(pick(s.nodes), http.MethodPost, modelPath, "key-club-1", randomID(8), text, tokens, 6*time.Second)
+	s.record.count(fmt.Sprintf("answered %d (whole %v)", a.status, a.whole))
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
 	watch.sound++
@@ -282,42 +285,6 @@
 	return watch.verdict(always), nil
 }
 
-func init() {
-	cases["same-id"] = sameID
-}
-
-// sameID lets the three engines of a service start again under the ids that they had, after requests with a part that crashes them.
-func sameID(s *scene) (int, error) {
-	watch := &crashWatch{record: s.record}
-	err := s.begin(nodeZones, modelConfiguration(3), func() ([]*engine, error) {
-		kind := modelKind(watch)
-		kind.sameID = s.trouble
-		return s.enginesIn(kind, engineZones, 1)
-	})
-	if err != nil {
-		return 0, err
-	}
-	stop := make(chan struct{})
-	var running sync.WaitGroup
-	running.Go(func() {
-		traffic(15, stop, func() {
-			text, tokens := prompt()
-			s.soundCall(watch, text, tokens)
-		})
-	})
-	time.Sleep(2 * time.Second)
-	s.record.line("requests with the part begin, four a second")
-	stopPoison := make(chan struct{})
-	running.Go(func() {
-		traffic(4, stopPoison, func() { s.poisonCall(poisonPrompt()) })
-	})
-	time.Sleep(24 * time.Second)
-	close(stopPoison)
-	close(stop)
-	running.Wait()
-	return watch.verdict(always), nil
-}
-
 func init() {
 	cases["failing-engines"] = failingEngines
 }
--- a/review/_rig3/store.go
+++ b/review/_rig3/store.go
@@ -60,6 +60,7 @@
 
 func newStore(address string) (*store, error) {
 	s := &store{revision: 100, items: map[string]item{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	releasePort(address)
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
