quarantine: room for a part that crashes endpoints beside ordinary ends

Cause: the table of suspects took what came first, 256 parts, and kept parts that had been answered since for as long as they were in use. Ordinary ends of endpoints filled it.

Change: 4,096 suspects, of which those go first against which least speaks; parts that were answered stay for 5 s only; an end makes at most 1,024 parts suspect, drawn anew each time; sound answers are forgotten oldest first. Instances send each other news once, and by a digest only suspects with successive crashes, 256 in a message as before.

Evidence: TestOrdinaryEnds failed in all four forms before ("value is not true: f.blocks(bad)"), and passes.

Why this works: successive crashes decide what stays, so that neither answered parts nor parts with one crash can keep a part out.

--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -37,6 +37,9 @@
 // Inc increments a counter without labels.
 func (c *Counters) Inc(name string) { c.set.GetOrCreateCounter(name).Inc() }
 
+// AddN adds n to the counter with the name.
+func (c *Counters) AddN(name string, n int) { c.set.GetOrCreateCounter(name).Add(n) }
+
 // Value returns a counter's value. With an empty label it is the counter without labels.
 func (c *Counters) Value(name, label, value string) uint64 {
 	if label != "" {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -4,9 +4,12 @@
 package quarantine
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"log/slog"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -22,6 +25,13 @@
 const (
 	// maxSound is the number of parts whose last sound answer is remembered.
 	maxSound = 4096
+	// maxSuspects is the number of suspects. Ordinary ends of endpoints make all parts suspect that the endpoints were working on.
+	maxSuspects = 4096
+	// maxCrashParts is the number of parts that the end of one endpoint makes suspect at an instance. A flood of parts that no other
+	// request has so takes several ends to replace those that are suspect already.
+	maxCrashParts = 1024
+	// maxLoggedParts bounds the parts that a log record names.
+	maxLoggedParts = 16
 	// evaluationInterval is the time between evaluations without news.
 	evaluationInterval = 100 * time.Millisecond
 )
@@ -45,11 +55,12 @@
 	mu       sync.Mutex
 	open     map[machine.EndpointID][]*Exposure // not yet settled
 	suspects map[uint64]*suspect
-	sound    map[uint64]time.Time            // last sound answer seen here, by part
-	digests  map[machine.InstanceID]uint64   // of the suspects that a peer last sent
+	sound    map[uint64]time.Time // last sound answer seen here, by part
+	peers    map[machine.InstanceID]*peer
 	probing  map[machine.EndpointID]struct{} // probes in flight
 
 	evaluatedAt time.Time
+	sequence    uint64 // of the last change of a suspect
 	ownDigest   uint64 // see digest
 	digestValid bool
 }
@@ -61,11 +72,16 @@
 		open:     make(map[machine.EndpointID][]*Exposure),
 		suspects: make(map[uint64]*suspect),
 		sound:    make(map[uint64]time.Time),
-		digests:  make(map[machine.InstanceID]uint64),
+		peers:    make(map[machine.InstanceID]*peer),
 		probing:  make(map[machine.EndpointID]struct{}),
 	}
 	q.blocked.Store(&map[uint64]time.Time{})
 	counters.Gauge("plumbarrow_quarantined_parts", func() float64 { return float64(len(*q.blocked.Load())) })
+	counters.Gauge("plumbarrow_suspect_parts", func() float64 {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		return float64(len(q.suspects))
+	})
 	return q
 }
 
@@ -97,36 +113,104 @@
 	return 0, false
 }
 
-// RecordCrash records that an endpoint has ended by the given time. All shared parts of the requests that it worked on or had just begun
+// RecordCrash records that an endpoint has ended by the given time. The shared parts of the requests that it worked on or had just begun
 // to answer become suspect.
 func (q *Quarantine) RecordCrash(endpoint machine.EndpointID, at time.Time) {
 	q.mu.Lock()
 	hash := xxhash.Sum64String(string(endpoint))
-	var news []string
-	for _, x := range q.open[endpoint] {
-		if !x.exposedAt(at) {
-			continue
-		}
-		for _, part := range x.parts {
-			if s := q.suspect(part); s != nil && s.add(hash, crash{sentAt: x.sentAt, endedAt: at}, at) {
-				news = append(news, strconv.FormatUint(part, 16))
-			}
+	exposed := slices.DeleteFunc(slices.Clone(q.open[endpoint]), func(x *Exposure) bool { return !x.exposedAt(at) })
+	var news []uint64
+	for _, e := range crashParts(exposed, hash) {
+		if s := q.suspect(e.part); s.add(crash{endpoint: hash, sentAt: e.sentAt, endedAt: at}, at) {
+			q.touch(s, at)
+			news = append(news, e.part)
 		}
 	}
 	delete(q.open, endpoint)
+	q.trimSuspects()
 	if len(news) > 0 {
-		q.digestValid = false
 		q.evaluate(time.Now())
 	}
+	suspects := len(q.suspects)
 	q.mu.Unlock()
 	if len(news) == 0 {
 		return
 	}
 	q.counters.Inc("plumbarrow_endpoint_crashes_total")
-	q.log.Warn("endpoint ended while it worked on prompts", "endpoint", endpoint, "suspect_parts", news)
+	q.log.Warn("endpoint ended while it worked on prompts", "endpoint", endpoint, "requests", len(exposed), "parts", len(news),
+		"suspect_parts", partNames(news[:min(len(news), maxLoggedParts)]), "suspects", suspects)
 	q.changed()
 }
 
+// exposedPart is a part of a request at an endpoint that has ended.
+type exposedPart struct {
+	part   uint64
+	sentAt time.Time
+	order  uint64 // pseudo-random, the same at all instances
+}
+
+// crashParts returns the parts that the end of an endpoint makes suspect, at most maxCrashParts. Parts of requests with few of them come first:
+// a prompt with hundreds of parts says less of each. The others are drawn anew for each endpoint.
+func crashParts(exposed []*Exposure, endpoint uint64) []exposedPart {
+	slices.SortStableFunc(exposed, func(a, b *Exposure) int { return cmp.Compare(len(a.parts), len(b.parts)) })
+	var chosen []exposedPart
+	seen := make(map[uint64]bool)
+	for len(exposed) > 0 && len(chosen) < maxCrashParts {
+		alike := 1
+		for alike < len(exposed) && len(exposed[alike].parts) == len(exposed[0].parts) {
+			alike++
+		}
+		first := len(chosen)
+		for _, x := range exposed[:alike] {
+			for _, part := range x.parts {
+				if !seen[part] {
+					seen[part] = true
+					chosen = append(chosen, exposedPart{part: part, sentAt: x.sentAt, order: (part ^ endpoint) * orderFactor})
+				}
+			}
+		}
+		slices.SortFunc(chosen[first:], func(a, b exposedPart) int { return cmp.Compare(a.order, b.order) })
+		exposed = exposed[alike:]
+	}
+	return chosen[:min(len(chosen), maxCrashParts)]
+}
+
+// orderFactor spreads the parts of a crash; see Knuth, The Art of Computer Programming, volume 3, section 6.4 (multiplicative hashing).
+const orderFactor = 0x9e3779b97f4a7c15
+
+func partNames(parts []uint64) []string {
+	names := make([]string, 0, len(parts))
+	for _, part := range parts {
+		names = append(names, strconv.FormatUint(part, 16))
+	}
+	return names
+}
+
+// touch records a change of a suspect that peers may not know. The caller holds the lock.
+func (q *Quarantine) touch(s *suspect, now time.Time) {
+	q.sequence++
+	s.changedAt, s.sequence = now, q.sequence
+	q.digestValid = false
+}
+
+// trimSuspects drops the suspects against which least speaks if there are too many, and some more, so that it is seldom needed. The caller holds
+// the lock.
+func (q *Quarantine) trimSuspects() {
+	if len(q.suspects) <= maxSuspects {
+		return
+	}
+	ordered := slices.SortedFunc(maps.Keys(q.suspects), func(a, b uint64) int {
+		return cmp.Or(compareSuspects(q.suspects[a], q.suspects[b]), cmp.Compare(a, b))
+	})
+	dropped := ordered[maxSuspects*7/8:]
+	for _, part := range dropped {
+		delete(q.suspects, part)
+	}
+	q.digestValid = false
+	q.counters.AddN("plumbarrow_suspects_dropped_total", len(dropped))
+	q.log.Info("suspect prompt parts dropped", "dropped", len(dropped), "suspects", len(q.suspects))
+}
+
 // anySuspect reports whether endpoints have ended under one of the parts. The caller holds the lock.
 func (q *Quarantine) anySuspect(parts []uint64) bool {
 	for _, part := range parts {
@@ -143,34 +227,37 @@
 	for _, part := range parts {
 		q.sound[part] = now
 		if s := q.suspects[part]; s != nil && s.clear(now) {
+			q.touch(s, now)
 			news = true
 		}
 	}
 	if len(q.sound) > maxSound {
-		for part, at := range q.sound {
-			if now.Sub(at) > soundMemory/2 {
-				delete(q.sound, part)
-			}
-		}
-		if len(q.sound) > maxSound {
-			clear(q.sound)
-		}
+		q.trimSound()
 	}
 	if news {
-		q.digestValid = false
 		q.evaluate(now)
 		go q.changed()
 	}
 }
 
-// suspect returns the state of a part, new if it was not suspect before; nil if there are too many. The caller holds the lock.
+// trimSound forgets the sound answers that are oldest, half of them. The caller holds the lock.
+func (q *Quarantine) trimSound() {
+	ordered := slices.SortedFunc(maps.Keys(q.sound), func(a, b uint64) int {
+		return cmp.Or(q.sound[b].Compare(q.sound[a]), cmp.Compare(a, b))
+	})
+	for _, part := range ordered[maxSound/2:] {
+		delete(q.sound, part)
+	}
+}
+
+// suspect returns the state of a part, new if it was not suspect before. The caller holds the lock, and calls trimSuspects later.
 func (q *Quarantine) suspect(part uint64) *suspect {
 	s := q.suspects[part]
-	if s == nil && len(q.suspects) < maxSuspects {
-		s = &suspect{crashes: make(map[uint64]crash)}
+	if s == nil {
+		s = &suspect{}
 		q.suspects[part] = s
 	}
-	if s != nil && len(s.crashes) == 0 && q.sound[part].After(s.soundAt) {
+	if len(s.crashes) == 0 && q.sound[part].After(s.soundAt) {
 		s.soundAt = q.sound[part]
 	}
 	return s
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -276,3 +276,104 @@
 		})
 	}
 }
+
+// TestOrdinaryEnds guards against a part that is never blocked because endpoints that end for reasons of their own, again and again, make so many
+// other parts suspect that no room is left for it (review/11).
+func TestOrdinaryEnds(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		rounds, parts  int
+		answered       bool // the parts of an endpoint that ended are answered elsewhere, again and again
+		besideCrashing bool // the endpoints also end between the crashes
+	}{
+		{"answered parts", 40, 40, true, false},
+		{"answered parts beside crashes", 40, 40, true, true},
+		{"parts of no other request", 30, 400, false, true},
+		{"more parts than one end names", 12, 3 * maxCrashParts, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newFixture()
+				sound := func(round, n int) uint64 { return uint64(1000 + round*test.parts + n) }
+				ordinary := func(round int) {
+					endpoint := fmt.Sprint("own", round)
+					var exposures []*Exposure
+					for n := range test.parts {
+						exposures = append(exposures, f.begin(endpoint, sound(round, n), common))
+					}
+					time.Sleep(50 * time.Millisecond)
+					f.crash(endpoint, exposures...)
+					for earlier := range round + 1 {
+						for n := 0; test.answered && n < test.parts; n++ {
+							answered := f.begin("alive", sound(earlier, n), common)
+							answered.RecordAnswer()
+							answered.End(Closed)
+						}
+					}
+					time.Sleep(settleTime + 50*time.Millisecond)
+					f.Message(machine.Member{ID: "peer"})
+					time.Sleep(2 * probePause)
+				}
+				for round := range test.rounds {
+					ordinary(round)
+				}
+				for n := range minGenerations {
+					endpoint := fmt.Sprint("e", n)
+					x := f.begin(endpoint, bad, uint64(100+n))
+					time.Sleep(100 * time.Millisecond)
+					f.crash(endpoint, x)
+					if test.besideCrashing {
+						ordinary(test.rounds + n)
+					}
+				}
+				c.Check(f.blocks(bad), qt.IsTrue)
+				c.Check(len(f.suspects) <= maxSuspects, qt.IsTrue, qt.Commentf("%d suspects", len(f.suspects)))
+				for round := range test.rounds {
+					_, blocked := f.Blocked("chat", prompt(sound(round, 0)))
+					c.Check(blocked, qt.IsFalse)
+				}
+				time.Sleep(time.Second) // probes end
+			})
+		})
+	}
+}
+
+// TestNewsOnce checks that a peer gets what it lacks once, in messages of bounded size, also after a message was lost and after the peer has started
+// anew, and that a flood of suspects ends with digests only.
+func TestNewsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		a, b := newFixture(), newFixture()
+		memberA, memberB := machine.Member{ID: "a", Incarnation: "1"}, machine.Member{ID: "b", Incarnation: "1"}
+		const parts = 3 * maxMessageSuspects
+		var exposures []*Exposure
+		for n := range parts {
+			exposures = append(exposures, a.begin("e", uint64(1000+n)))
+		}
+		a.crash("e", exposures...)
+		exchange := func() (bytes int) {
+			toB := a.Message(memberB)
+			b.Receive(memberA, toB)
+			a.Receive(memberB, b.Message(memberA))
+			return len(toB)
+		}
+		c.Check(len(a.Message(memberB)) <= 50*maxMessageSuspects, qt.IsTrue) // lost
+		for range parts/maxMessageSuspects + 1 {
+			exchange()
+		}
+		c.Check(len(b.suspects), qt.Equals, parts)
+		c.Check(exchange() < 16, qt.IsTrue)
+		c.Check(len(b.Message(memberA)) < 16, qt.IsTrue, qt.Commentf("b returns what it has from a"))
+
+		b, memberB.Incarnation = newFixture(), "2"
+		a.Receive(memberB, b.Message(memberA))
+		for range parts/maxMessageSuspects + 1 {
+			exchange()
+		}
+		c.Check(len(b.suspects), qt.Equals, parts)
+		time.Sleep(newsTime)
+		c.Check(exchange() < 16, qt.IsTrue)
+		time.Sleep(time.Second) // probes end
+	})
+}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -19,36 +19,47 @@
 	objectionTime = time.Second
 	// blockTime is how long a part stays blocked after its last crash.
 	blockTime = 10 * time.Minute
-	// maxCrashes is the number of crashes kept for a part; maxSuspects the number of suspects.
-	maxCrashes  = 48
-	maxSuspects = 256
+	// newsTime is how long what an instance has learned of a part is passed on to all peers: some rounds of the exchange.
+	newsTime = 5 * time.Second
+	// maxCrashes is the number of crashes kept for a part.
+	maxCrashes = 48
 )
 
 // crash is the end of one endpoint while it worked on a request with the part.
 type crash struct {
-	sentAt  time.Time // when the request was sent
-	endedAt time.Time
+	endpoint uint64    // hash of the endpoint's id
+	sentAt   time.Time // when the request was sent
+	endedAt  time.Time
 }
 
 // suspect is a part under which endpoints have ended.
 type suspect struct {
-	crashes map[uint64]crash // by hash of the endpoint's id; only those after soundAt
-	soundAt time.Time        // when an endpoint was last seen to survive an answer to the part; zero if none was
-	knownAt time.Time        // when this instance learned of the first crash in crashes
+	crashes []crash   // in the order in which the endpoints ended; only those after soundAt
+	soundAt time.Time // when an endpoint was last seen to survive an answer to the part; zero if none was
+	knownAt time.Time // when this instance learned of the first crash in crashes
+
+	generations int       // see countGenerations
+	changedAt   time.Time // when this instance learned last what peers may not know
+	sequence    uint64    // of that change among the instance's changes
 }
 
 // add records a crash, unless the part has proved sound since or the crash is known.
-func (s *suspect) add(endpoint uint64, c crash, now time.Time) (added bool) {
-	if _, known := s.crashes[endpoint]; known || len(s.crashes) >= maxCrashes || !c.endedAt.After(s.soundAt) {
+func (s *suspect) add(c crash, now time.Time) (added bool) {
+	known := slices.ContainsFunc(s.crashes, func(other crash) bool { return other.endpoint == c.endpoint })
+	if known || len(s.crashes) >= maxCrashes || !c.endedAt.After(s.soundAt) {
 		return false
 	}
 	if len(s.crashes) == 0 {
 		s.knownAt = now
 	}
-	s.crashes[endpoint] = c
+	at, _ := slices.BinarySearchFunc(s.crashes, c, compareEnds)
+	s.crashes = slices.Insert(s.crashes, at, c)
+	s.generations = countGenerations(s.crashes)
 	return true
 }
 
+func compareEnds(a, b crash) int { return a.endedAt.Compare(b.endedAt) }
+
 // clear records that an endpoint survived an answer to the part at the time. It reports whether that changes anything.
 func (s *suspect) clear(at time.Time) (changed bool) {
 	if !at.After(s.soundAt) {
@@ -56,30 +67,26 @@
 	}
 	changed = s.soundAt.IsZero()
 	s.soundAt = at
-	for endpoint, c := range s.crashes {
-		if !c.endedAt.After(at) {
-			delete(s.crashes, endpoint)
-			changed = true
-		}
-	}
-	return changed
+	before := len(s.crashes)
+	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return !c.endedAt.After(at) })
+	s.generations = countGenerations(s.crashes)
+	return changed || len(s.crashes) != before
 }
 
 // unexplained returns the crashes at endpoints outside explained, in the order in which the endpoints ended.
 func (s *suspect) unexplained(explained map[uint64]bool) []crash {
 	crashes := make([]crash, 0, len(s.crashes))
-	for endpoint, c := range s.crashes {
-		if !explained[endpoint] {
+	for _, c := range s.crashes {
+		if !explained[c.endpoint] {
 			crashes = append(crashes, c)
 		}
 	}
-	slices.SortFunc(crashes, func(a, b crash) int { return a.endedAt.Compare(b.endedAt) })
 	return crashes
 }
 
-// generations counts successive crashes: those under a request that was sent after the crash counted before. Endpoints
+// countGenerations counts successive crashes: those under a request that was sent after the crash counted before. Endpoints
 // that end at the same time, for a reason of their own, so count once for all requests that they were serving.
-func generations(crashes []crash) int {
+func countGenerations(crashes []crash) int {
 	count := 0
 	var last time.Time
 	for _, c := range crashes {
@@ -99,38 +106,46 @@
 	return minGenerations
 }
 
+// missing returns how many generations more would block the part. It is less than 1 if the part is only judged once more.
+func (s *suspect) missing() int { return s.required() - s.generations }
+
 // recentlySound reports whether an answer to the part was survived shortly before the first crash.
 func (s *suspect) recentlySound() bool {
-	if s.soundAt.IsZero() {
-		return false
-	}
-	for _, c := range s.crashes {
-		if c.endedAt.Sub(s.soundAt) < soundMemory {
-			return true
-		}
-	}
-	return false
+	return !s.soundAt.IsZero() && len(s.crashes) > 0 && s.crashes[0].endedAt.Sub(s.soundAt) < soundMemory
 }
 
+// strong reports whether endpoints have ended one after the other under the part. All instances keep such parts, while a single crash makes
+// all parts suspect that the endpoint was working on.
+func (s *suspect) strong() bool { return s.generations > 1 }
+
 // lastCrash returns when the last endpoint ended; zero if none did.
 func (s *suspect) lastCrash() time.Time {
-	var last time.Time
-	for _, c := range s.crashes {
-		if c.endedAt.After(last) {
-			last = c.endedAt
-		}
+	if len(s.crashes) == 0 {
+		return time.Time{}
 	}
-	return last
+	return s.crashes[len(s.crashes)-1].endedAt
 }
 
-// expired reports whether the suspect no longer matters.
+// isNews reports whether the last change is to be passed on to peers.
+func (s *suspect) isNews(now time.Time) bool { return now.Sub(s.changedAt) < newsTime }
+
+// expired reports whether the suspect no longer matters. A part that has proved sound stays until peers know.
 func (s *suspect) expired(now time.Time) bool {
 	if len(s.crashes) == 0 {
-		return now.Sub(s.soundAt) > soundMemory
+		return !s.isNews(now)
 	}
 	return now.Sub(s.lastCrash()) > blockTime
 }
 
+// compareSuspects orders suspects by what speaks against them, those that are kept longest first: by the generations that are missing, then the
+// newest crash first.
+func compareSuspects(a, b *suspect) int {
+	if len(a.crashes) == 0 || len(b.crashes) == 0 {
+		return cmp.Compare(len(b.crashes), len(a.crashes))
+	}
+	return cmp.Or(cmp.Compare(a.missing(), b.missing()), b.lastCrash().Compare(a.lastCrash()))
+}
+
 // candidate is a suspect that may be blocked.
 type candidate struct {
 	part     uint64
@@ -144,31 +159,35 @@
 func blockedParts(suspects map[uint64]*suspect, now time.Time) map[uint64]time.Time {
 	blocked := make(map[uint64]time.Time)
 	explained := make(map[uint64]bool)
+	open := make(map[uint64]*suspect) // those that can be blocked
+	for part, s := range suspects {
+		if s.missing() <= 0 && now.Sub(s.knownAt) >= objectionTime {
+			open[part] = s
+		}
+	}
 	for {
-		best, ok := worst(suspects, blocked, explained, now)
+		best, ok := worst(open, explained)
 		if !ok {
 			return blocked
 		}
-		s := suspects[best]
+		s := open[best]
+		delete(open, best)
 		blocked[best] = s.lastCrash().Add(blockTime)
-		for endpoint := range s.crashes {
-			explained[endpoint] = true
+		for _, c := range s.crashes {
+			explained[c.endpoint] = true
 		}
 	}
 }
 
 // worst returns the suspect to block next; false if there is none.
-func worst(suspects map[uint64]*suspect, blocked map[uint64]time.Time, explained map[uint64]bool, now time.Time) (uint64, bool) {
+func worst(suspects map[uint64]*suspect, explained map[uint64]bool) (uint64, bool) {
 	var candidates []candidate
 	for part, s := range suspects {
-		if _, done := blocked[part]; done || now.Sub(s.knownAt) < objectionTime {
-			continue
-		}
 		crashes := s.unexplained(explained)
 		if len(crashes) == 0 {
 			continue
 		}
-		if required := s.required(); generations(crashes) >= required {
+		if required := s.required(); countGenerations(crashes) >= required {
 			candidates = append(candidates, candidate{part, len(crashes), required})
 		}
 	}
--- a/quarantine/topic.go
+++ b/quarantine/topic.go
@@ -1,8 +1,8 @@
 package quarantine
 
 import (
+	"cmp"
 	"encoding/binary"
-	"maps"
 	"slices"
 	"time"
 
@@ -19,7 +19,23 @@
 // Name implements link.Topic.
 func (q *Quarantine) Name() string { return "suspect prompt parts" }
 
-// Message implements link.Topic. A peer that is known to have the same suspects gets their digest only.
+const (
+	// maxMessageSuspects bounds the suspects in a message, of some 50 bytes each with one crash. maxMessageStrong bounds those that are
+	// sent for the digest's sake.
+	maxMessageSuspects = 256
+	maxMessageStrong   = 128
+)
+
+// peer is what is known of another instance.
+type peer struct {
+	incarnation  machine.Incarnation
+	digest       uint64 // of its strong suspects, as of its last message
+	received     uint64 // its last change that this instance has
+	acknowledged uint64 // this instance's last change that it has
+}
+
+// Message implements link.Topic. A peer gets what this instance has learned within newsTime and the peer has not confirmed. Strong suspects are
+// sent until both have the same ones, so that a peer that was away or has started learns them, too.
 func (q *Quarantine) Message(to machine.Member) []byte {
 	now := time.Now()
 	q.mu.Lock()
@@ -30,10 +46,12 @@
 	if now.Sub(q.evaluatedAt) >= evaluationInterval {
 		q.evaluate(now)
 	}
-	message := &quarantinepb.Suspects{Digest: q.digest()}
-	if known, heard := q.digests[to.ID]; !heard && len(q.suspects) > 0 || heard && known != message.Digest {
-		message.Suspects = q.suspectMessages(now)
+	p := q.peers[to.ID]
+	if p == nil {
+		p = &peer{}
 	}
+	message := &quarantinepb.Suspects{Digest: q.digest(), Received: p.received}
+	message.Suspects, message.Sequence = q.suspectsFor(p, now)
 	data, err := proto.Marshal(message)
 	if err != nil {
 		q.log.Error("encoding suspect prompt parts failed", "error", err)
@@ -42,40 +60,73 @@
 	return data
 }
 
-// suspectMessages encodes all suspects. The caller holds the lock.
-func (q *Quarantine) suspectMessages(now time.Time) []*quarantinepb.Suspect {
-	messages := make([]*quarantinepb.Suspect, 0, len(q.suspects))
+// suspectsFor returns the suspects that a peer may lack, those against which most speaks first, and the change up to which it has all
+// news with them. The caller holds the lock.
+func (q *Quarantine) suspectsFor(p *peer, now time.Time) (messages []*quarantinepb.Suspect, sequence uint64) {
+	var strong, news []uint64
 	for part, s := range q.suspects {
-		message := &quarantinepb.Suspect{Part: part}
-		for endpoint, c := range s.crashes {
-			message.Crashes = append(message.Crashes, &quarantinepb.Crash{
-				Endpoint: endpoint, SentAgeMs: ageMillis(now, c.sentAt), AgeMs: ageMillis(now, c.endedAt),
-			})
-		}
-		if !s.soundAt.IsZero() {
-			message.SoundAgeMs = proto.Uint32(ageMillis(now, s.soundAt))
+		switch {
+		case s.strong() && p.digest != q.digest():
+			strong = append(strong, part)
+		case s.sequence > p.acknowledged && s.isNews(now):
+			news = append(news, part)
 		}
-		messages = append(messages, message)
 	}
-	return messages
+	slices.SortFunc(strong, func(a, b uint64) int {
+		return cmp.Or(compareSuspects(q.suspects[a], q.suspects[b]), cmp.Compare(a, b))
+	})
+	slices.SortFunc(news, func(a, b uint64) int { return cmp.Compare(q.suspects[a].sequence, q.suspects[b].sequence) })
+	strong = strong[:min(len(strong), maxMessageStrong)]
+	sequence = q.sequence
+	if room := maxMessageSuspects - len(strong); len(news) > room {
+		news = news[:room]
+		sequence = q.suspects[news[room-1]].sequence
+	}
+	for _, part := range append(strong, news...) {
+		messages = append(messages, q.suspects[part].message(part, now))
+	}
+	return messages, sequence
+}
+
+// message encodes a suspect.
+func (s *suspect) message(part uint64, now time.Time) *quarantinepb.Suspect {
+	message := &quarantinepb.Suspect{Part: part}
+	for _, c := range s.crashes {
+		message.Crashes = append(message.Crashes, &quarantinepb.Crash{
+			Endpoint: c.endpoint, SentAgeMs: ageMillis(now, c.sentAt), AgeMs: ageMillis(now, c.endedAt),
+		})
+	}
+	if !s.soundAt.IsZero() {
+		message.SoundAgeMs = proto.Uint32(ageMillis(now, s.soundAt))
+	}
+	return message
 }
 
 func ageMillis(now, at time.Time) uint32 { return uint32(max(now.Sub(at).Milliseconds(), 0)) }
 
-// digest hashes what peers must agree on: the suspects, the endpoints that ended under them, and whether any survived an
-// answer, or did so recently. The caller holds the lock.
+// digest hashes what peers must agree on: the strong suspects, the endpoints that ended under them, and whether any survived an
+// answer, or did so recently; 0 without any. The caller holds the lock.
 func (q *Quarantine) digest() uint64 {
-	if len(q.suspects) == 0 {
-		return 0
-	}
 	if q.digestValid {
 		return q.ownDigest
 	}
+	var strong []uint64
+	for part, s := range q.suspects {
+		if s.strong() {
+			strong = append(strong, part)
+		}
+	}
+	slices.Sort(strong)
 	var buffer []byte
-	for _, part := range slices.Sorted(maps.Keys(q.suspects)) {
+	for _, part := range strong {
 		s := q.suspects[part]
 		buffer = binary.LittleEndian.AppendUint64(buffer, part)
-		for _, endpoint := range slices.Sorted(maps.Keys(s.crashes)) {
+		endpoints := make([]uint64, 0, len(s.crashes))
+		for _, c := range s.crashes {
+			endpoints = append(endpoints, c.endpoint)
+		}
+		slices.Sort(endpoints)
+		for _, endpoint := range endpoints {
 			buffer = binary.LittleEndian.AppendUint64(buffer, endpoint)
 		}
 		buffer = append(buffer, ';')
@@ -86,7 +137,10 @@
 			buffer = append(buffer, 'r')
 		}
 	}
-	q.ownDigest, q.digestValid = xxhash.Sum64(buffer), true
+	q.ownDigest, q.digestValid = 0, true
+	if len(buffer) > 0 {
+		q.ownDigest = xxhash.Sum64(buffer)
+	}
 	return q.ownDigest
 }
 
@@ -100,28 +154,40 @@
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.digests[from.ID] = message.GetDigest()
+	p := q.peers[from.ID]
+	if p == nil || p.incarnation != from.Incarnation {
+		p = &peer{incarnation: from.Incarnation}
+		q.peers[from.ID] = p
+	}
+	p.digest, p.received = message.GetDigest(), message.GetSequence()
+	if message.GetReceived() <= q.sequence {
+		p.acknowledged = message.GetReceived()
+	}
 	if len(message.GetSuspects()) == 0 {
 		return
 	}
 	for _, entry := range message.GetSuspects() {
 		q.merge(entry, now)
 	}
-	q.digestValid = false
+	q.trimSuspects()
 	q.evaluate(now)
 }
 
 // merge adds a peer's knowledge of one part. The caller holds the lock.
 func (q *Quarantine) merge(entry *quarantinepb.Suspect, now time.Time) {
+	_, known := q.suspects[entry.GetPart()]
 	s := q.suspect(entry.GetPart())
-	if s == nil {
-		return
-	}
+	changed := !known
 	ago := func(ms uint32) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	for _, c := range entry.GetCrashes() {
-		s.add(c.GetEndpoint(), crash{sentAt: ago(c.GetSentAgeMs()), endedAt: ago(c.GetAgeMs())}, now)
+		if s.add(crash{endpoint: c.GetEndpoint(), sentAt: ago(c.GetSentAgeMs()), endedAt: ago(c.GetAgeMs())}, now) {
+			changed = true
+		}
+	}
+	if entry.SoundAgeMs != nil && s.clear(ago(entry.GetSoundAgeMs())) {
+		changed = true
 	}
-	if entry.SoundAgeMs != nil {
-		s.clear(ago(entry.GetSoundAgeMs()))
+	if changed {
+		q.touch(s, now)
 	}
 }
