quarantine: suspect prompt parts outlast the instances

Cause: suspects were kept in memory and in messages between instances only. Besides, a new instance awaited objections once more before it believed peers that had blocked a part long before.

Change: suspects with successive crashes are stored under leases of ten minutes, 64 at most, written by the first of four instances in turn, and read with the copy of the store. They are deleted when the part proves sound; an operator who deletes one releases the part; a deletion around an outage releases nothing. Messages state how long the sender has known of the crashes. canary and quarantine share machine.Rank.

Evidence: TestAllInstancesEnd (not blocked after the restart before the change: there was nothing to read) and the new line of TestRestartedPeer (failed before) pass.

Why this works: the copy of the store comes with the endpoints, so that an instance can't know endpoints without the stored parts.

--- a/canary/driver.go
+++ b/canary/driver.go
@@ -9,8 +9,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"plumbarrow.example/plumbarrow/machine"
 	"plumbarrow.example/plumbarrow/mirror"
 )
@@ -175,13 +173,7 @@
 // acquireDelay returns how long this instance waits before it tries to take the free lease. All instances receive an
 // order at about the same time, so they try one after the other, in an order that they agree on.
 func (d *Driver) acquireDelay() time.Duration {
-	rank := 0
-	weight := xxhash.Sum64String(DriverKey + string(d.members.Self().ID))
-	for _, member := range d.members.Live() {
-		if xxhash.Sum64String(DriverKey+string(member.ID)) > weight {
-			rank++
-		}
-	}
+	rank := machine.Rank(DriverKey, d.members)
 	turn := min(rank, maxAcquireRank)
 	jitter := driverPeriod + time.Duration(rank-turn)*acquireSpread
 	return time.Duration(turn)*acquireInterval + time.Duration(rand.Int64N(int64(jitter)))
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -80,6 +80,7 @@
 	table          *upstream.Table
 	rollouts       *canary.Rollouts
 	quarantine     *quarantine.Quarantine
+	keeper         *quarantine.Keeper
 	driver         *canary.Driver
 	endpointClient *link.EndpointClient
 	callers        *intake.Guard
@@ -163,6 +164,8 @@
 	g.reachMonitor = upstream.NewReachMonitor(g.table, g.endpointClient, g.counters, g.log)
 	g.endpointClient.BoundHeads(headBudget(g.settings.MemoryMB, g.counters))
 	g.quarantine = quarantine.New(g.endpointClient, g.exchange.TriggerRound, g.counters, g.log)
+	g.keeper = quarantine.NewKeeper(g.quarantine, g.store, g.mirror.Era, g.membership, g.log)
+	decoder.Quarantine = g.quarantine
 	g.exchange.Add(g.mirrorTopic)
 	g.exchange.Add(upstream.NewLoadTopic(g.table))
 	g.exchange.Add(upstream.NewLimitTopic(g.table))
@@ -241,6 +244,7 @@
 		g.membership.Run,
 		g.exchange.Run,
 		g.driver.Run,
+		g.keeper.Run,
 		g.sweep,
 		g.reachMonitor.Run,
 		g.servePeers,
--- a/machine/ring.go
+++ b/machine/ring.go
@@ -49,3 +49,16 @@
 	_, ok := r.members[string(id)]
 	return ok
 }
+
+// Rank returns how many live members come before this instance in an order that depends on the key and on which all instances with the same
+// members agree.
+func Rank(key string, members Members) int {
+	rank := 0
+	weight := xxhash.Sum64String(key + string(members.Self().ID))
+	for _, member := range members.Live() {
+		if xxhash.Sum64String(key+string(member.ID)) > weight {
+			rank++
+		}
+	}
+	return rank
+}
--- /dev/null
+++ b/quarantine/fleet_target_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package quarantine
+
+func init() { storedFleetSizes = append(storedFleetSizes, 300) }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -58,6 +58,7 @@
 	sound    map[uint64]time.Time // last sound answer seen here, by part
 	peers    map[machine.InstanceID]*peer
 	probing  map[machine.EndpointID]struct{} // probes in flight
+	stored   map[uint64]storedSuspect        // documents in the store, by part
 
 	evaluatedAt time.Time
 	sequence    uint64 // of the last change of a suspect
@@ -74,6 +75,7 @@
 		sound:    make(map[uint64]time.Time),
 		peers:    make(map[machine.InstanceID]*peer),
 		probing:  make(map[machine.EndpointID]struct{}),
+		stored:   make(map[uint64]storedSuspect),
 	}
 	q.blocked.Store(&map[uint64]time.Time{})
 	counters.Gauge("plumbarrow_quarantined_parts", func() float64 { return float64(len(*q.blocked.Load())) })
@@ -286,7 +288,11 @@
 	}
 	for part := range before {
 		if _, still := blocked[part]; !still {
-			q.log.Info("prompt part released from quarantine", "part", strconv.FormatUint(part, 16))
+			reason := "no crash for " + blockTime.String()
+			if s := q.suspects[part]; s != nil {
+				reason = "answered, or deleted from the store"
+			}
+			q.log.Info("prompt part released from quarantine", "part", strconv.FormatUint(part, 16), "reason", reason)
 		}
 	}
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -217,7 +217,8 @@
 		restarted := newFixture()
 		a.Receive(memberB, restarted.Message(memberA))
 		restarted.Receive(memberA, a.Message(memberB))
-		c.Check(restarted.blocks(bad), qt.IsTrue)
+		_, blocked := restarted.Blocked("chat", prompt(bad))
+		c.Check(blocked, qt.IsTrue) // a has awaited objections
 	})
 }
 
--- a/quarantine/topic.go
+++ b/quarantine/topic.go
@@ -91,6 +91,9 @@
 // message encodes a suspect.
 func (s *suspect) message(part uint64, now time.Time) *quarantinepb.Suspect {
 	message := &quarantinepb.Suspect{Part: part}
+	if len(s.crashes) > 0 {
+		message.KnownAgeMs = ageMillis(now, s.knownAt)
+	}
 	for _, c := range s.crashes {
 		message.Crashes = append(message.Crashes, &quarantinepb.Crash{
 			Endpoint: c.endpoint, SentAgeMs: ageMillis(now, c.sentAt), AgeMs: ageMillis(now, c.endedAt),
@@ -177,13 +180,17 @@
 func (q *Quarantine) merge(entry *quarantinepb.Suspect, now time.Time) {
 	_, known := q.suspects[entry.GetPart()]
 	s := q.suspect(entry.GetPart())
-	changed := !known
+	changed, hadCrashes := !known, len(s.crashes) > 0
 	ago := func(ms uint32) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	for _, c := range entry.GetCrashes() {
 		if s.add(crash{endpoint: c.GetEndpoint(), sentAt: ago(c.GetSentAgeMs()), endedAt: ago(c.GetAgeMs())}, now) {
 			changed = true
 		}
 	}
+	if !hadCrashes {
+		// Objections have reached the sender since it has known.
+		s.knownAt = ago(entry.GetKnownAgeMs())
+	}
 	if entry.SoundAgeMs != nil && s.clear(ago(entry.GetSoundAgeMs())) {
 		changed = true
 	}
