quarantine: crashes count for a prompt part at all services

Cause: what is known of a part was filed under a hash of the part and the service, so that it was judged anew there.

Change: crashes count for the part wherever its requests went, answers for the service that gave them. A part is blocked at all services but those that have answered it lately.

--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -365,13 +365,13 @@
 	}
 }
 
-// quarantined returns the refusal of a request with a prompt part that crashes the service's endpoints, else nil.
+// quarantined returns the refusal of a request with a prompt part that crashes endpoints, else nil.
 func (f *requestState) quarantined() *verdict.Refusal {
 	remaining, blocked := f.server.Quarantine.Blocked(f.service, f.call.SharedParts())
 	if !blocked {
 		return nil
 	}
-	refusal := verdict.Refuse(verdict.PromptQuarantined, "a part of the prompt crashes the endpoints of service %s", f.service)
+	refusal := verdict.Refuse(verdict.PromptQuarantined, "a part of the prompt crashes endpoints")
 	refusal.RetryAfter = remaining
 	return refusal
 }
--- a/quarantine/exposure.go
+++ b/quarantine/exposure.go
@@ -40,7 +40,7 @@
 	quarantine *Quarantine
 	endpoint   machine.EndpointID
 	address    string
-	parts      []uint64
+	parts      []partRef
 	sentAt     time.Time
 	answeredAt time.Time // first byte of the answer; zero before
 	endedAt    time.Time // zero while the attempt lasts
@@ -54,11 +54,16 @@
 		return nil
 	}
 	now := time.Now()
-	x := &Exposure{quarantine: q, endpoint: endpoint, address: address, parts: partKeys(service, parts), sentAt: now}
+	x := &Exposure{quarantine: q, endpoint: endpoint, address: address, parts: partRefs(service, parts), sentAt: now}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.settle(endpoint, now)
 	q.open[endpoint] = append(q.open[endpoint], x)
+	for _, ref := range x.parts {
+		if s := q.suspects[ref.key]; s != nil {
+			s.part = ref.part // a peer may not have stated it
+		}
+	}
 	return x
 }
 
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -111,44 +111,43 @@
 func (q *Quarantine) documentChanges(now time.Time) (puts []mirror.Put, conditions []mirror.Condition, deletes []string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	blocked := *q.blocked.Load()
+	blocked := q.blocked.Load()
+	isBlocked := func(s *suspect) bool {
+		_, found := blocked.until[s.part]
+		return found
+	}
 	var wanted []uint64
-	for part, s := range q.suspects {
-		if _, isBlocked := blocked[part]; s.strong() && (isBlocked || !s.recentlySound()) {
-			wanted = append(wanted, part)
+	for key, s := range q.suspects {
+		if s.lasting && len(s.crashes) > 0 && (isBlocked(s) || !s.recentlySound()) {
+			wanted = append(wanted, key)
 		}
 	}
 	slices.SortFunc(wanted, func(a, b uint64) int {
 		return cmp.Or(compareSuspects(q.suspects[a], q.suspects[b]), cmp.Compare(a, b))
 	})
-	wanted = wanted[:min(len(wanted), maxDocuments)]
-	for _, part := range wanted {
-		s, isBlocked := q.suspects[part], mapHas(blocked, part)
-		if len(conditions) == maxBatch || !q.stored[part].differs(s, isBlocked) {
+	for _, key := range wanted[:min(len(wanted), maxDocuments)] {
+		s, stored := q.suspects[key], q.stored[key]
+		if len(conditions) == maxBatch || !stored.differs(s, isBlocked(s)) {
 			continue
 		}
-		value, err := encodeDocument(s, isBlocked, now)
+		value, err := encodeDocument(s, isBlocked(s), now)
 		if err != nil {
 			q.log.Error("encoding suspect prompt part failed", "error", err)
 			continue
 		}
-		puts = append(puts, mirror.Put{Key: documentKey(part), Value: value})
-		conditions = append(conditions, mirror.Condition{Key: documentKey(part), Revision: q.stored[part].revision})
+		name := cmp.Or(stored.key, documentKey(partRef{key: key, part: s.part}))
+		puts = append(puts, mirror.Put{Key: name, Value: value})
+		conditions = append(conditions, mirror.Condition{Key: name, Revision: stored.revision})
 	}
-	for _, part := range slices.Sorted(maps.Keys(q.stored)) {
-		if s := q.suspects[part]; len(conditions) < maxBatch && (s == nil || len(s.crashes) == 0) {
-			deletes = append(deletes, documentKey(part))
-			conditions = append(conditions, mirror.Condition{Key: documentKey(part), Revision: q.stored[part].revision})
+	for _, key := range slices.Sorted(maps.Keys(q.stored)) {
+		if s := q.suspects[key]; len(conditions) < maxBatch && (s == nil || len(s.crashes) == 0) {
+			deletes = append(deletes, q.stored[key].key)
+			conditions = append(conditions, mirror.Condition{Key: q.stored[key].key, Revision: q.stored[key].revision})
 		}
 	}
 	return puts, conditions, deletes
 }
 
-func mapHas(parts map[uint64]time.Time, part uint64) bool {
-	_, found := parts[part]
-	return found
-}
-
 // differs reports whether the document is to be written again.
 func (d storedSuspect) differs(s *suspect, blocked bool) bool {
 	switch {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -50,15 +50,15 @@
 	counters *telemetry.Counters
 	log      *slog.Logger
 
-	blocked atomic.Pointer[map[uint64]time.Time] // end of the blocking, by part
+	blocked atomic.Pointer[blockedParts]
 
 	mu       sync.Mutex
 	open     map[machine.EndpointID][]*Exposure // not yet settled
-	suspects map[uint64]*suspect
-	sound    map[uint64]time.Time // last sound answer seen here, by part
+	suspects map[uint64]*suspect                // by key, see partRef
+	sound    map[uint64]soundAnswer             // last sound answers seen here, by key
 	peers    map[machine.InstanceID]*peer
 	probing  map[machine.EndpointID]struct{} // probes in flight
-	stored   map[uint64]storedSuspect        // documents in the store, by part
+	stored   map[uint64]storedSuspect        // documents in the store, by key
 
 	evaluatedAt time.Time
 	sequence    uint64 // of the last change of a suspect
@@ -72,13 +72,13 @@
 		prober: prober, changed: changed, counters: counters, log: log,
 		open:     make(map[machine.EndpointID][]*Exposure),
 		suspects: make(map[uint64]*suspect),
-		sound:    make(map[uint64]time.Time),
+		sound:    make(map[uint64]soundAnswer),
 		peers:    make(map[machine.InstanceID]*peer),
 		probing:  make(map[machine.EndpointID]struct{}),
 		stored:   make(map[uint64]storedSuspect),
 	}
-	q.blocked.Store(&map[uint64]time.Time{})
-	counters.Gauge("plumbarrow_quarantined_parts", func() float64 { return float64(len(*q.blocked.Load())) })
+	q.blocked.Store(&blockedParts{})
+	counters.Gauge("plumbarrow_quarantined_parts", func() float64 { return float64(len(q.blocked.Load().until)) })
 	counters.Gauge("plumbarrow_suspect_parts", func() float64 {
 		q.mu.Lock()
 		defer q.mu.Unlock()
@@ -87,28 +87,39 @@
 	return q
 }
 
-// partKey hashes a part together with the service, whose endpoints it may crash while those of others serve it.
-func partKey(service string, part upstream.PromptPart) uint64 {
-	buffer := make([]byte, 0, 64) // on the stack
-	return xxhash.Sum64(append(binary.LittleEndian.AppendUint64(buffer, part.ID), service...))
+// partRef names a part at a service. Answers count for the service that gave them, crashes for the part anywhere.
+type partRef struct {
+	key  uint64 // hash of the part's id and the service's name
+	part uint64 // hash of the part's id alone; 0 if unknown
 }
 
-func partKeys(service string, parts []upstream.PromptPart) []uint64 {
-	keys := make([]uint64, len(parts))
+// soundAnswer is an answer that its endpoint survived.
+type soundAnswer struct {
+	at   time.Time
+	part uint64
+}
+
+func newPartRef(service string, part upstream.PromptPart) partRef {
+	buffer := binary.LittleEndian.AppendUint64(make([]byte, 0, 64), part.ID) // on the stack
+	return partRef{key: xxhash.Sum64(append(buffer, service...)), part: xxhash.Sum64(buffer)}
+}
+
+func partRefs(service string, parts []upstream.PromptPart) []partRef {
+	refs := make([]partRef, len(parts))
 	for i, part := range parts {
-		keys[i] = partKey(service, part)
+		refs[i] = newPartRef(service, part)
 	}
-	return keys
+	return refs
 }
 
 // Blocked reports whether requests to the service with any of the parts are blocked, and for how much longer.
 func (q *Quarantine) Blocked(service string, parts []upstream.PromptPart) (remaining time.Duration, blocked bool) {
-	all := *q.blocked.Load()
-	if len(all) == 0 {
+	all := q.blocked.Load()
+	if len(all.until) == 0 {
 		return 0, false
 	}
 	for _, part := range parts {
-		if until, found := all[partKey(service, part)]; found {
+		if until, found := all.find(newPartRef(service, part)); found {
 			return max(time.Until(until), 0), true
 		}
 	}
@@ -123,9 +134,9 @@
 	exposed := slices.DeleteFunc(slices.Clone(q.open[endpoint]), func(x *Exposure) bool { return !x.exposedAt(at) })
 	var news []uint64
 	for _, e := range crashParts(exposed, hash) {
-		if s := q.suspect(e.part); s.add(crash{endpoint: hash, sentAt: e.sentAt, endedAt: at}, at) {
+		if s := q.suspect(e.ref); s.add(crash{endpoint: hash, sentAt: e.sentAt, endedAt: at}, at) {
 			q.touch(s, at)
-			news = append(news, e.part)
+			news = append(news, e.ref.part)
 		}
 	}
 	delete(q.open, endpoint)
@@ -146,7 +157,7 @@
 
 // exposedPart is a part of a request at an endpoint that has ended.
 type exposedPart struct {
-	part   uint64
+	ref    partRef
 	sentAt time.Time
 	order  uint64 // pseudo-random, the same at all instances
 }
@@ -164,10 +175,10 @@
 		}
 		first := len(chosen)
 		for _, x := range exposed[:alike] {
-			for _, part := range x.parts {
-				if !seen[part] {
-					seen[part] = true
-					chosen = append(chosen, exposedPart{part: part, sentAt: x.sentAt, order: (part ^ endpoint) * orderFactor})
+			for _, ref := range x.parts {
+				if !seen[ref.key] {
+					seen[ref.key] = true
+					chosen = append(chosen, exposedPart{ref: ref, sentAt: x.sentAt, order: (ref.key ^ endpoint) * orderFactor})
 				}
 			}
 		}
@@ -205,8 +216,8 @@
 		return cmp.Or(compareSuspects(q.suspects[a], q.suspects[b]), cmp.Compare(a, b))
 	})
 	dropped := ordered[maxSuspects*7/8:]
-	for _, part := range dropped {
-		delete(q.suspects, part)
+	for _, key := range dropped {
+		delete(q.suspects, key)
 	}
 	q.digestValid = false
 	q.counters.AddN("plumbarrow_suspects_dropped_total", len(dropped))
@@ -214,9 +225,9 @@
 }
 
 // anySuspect reports whether endpoints have ended under one of the parts. The caller holds the lock.
-func (q *Quarantine) anySuspect(parts []uint64) bool {
-	for _, part := range parts {
-		if s := q.suspects[part]; s != nil && len(s.crashes) > 0 {
+func (q *Quarantine) anySuspect(parts []partRef) bool {
+	for _, ref := range parts {
+		if s := q.suspects[ref.key]; s != nil && len(s.crashes) > 0 {
 			return true
 		}
 	}
@@ -224,11 +235,11 @@
 }
 
 // recordSound records that an endpoint has survived an answer to the parts. The caller holds the lock.
-func (q *Quarantine) recordSound(parts []uint64, now time.Time) {
+func (q *Quarantine) recordSound(parts []partRef, now time.Time) {
 	news := false
-	for _, part := range parts {
-		q.sound[part] = now
-		if s := q.suspects[part]; s != nil && s.clear(now) {
+	for _, ref := range parts {
+		q.sound[ref.key] = soundAnswer{at: now, part: ref.part}
+		if s := q.suspects[ref.key]; s != nil && s.clear(now) {
 			q.touch(s, now)
 			news = true
 		}
@@ -245,54 +256,93 @@
 // trimSound forgets the sound answers that are oldest, half of them. The caller holds the lock.
 func (q *Quarantine) trimSound() {
 	ordered := slices.SortedFunc(maps.Keys(q.sound), func(a, b uint64) int {
-		return cmp.Or(q.sound[b].Compare(q.sound[a]), cmp.Compare(a, b))
+		return cmp.Or(q.sound[b].at.Compare(q.sound[a].at), cmp.Compare(a, b))
 	})
-	for _, part := range ordered[maxSound/2:] {
-		delete(q.sound, part)
+	for _, key := range ordered[maxSound/2:] {
+		delete(q.sound, key)
 	}
 }
 
-// suspect returns the state of a part, new if it was not suspect before. The caller holds the lock, and calls trimSuspects later.
-func (q *Quarantine) suspect(part uint64) *suspect {
-	s := q.suspects[part]
+// suspect returns the state of a part at a service, new if it was not suspect before. The caller holds the lock, and calls trimSuspects later.
+func (q *Quarantine) suspect(ref partRef) *suspect {
+	s := q.suspects[ref.key]
 	if s == nil {
-		s = &suspect{}
-		q.suspects[part] = s
+		s = &suspect{part: ref.key}
+		q.suspects[ref.key] = s
 	}
-	if len(s.crashes) == 0 && q.sound[part].After(s.soundAt) {
-		s.soundAt = q.sound[part]
+	if ref.part != 0 {
+		s.part = ref.part
+	}
+	if answer := q.sound[ref.key]; len(s.crashes) == 0 && answer.at.After(s.soundAt) {
+		s.soundAt = answer.at
 	}
 	return s
 }
 
-// evaluate decides which parts are blocked. The caller holds the lock.
+// recallAnswers makes known the answers of other services to the groups' parts that are remembered here, before these are blocked for them. The
+// caller holds the lock.
+func (q *Quarantine) recallAnswers(groups map[uint64]*group, now time.Time) {
+	if len(groups) == 0 {
+		return
+	}
+	for key, answer := range q.sound {
+		if g := groups[answer.part]; g != nil && q.suspects[key] == nil && g.answerCounts(answer.at) {
+			q.touch(q.suspect(partRef{key: key, part: answer.part}), now)
+			g.sound = append(g.sound, key)
+		}
+	}
+}
+
+// evaluate decides which parts are blocked, and which suspects all instances keep: those of parts under which endpoints have ended one after the
+// other, while a single crash makes all parts suspect that the endpoint was working on. The caller holds the lock.
 func (q *Quarantine) evaluate(now time.Time) {
 	q.evaluatedAt = now
-	for part, s := range q.suspects {
+	for key, s := range q.suspects {
 		if s.expired(now) {
-			delete(q.suspects, part)
+			delete(q.suspects, key)
 			q.digestValid = false
 		}
 	}
-	before := *q.blocked.Load()
-	if len(before) == 0 && len(q.suspects) == 0 {
+	before := q.blocked.Load()
+	if len(before.until) == 0 && len(q.suspects) == 0 {
 		return
 	}
-	blocked := blockedParts(q.suspects, now)
-	q.blocked.Store(&blocked)
-	for part := range blocked {
-		if _, known := before[part]; !known {
-			q.counters.Inc("plumbarrow_quarantines_total")
-			q.log.Warn("prompt part quarantined", "part", strconv.FormatUint(part, 16), "crashes", len(q.suspects[part].crashes))
+	groups := groupSuspects(q.suspects)
+	byPart := make(map[uint64]*group, len(groups))
+	for _, g := range groups {
+		byPart[g.part] = g
+	}
+	q.recallAnswers(byPart, now)
+	for _, s := range q.suspects {
+		if is := byPart[s.part] != nil; is != s.lasting {
+			s.lasting = is
+			q.digestValid = false
 		}
 	}
-	for part := range before {
-		if _, still := blocked[part]; !still {
-			reason := "no crash for " + blockTime.String()
-			if s := q.suspects[part]; s != nil {
-				reason = "answered, or deleted from the store"
-			}
-			q.log.Info("prompt part released from quarantine", "part", strconv.FormatUint(part, 16), "reason", reason)
+	blocked := judge(groups, now)
+	q.blocked.Store(blocked)
+	q.logBlocked(before, blocked, groups)
+}
+
+// logBlocked logs which parts are blocked now and were not before, and the reverse. The caller holds the lock.
+func (q *Quarantine) logBlocked(before, blocked *blockedParts, groups []*group) {
+	for _, g := range groups {
+		_, is := blocked.until[g.part]
+		if _, was := before.until[g.part]; !is || was {
+			continue
+		}
+		q.counters.Inc("plumbarrow_quarantines_total")
+		q.log.Warn("prompt part quarantined", "part", strconv.FormatUint(g.part, 16), "crashes", len(g.evidence.crashes),
+			"generations", g.evidence.generations, "services_that_answered", len(g.sound))
+	}
+	for part, until := range before.until {
+		if _, still := blocked.until[part]; still {
+			continue
+		}
+		reason := "answered, or deleted from the store"
+		if !q.evaluatedAt.Before(until) {
+			reason = "no crash for " + blockTime.String()
 		}
+		q.log.Info("prompt part released from quarantine", "part", strconv.FormatUint(part, 16), "reason", reason)
 	}
 }
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -32,8 +32,9 @@
 	endedAt  time.Time
 }
 
-// suspect is a part under which endpoints have ended.
+// suspect is a part at one service under which endpoints have ended, or which was answered there while others ended elsewhere.
 type suspect struct {
+	part    uint64    // hash of the part alone; the suspect's key while that is unknown
 	crashes []crash   // in the order in which the endpoints ended; only those after soundAt
 	soundAt time.Time // when an endpoint was last seen to survive an answer to the part; zero if none was
 	knownAt time.Time // when this instance learned of the first crash in crashes
@@ -41,6 +42,7 @@
 	generations int       // see countGenerations
 	changedAt   time.Time // when this instance learned last what peers may not know
 	sequence    uint64    // of that change among the instance's changes
+	lasting     bool      // see Quarantine.evaluate
 }
 
 // add records a crash, unless the part has proved sound since or the crash is known.
@@ -114,10 +116,6 @@
 	return !s.soundAt.IsZero() && len(s.crashes) > 0 && s.crashes[0].endedAt.Sub(s.soundAt) < soundMemory
 }
 
-// strong reports whether endpoints have ended one after the other under the part. All instances keep such parts, while a single crash makes
-// all parts suspect that the endpoint was working on.
-func (s *suspect) strong() bool { return s.generations > 1 }
-
 // lastCrash returns when the last endpoint ended; zero if none did.
 func (s *suspect) lastCrash() time.Time {
 	if len(s.crashes) == 0 {
@@ -129,10 +127,11 @@
 // isNews reports whether the last change is to be passed on to peers.
 func (s *suspect) isNews(now time.Time) bool { return now.Sub(s.changedAt) < newsTime }
 
-// expired reports whether the suspect no longer matters. A part that has proved sound stays until peers know.
+// expired reports whether the suspect no longer matters. A part that has proved sound stays until peers know, and where it may be
+// blocked for the sake of other services.
 func (s *suspect) expired(now time.Time) bool {
 	if len(s.crashes) == 0 {
-		return !s.isNews(now)
+		return !s.isNews(now) && !s.lasting
 	}
 	return now.Sub(s.lastCrash()) > blockTime
 }
@@ -145,56 +144,3 @@
 	}
 	return cmp.Or(cmp.Compare(a.missing(), b.missing()), b.lastCrash().Compare(a.lastCrash()))
 }
-
-// candidate is a suspect that may be blocked.
-type candidate struct {
-	part     uint64
-	crashes  int
-	required int
-}
-
-// blockedParts returns the parts to block, with the end of their blocking. An endpoint that ends breaks off all its requests, so
-// that sound parts are suspect too. As in a greedy set cover, the part with most crashes is taken first and explains
-// them; the other parts are judged by the rest.
-func blockedParts(suspects map[uint64]*suspect, now time.Time) map[uint64]time.Time {
-	blocked := make(map[uint64]time.Time)
-	explained := make(map[uint64]bool)
-	open := make(map[uint64]*suspect) // those that can be blocked
-	for part, s := range suspects {
-		if s.missing() <= 0 && now.Sub(s.knownAt) >= objectionTime {
-			open[part] = s
-		}
-	}
-	for {
-		best, ok := worst(open, explained)
-		if !ok {
-			return blocked
-		}
-		s := open[best]
-		delete(open, best)
-		blocked[best] = s.lastCrash().Add(blockTime)
-		for _, c := range s.crashes {
-			explained[c.endpoint] = true
-		}
-	}
-}
-
-// worst returns the suspect to block next; false if there is none.
-func worst(suspects map[uint64]*suspect, explained map[uint64]bool) (uint64, bool) {
-	var candidates []candidate
-	for part, s := range suspects {
-		crashes := s.unexplained(explained)
-		if len(crashes) == 0 {
-			continue
-		}
-		if required := s.required(); countGenerations(crashes) >= required {
-			candidates = append(candidates, candidate{part, len(crashes), required})
-		}
-	}
-	if len(candidates) == 0 {
-		return 0, false
-	}
-	return slices.MinFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.required, b.required), cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.part, b.part))
-	}).part, true
-}
--- a/quarantine/topic.go
+++ b/quarantine/topic.go
@@ -20,21 +20,21 @@
 func (q *Quarantine) Name() string { return "suspect prompt parts" }
 
 const (
-	// maxMessageSuspects bounds the suspects in a message, of some 50 bytes each with one crash. maxMessageStrong bounds those that are
+	// maxMessageSuspects bounds the suspects in a message, of some 50 bytes each with one crash. maxMessageLasting bounds those that are
 	// sent for the digest's sake.
 	maxMessageSuspects = 256
-	maxMessageStrong   = 128
+	maxMessageLasting  = 128
 )
 
 // peer is what is known of another instance.
 type peer struct {
 	incarnation  machine.Incarnation
-	digest       uint64 // of its strong suspects, as of its last message
+	digest       uint64 // of its lasting suspects, as of its last message
 	received     uint64 // its last change that this instance has
 	acknowledged uint64 // this instance's last change that it has
 }
 
-// Message implements link.Topic. A peer gets what this instance has learned within newsTime and the peer has not confirmed. Strong suspects are
+// Message implements link.Topic. A peer gets what this instance has learned within newsTime and the peer has not confirmed. Lasting suspects are
 // sent until both have the same ones, so that a peer that was away or has started learns them, too.
 func (q *Quarantine) Message(to machine.Member) []byte {
 	now := time.Now()
@@ -63,34 +63,37 @@
 // suspectsFor returns the suspects that a peer may lack, those against which most speaks first, and the change up to which it has all
 // news with them. The caller holds the lock.
 func (q *Quarantine) suspectsFor(p *peer, now time.Time) (messages []*quarantinepb.Suspect, sequence uint64) {
-	var strong, news []uint64
-	for part, s := range q.suspects {
+	var lasting, news []uint64
+	for key, s := range q.suspects {
 		switch {
-		case s.strong() && p.digest != q.digest():
-			strong = append(strong, part)
+		case s.lasting && p.digest != q.digest():
+			lasting = append(lasting, key)
 		case s.sequence > p.acknowledged && s.isNews(now):
-			news = append(news, part)
+			news = append(news, key)
 		}
 	}
-	slices.SortFunc(strong, func(a, b uint64) int {
+	slices.SortFunc(lasting, func(a, b uint64) int {
 		return cmp.Or(compareSuspects(q.suspects[a], q.suspects[b]), cmp.Compare(a, b))
 	})
 	slices.SortFunc(news, func(a, b uint64) int { return cmp.Compare(q.suspects[a].sequence, q.suspects[b].sequence) })
-	strong = strong[:min(len(strong), maxMessageStrong)]
+	lasting = lasting[:min(len(lasting), maxMessageLasting)]
 	sequence = q.sequence
-	if room := maxMessageSuspects - len(strong); len(news) > room {
+	if room := maxMessageSuspects - len(lasting); len(news) > room {
 		news = news[:room]
 		sequence = q.suspects[news[room-1]].sequence
 	}
-	for _, part := range append(strong, news...) {
-		messages = append(messages, q.suspects[part].message(part, now))
+	for _, key := range append(lasting, news...) {
+		messages = append(messages, q.suspects[key].message(key, now))
 	}
 	return messages, sequence
 }
 
 // message encodes a suspect.
-func (s *suspect) message(part uint64, now time.Time) *quarantinepb.Suspect {
-	message := &quarantinepb.Suspect{Part: part}
+func (s *suspect) message(key uint64, now time.Time) *quarantinepb.Suspect {
+	message := &quarantinepb.Suspect{Part: key}
+	if s.part != key {
+		message.PromptPart = s.part
+	}
 	if len(s.crashes) > 0 {
 		message.KnownAgeMs = ageMillis(now, s.knownAt)
 	}
@@ -107,23 +110,23 @@
 
 func ageMillis(now, at time.Time) uint32 { return uint32(max(now.Sub(at).Milliseconds(), 0)) }
 
-// digest hashes what peers must agree on: the strong suspects, the endpoints that ended under them, and whether any survived an
+// digest hashes what peers must agree on: the lasting suspects, the endpoints that ended under them, and whether any survived an
 // answer, or did so recently; 0 without any. The caller holds the lock.
 func (q *Quarantine) digest() uint64 {
 	if q.digestValid {
 		return q.ownDigest
 	}
-	var strong []uint64
-	for part, s := range q.suspects {
-		if s.strong() {
-			strong = append(strong, part)
+	var lasting []uint64
+	for key, s := range q.suspects {
+		if s.lasting {
+			lasting = append(lasting, key)
 		}
 	}
-	slices.Sort(strong)
+	slices.Sort(lasting)
 	var buffer []byte
-	for _, part := range strong {
-		s := q.suspects[part]
-		buffer = binary.LittleEndian.AppendUint64(buffer, part)
+	for _, key := range lasting {
+		s := q.suspects[key]
+		buffer = binary.LittleEndian.AppendUint64(buffer, key)
 		endpoints := make([]uint64, 0, len(s.crashes))
 		for _, c := range s.crashes {
 			endpoints = append(endpoints, c.endpoint)
@@ -176,10 +179,10 @@
 	q.evaluate(now)
 }
 
-// merge adds a peer's knowledge of one part. The caller holds the lock.
+// merge adds a peer's knowledge of one part at a service. The caller holds the lock.
 func (q *Quarantine) merge(entry *quarantinepb.Suspect, now time.Time) {
 	_, known := q.suspects[entry.GetPart()]
-	s := q.suspect(entry.GetPart())
+	s := q.suspect(partRef{key: entry.GetPart(), part: entry.GetPromptPart()})
 	changed, hadCrashes := !known, len(s.crashes) > 0
 	ago := func(ms uint32) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	for _, c := range entry.GetCrashes() {
