gateway: a failed answer is no proof that a prompt part is sound

Cause: the first byte of any answer counted for the prompt's parts, also that of a 500 from an endpoint that had not begun to work on the prompt. It dismissed the crashes seen before.

Change: only answers with a success status count.

Why this works: a part that crashes each endpoint that begins to answer it can't get a successful answer.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -91,7 +91,10 @@
 		outcome, ending = f.outcomeOf(ctx, failed), endingOf(ctx, failed)
 		return failed
 	}
-	exposure.RecordAnswer()
+	if answer.Status < http.StatusMultipleChoices {
+		// An endpoint may fail a request without having worked on its prompt.
+		exposure.RecordAnswer()
+	}
 	if !answer.Origin.Reused {
 		grant.RecordConnection()
 	}
--- a/gateway/crashfleet_test.go
+++ b/gateway/crashfleet_test.go
@@ -27,14 +27,25 @@
 func TestFleetCrashingPart(t *testing.T) {
 	for _, size := range fleetSizes {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { checkCrashingPart(t, size) })
+			synctest.Test(t, func(t *testing.T) { checkCrashingPart(t, size, 0) })
 		})
 	}
 }
 
-func checkCrashingPart(t *testing.T, size int) {
+// TestFleetCrashingPartBesideFailures guards against answers with 500 counting as proof that a part is sound (review/12): the endpoint may not have
+// begun to work on the prompt.
+func TestFleetCrashingPartBesideFailures(t *testing.T) {
+	for _, size := range fleetSizes {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkCrashingPart(t, size, 0.4) })
+		})
+	}
+}
+
+func checkCrashingPart(t *testing.T, size int, failShare float64) {
 	c := qt.New(t)
 	f := newTestFleet(c, size, 18)
+	f.failShare = failShare
 	var calls, loops sync.WaitGroup
 	ctx, cancel := context.WithTimeout(context.Background(), 25*time.Second)
 	defer cancel()
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -57,6 +58,7 @@
 	sound     []soundCall
 	started   int                         // endpoints started so far
 	arrived   map[string]int              // requests, by address
+	failShare float64                     // of requests at every third endpoint, which answers them with 500
 	limits    map[string]float64          // stated by endpoints, by address
 	toldAt    map[toldKey]time.Time       // when an instance first passed on a stated limit
 	limited   map[string][]limitedArrival // requests at endpoints that state a limit, by address
@@ -250,6 +252,9 @@
 	case <-ctx.Done():
 		return nil, &link.Failure{Reason: verdict.RetryConnection, Err: ctx.Err()}
 	}
+	if f.fails(endpoint) {
+		return &link.EndpointAnswer{Status: http.StatusInternalServerError, Header: http.Header{"Signature": {"s"}}, Body: http.NoBody}, nil
+	}
 	if crashing {
 		time.AfterFunc(100*time.Millisecond, func() { f.crash(endpoint) })
 	}
@@ -265,6 +270,13 @@
 	return &link.EndpointAnswer{Status: http.StatusOK, Header: header, Body: body, Length: -1}, nil
 }
 
+// fails reports whether an endpoint fails a request before it begins to work on it.
+func (f *testFleet) fails(endpoint *fleetEndpoint) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return crc32.ChecksumIEEE([]byte(endpoint.address))%3 == 0 && f.random.Float64() < f.failShare
+}
+
 // fleetBody is a stream of events, 30 ms apart, that breaks off when its endpoint ends.
 type fleetBody struct {
 	ctx      context.Context
--- a/quarantine/exposure.go
+++ b/quarantine/exposure.go
@@ -42,7 +42,7 @@
 	address    string
 	parts      []partRef
 	sentAt     time.Time
-	answeredAt time.Time // first byte of the answer; zero before
+	answeredAt time.Time // first byte of a successful answer; zero before
 	endedAt    time.Time // zero while the attempt lasts
 	broken     bool      // the connection was lost before the answer was complete
 }
@@ -67,7 +67,7 @@
 	return x
 }
 
-// RecordAnswer records the first byte of the answer.
+// RecordAnswer records the first byte of a successful answer.
 func (x *Exposure) RecordAnswer() {
 	if x == nil {
 		return
