quarantine: each process of an endpoint's id counts

Cause: one crash was counted for each endpoint id.

Change: reports are of the same end only if each request was sent before, or less than a second after, the other's end. The same decides which crashes one part explains.

Evidence: TestSameId failed on the commit before (one crash where two and three are expected, neither part blocked), and passes.

Why this works: a request to the next process is sent after the end of the one before.

--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -103,7 +103,7 @@
 // cover, the part with most crashes is taken first and explains them; the other parts are judged by the rest.
 func judge(groups []*group, now time.Time) *blockedParts {
 	blocked := &blockedParts{until: make(map[uint64]time.Time), sound: make(map[uint64]bool)}
-	explained := make(map[uint64]bool)
+	explained := make(map[uint64][]crash) // by endpoint
 	open := slices.DeleteFunc(slices.Clone(groups), func(g *group) bool {
 		return g.evidence.missing() > 0 || now.Sub(g.evidence.knownAt) < objectionTime
 	})
@@ -118,7 +118,7 @@
 			blocked.sound[key] = true
 		}
 		for _, c := range best.evidence.crashes {
-			explained[c.endpoint] = true
+			explained[c.endpoint] = append(explained[c.endpoint], c)
 		}
 	}
 }
@@ -131,7 +131,7 @@
 }
 
 // worst returns the part to block next; nil if there is none.
-func worst(groups []*group, explained map[uint64]bool) *group {
+func worst(groups []*group, explained map[uint64][]crash) *group {
 	var candidates []candidate
 	for _, g := range groups {
 		crashes := g.evidence.unexplained(explained)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -52,6 +52,13 @@
 	e.ended[endpoint] = true
 }
 
+// start lets an endpoint start again at its address.
+func (e *endedAddresses) start(endpoint string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.ended, endpoint)
+}
+
 type quarantineFixture struct {
 	*Quarantine
 	addresses *endedAddresses
@@ -471,3 +478,37 @@
 		c.Check(answer.GetSuspects(), qt.HasLen, 2)
 	})
 }
+
+// TestSameId guards against a part that is never blocked because a few endpoints start again under their ids and end again (same-id of the third
+// review), and against one end that counts twice since two instances tell of it.
+func TestSameId(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		a, b := newFixture(), newFixture()
+		memberA, memberB := machine.Member{ID: "a"}, machine.Member{ID: "b"}
+		const another = 4 // crashes the same endpoints
+		for n := range minGenerations {
+			for _, part := range []uint64{bad, another} {
+				x, y := a.begin("e", part, rare), b.begin("e", part, uint64(100+n))
+				time.Sleep(100 * time.Millisecond)
+				a.crash("e", x)
+				b.crash("e", y)
+				time.Sleep(3 * time.Second)
+				a.addresses.start("e")
+				b.addresses.start("e")
+				a.Receive(memberB, b.Message(memberA))
+				b.Receive(memberA, a.Message(memberB))
+			}
+			x := a.begin("alive", rare)
+			x.RecordAnswer()
+			time.Sleep(settleTime)
+			x.End(Closed)
+			c.Check(a.suspects[newPartRef("chat", prompt(bad)[0]).key].crashes, qt.HasLen, n+1)
+		}
+		for _, f := range []*quarantineFixture{a, b} {
+			c.Check(f.blocks(bad), qt.IsTrue)
+			c.Check(f.blocks(another), qt.IsTrue)
+			c.Check(f.blocks(rare), qt.IsFalse)
+		}
+	})
+}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -21,17 +21,25 @@
 	blockTime = 10 * time.Minute
 	// newsTime is how long what an instance has learned of a part is passed on to all peers: some rounds of the exchange.
 	newsTime = 5 * time.Second
+	// sameCrash is how long after a known end of an endpoint a request must have been sent to count as one to its next process. It covers the
+	// time that messages between instances take; an endpoint needs longer to start again.
+	sameCrash = time.Second
 	// maxCrashes is the number of crashes kept for a part.
 	maxCrashes = 48
 )
 
 // crash is the end of one endpoint while it worked on a request with the part.
 type crash struct {
-	endpoint uint64    // hash of the endpoint's id
+	endpoint uint64    // hash of the endpoint's id, under which it may start again
 	sentAt   time.Time // when the request was sent
 	endedAt  time.Time
 }
 
+// isSame reports whether two instances, or two requests, tell of the same end of an endpoint.
+func (c crash) isSame(o crash) bool {
+	return c.endpoint == o.endpoint && c.sentAt.Before(o.endedAt.Add(sameCrash)) && o.sentAt.Before(c.endedAt.Add(sameCrash))
+}
+
 // suspect is a part at one service under which endpoints have ended, or which was answered there while others ended elsewhere.
 type suspect struct {
 	part    uint64    // hash of the part alone; the suspect's key while that is unknown
@@ -47,8 +55,7 @@
 
 // add records a crash, unless the part has proved sound since or the crash is known.
 func (s *suspect) add(c crash, now time.Time) (added bool) {
-	known := slices.ContainsFunc(s.crashes, func(other crash) bool { return other.endpoint == c.endpoint })
-	if known || len(s.crashes) >= maxCrashes || !c.endedAt.After(s.soundAt) {
+	if slices.ContainsFunc(s.crashes, c.isSame) || len(s.crashes) >= maxCrashes || !c.endedAt.After(s.soundAt) {
 		return false
 	}
 	if len(s.crashes) == 0 {
@@ -75,11 +82,11 @@
 	return changed || len(s.crashes) != before
 }
 
-// unexplained returns the crashes at endpoints outside explained, in the order in which the endpoints ended.
-func (s *suspect) unexplained(explained map[uint64]bool) []crash {
+// unexplained returns the crashes that are not among the explained ones, in the order in which the endpoints ended.
+func (s *suspect) unexplained(explained map[uint64][]crash) []crash {
 	crashes := make([]crash, 0, len(s.crashes))
 	for _, c := range s.crashes {
-		if !explained[c.endpoint] {
+		if !slices.ContainsFunc(explained[c.endpoint], c.isSame) {
 			crashes = append(crashes, c)
 		}
 	}
