platform: the quarantine reads all parts of a prompt

Cause: the quarantine used the list of parts that guides placement, which ends after 256 parts or at the first unreadable one.

Sound answers are remembered for the first 256 parts of a prompt; log records name 32 parts at most.

Why this works: what endpoints are sent is what the quarantine reads.

--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -457,8 +457,12 @@
 	f.server.Counters.Add("plumbarrow_broken_answers_total", "stage", stage)
 }
 
-// partNames returns the ids of prompt parts in hexadecimal, for the log.
+// maxLoggedParts bounds the parts that a log record names.
+const maxLoggedParts = 32
+
+// partNames returns the ids of the first parts for the log.
 func partNames(parts []upstream.PromptPart) []string {
+	parts = parts[:min(len(parts), maxLoggedParts)]
 	names := make([]string, 0, len(parts))
 	for _, part := range parts {
 		names = append(names, strconv.FormatUint(part.ID, 16))
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -32,6 +32,9 @@
 	MaxOutputTokens int
 	// PromptParts are the parts of the prompt, in order. The last one belongs to the request or its session.
 	PromptParts []upstream.PromptPart
+	// ReadSharedParts reads the parts that SharedParts returns; nil if these are in PromptParts. Prompts with very many parts are read again
+	// instead of kept.
+	ReadSharedParts func() []upstream.PromptPart
 	// LastEvent is the id of the last event that the caller received of an interrupted stream.
 	LastEvent string
 	// Header is the header that is forwarded to endpoints.
@@ -40,6 +43,9 @@
 
 // SharedParts returns the parts of the prompt that other requests may share: all but the last one.
 func (c *Call) SharedParts() []upstream.PromptPart {
+	if c.ReadSharedParts != nil {
+		return c.ReadSharedParts()
+	}
 	if len(c.PromptParts) < 2 {
 		return nil
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -25,6 +25,8 @@
 const (
 	// maxSound is the number of parts whose last sound answer is remembered.
 	maxSound = 4096
+	// maxSoundParts is the number of parts of one prompt among these, the first ones.
+	maxSoundParts = 256
 	// maxSuspects is the number of suspects. Ordinary ends of endpoints make all parts suspect that the endpoints were working on.
 	maxSuspects = 4096
 	// maxCrashParts is the number of parts that the end of one endpoint makes suspect at an instance. A flood of parts that no other
@@ -237,8 +239,10 @@
 // recordSound records that an endpoint has survived an answer to the parts. The caller holds the lock.
 func (q *Quarantine) recordSound(parts []partRef, now time.Time) {
 	news := false
-	for _, ref := range parts {
-		q.sound[ref.key] = soundAnswer{at: now, part: ref.part}
+	for i, ref := range parts {
+		if i < maxSoundParts {
+			q.sound[ref.key] = soundAnswer{at: now, part: ref.part}
+		}
 		if s := q.suspects[ref.key]; s != nil && s.clear(now) {
 			q.touch(s, now)
 			news = true
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -512,3 +512,33 @@
 		}
 	})
 }
+
+// TestLongPrompts guards against a part that is not found among many others of its prompts, which no other request has, and against sound parts
+// being forgotten for prompts with many parts.
+func TestLongPrompts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFixture()
+		long := func(round int) []uint64 {
+			parts := []uint64{bad}
+			for n := range 2 * maxCrashParts {
+				parts = append(parts, uint64(1000_000*(round+1)+n))
+			}
+			return parts
+		}
+		f.answer("chat", common)
+		for round := range 4 * minGenerations {
+			endpoint := fmt.Sprint("e", round)
+			x := f.begin(endpoint, long(round)...)
+			time.Sleep(100 * time.Millisecond)
+			f.crash(endpoint, x)
+			y := f.begin("alive", long(1000 + round)[1:]...)
+			y.RecordAnswer()
+			time.Sleep(settleTime)
+			y.End(Closed)
+		}
+		c.Check(f.blocks(bad), qt.IsTrue)
+		_, remembered := f.sound[newPartRef("chat", prompt(common)[0]).key]
+		c.Check(remembered, qt.IsTrue)
+	})
+}
