quarantine: parts that are weighed at several services stay, and weak news costs no evaluation

Cause, found in the read-through: when suspects are dropped, those of a part with single crashes at several services counted as weak, though they may be blocked together. And each answer to a suspect with one crash, and each message, led to an evaluation, 1 ms with 4,096 suspects, and to a round of the exchange.

Change: suspects that all instances keep outlast the others. Only news on these, or on parts with successive crashes, is evaluated at once; the rest waits for the next evaluation, 0.1 s at most while messages are exchanged.

Evidence: tests of the package pass; an evaluation of 4,096 suspects takes 0.9 to 1.0 ms, the first one 3.9 ms, an eviction 4.3 ms. TestFleetCrashingPart and its form beside failures: 16 to 19 endpoints ended at 6, 60 and 300 instances, 0 requests late.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -238,20 +238,20 @@
 
 // recordSound records that an endpoint has survived an answer to the parts. The caller holds the lock.
 func (q *Quarantine) recordSound(parts []partRef, now time.Time) {
-	news := false
+	urgent := false // the others wait for the next evaluation and round
 	for i, ref := range parts {
 		if i < maxSoundParts {
 			q.sound[ref.key] = soundAnswer{at: now, part: ref.part}
 		}
 		if s := q.suspects[ref.key]; s != nil && s.clear(now) {
 			q.touch(s, now)
-			news = true
+			urgent = urgent || s.lasting
 		}
 	}
 	if len(q.sound) > maxSound {
 		q.trimSound()
 	}
-	if news {
+	if urgent {
 		q.evaluate(now)
 		go q.changed()
 	}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -143,9 +143,15 @@
 	return now.Sub(s.lastCrash()) > blockTime
 }
 
-// compareSuspects orders suspects by what speaks against them, those that are kept longest first: by the generations that are missing, then the
-// newest crash first.
+// compareSuspects orders suspects by what speaks against them, those that are kept longest first: the lasting ones, then by the generations that
+// are missing, then the newest crash first.
 func compareSuspects(a, b *suspect) int {
+	if a.lasting != b.lasting {
+		if a.lasting {
+			return -1
+		}
+		return 1
+	}
 	if len(a.crashes) == 0 || len(b.crashes) == 0 {
 		return cmp.Compare(len(b.crashes), len(a.crashes))
 	}
--- a/quarantine/topic.go
+++ b/quarantine/topic.go
@@ -172,15 +172,19 @@
 	if len(message.GetSuspects()) == 0 {
 		return
 	}
+	urgent := now.Sub(q.evaluatedAt) >= evaluationInterval
 	for _, entry := range message.GetSuspects() {
-		q.merge(entry, now)
+		s := q.merge(entry, now)
+		urgent = urgent || s.lasting || s.generations > 1
 	}
 	q.trimSuspects()
-	q.evaluate(now)
+	if urgent {
+		q.evaluate(now)
+	}
 }
 
-// merge adds a peer's knowledge of one part at a service. The caller holds the lock.
-func (q *Quarantine) merge(entry *quarantinepb.Suspect, now time.Time) {
+// merge adds a peer's knowledge of one part at a service, and returns the result. The caller holds the lock.
+func (q *Quarantine) merge(entry *quarantinepb.Suspect, now time.Time) *suspect {
 	_, known := q.suspects[entry.GetPart()]
 	s := q.suspect(partRef{key: entry.GetPart(), part: entry.GetPromptPart()})
 	changed, hadCrashes := !known, len(s.crashes) > 0
@@ -200,4 +204,5 @@
 	if changed {
 		q.touch(s, now)
 	}
+	return s
 }
