--- a/gateway/crashfleet_test.go
+++ b/gateway/crashfleet_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
+	"hash/crc32"
+	"maps"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -27,7 +32,7 @@
 func TestFleetCrashingPart(t *testing.T) {
 	for _, size := range fleetSizes {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { checkCrashingPart(t, size, 0) })
+			synctest.Test(t, func(t *testing.T) { checkCrashingPart(t, size, crashingPartPlay{parts: 40}) })
 		})
 	}
 }
@@ -37,23 +42,50 @@
 func TestFleetCrashingPartBesideFailures(t *testing.T) {
 	for _, size := range fleetSizes {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { checkCrashingPart(t, size, 0.4) })
+			synctest.Test(t, func(t *testing.T) { checkCrashingPart(t, size, crashingPartPlay{parts: 40, failShare: 0.4}) })
 		})
 	}
 }
 
-func checkCrashingPart(t *testing.T, size int, failShare float64) {
+// crashingPartSeeds is the number of seeds of TestFleetCrashingPartBesideOutages.
+var crashingPartSeeds = flag.Int("crashing-part-seeds", 2, "seeds of TestFleetCrashingPartBesideOutages")
+
+// TestFleetCrashingPartBesideOutages guards against a part that is not found, and against sound requests that are refused, while a third of the
+// endpoints ends every three seconds under hundreds of sound parts and others fail part of their requests.
+func TestFleetCrashingPartBesideOutages(t *testing.T) {
+	for seed := range *crashingPartSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				checkCrashingPart(t, 7, crashingPartPlay{parts: 600, failShare: 0.1, outages: true, seed: uint64(seed)})
+			})
+		})
+	}
+}
+
+// crashingPartPlay is what happens beside the crashing part.
+type crashingPartPlay struct {
+	parts     int     // shared parts of sound requests
+	failShare float64 // see testFleet
+	outages   bool    // a third of the endpoints ends every three seconds
+	seed      uint64
+}
+
+func checkCrashingPart(t *testing.T, size int, play crashingPartPlay) {
 	c := qt.New(t)
 	f := newTestFleet(c, size, 18)
-	f.failShare = failShare
+	f.failShare = play.failShare
+	f.random = rand.New(rand.NewPCG(7+play.seed, uint64(size)))
 	var calls, loops sync.WaitGroup
 	ctx, cancel := context.WithTimeout(context.Background(), 25*time.Second)
 	defer cancel()
 	f.start(ctx, &loops)
+	if play.outages {
+		loops.Go(func() { f.outages(ctx) })
+	}
 	loops.Go(func() {
 		f.traffic(ctx, &calls, 60, func(number int) {
 			at := time.Now()
-			status := f.call(fmt.Sprintf("%x,%x,%x", sharedPart, 0x100+number%40, 0x10000+number), 30+number%60)
+			status := f.call(fmt.Sprintf("%x,%x,%x", sharedPart, 0x100+number%play.parts, 0x10000+number), 30+number%60)
 			f.mu.Lock()
 			f.sound = append(f.sound, soundCall{at: at, begun: status != http.StatusServiceUnavailable})
 			f.mu.Unlock()
@@ -72,6 +104,24 @@
 	f.check(crashingSince)
 }
 
+// outages ends a third of the endpoints every three seconds, until ctx ends.
+func (f *testFleet) outages(ctx context.Context) {
+	for round := 0; ctx.Err() == nil; round++ {
+		time.Sleep(3 * time.Second)
+		f.mu.Lock()
+		var ending []*fleetEndpoint
+		for _, address := range slices.Sorted(maps.Keys(f.byAddress)) {
+			if crc32.ChecksumIEEE([]byte(address))%3 == uint32(round%3) {
+				ending = append(ending, f.byAddress[address])
+			}
+		}
+		f.mu.Unlock()
+		for _, endpoint := range ending {
+			f.end(endpoint)
+		}
+	}
+}
+
 // check asserts the platform's two bounds.
 func (f *testFleet) check(crashingSince time.Time) {
 	c := f.test
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -187,18 +187,27 @@
 	}
 }
 
-// crash ends an endpoint. It is back under a new id after some seconds.
+// crash ends an endpoint under the crashing part.
 func (f *testFleet) crash(endpoint *fleetEndpoint) {
+	if f.end(endpoint) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.crashes = append(f.crashes, time.Now())
+	}
+}
+
+// end ends an endpoint, and reports whether it was running. It is back under a new id after some seconds.
+func (f *testFleet) end(endpoint *fleetEndpoint) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	select {
 	case <-endpoint.ended:
-		return
+		return false
 	default:
 	}
 	close(endpoint.ended)
-	f.crashes = append(f.crashes, time.Now())
 	time.AfterFunc(3*time.Second, func() { f.startEndpoint(endpoint.address) })
+	return true
 }
 
 // running returns the process at an address; nil if there is none.
