--- a/quarantine/exposure.go
+++ b/quarantine/exposure.go
@@ -40,7 +40,7 @@
 	quarantine *Quarantine
 	endpoint   machine.EndpointID
 	address    string
-	parts      []partRef
+	parts      []partRef // shared ones, at the service
 	sentAt     time.Time
 	answeredAt time.Time // first byte of a successful answer; zero before
 	endedAt    time.Time // zero while the attempt lasts
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,6 +1,7 @@
 // Package quarantine finds prompt parts that crash endpoints, and keeps further requests with them from being sent. Each
 // part is a circuit breaker of its own: it opens after successive crashes of endpoints that worked on the part, if
-// none survived an answer in between. Instances exchange the crashes that they have seen.
+// none survived an answer in between. Instances exchange the crashes that they have seen, and store those of parts under
+// which endpoints ended one after the other.
 package quarantine
 
 import (
