quarantine: an instance passes on a piece of news in eight messages at most

What callers saw: nothing; the operators' bill.

Each instance passed on what it had learned for 5 s in all its messages; in a large fleet two instances seldom meet twice, so that confirmations spare nothing. Before, the table was full at 256 parts and there was nothing more to tell.

Change: each instance passes on a piece of news in at most eight messages, as in rumour mongering with a counter (Demers et al., Epidemic Algorithms, 1987). Suspects that all keep still go by the digest.

TestNewsInLargeFleets is new.

Why this works: the first tellings inform most of a fleet, each of whose members passes on the news in turn.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -205,7 +205,7 @@
 // touch records a change of a suspect that peers may not know. The caller holds the lock.
 func (q *Quarantine) touch(s *suspect, now time.Time) {
 	q.sequence++
-	s.changedAt, s.sequence = now, q.sequence
+	s.changedAt, s.sequence, s.tellings = now, q.sequence, 0
 	q.digestValid = false
 }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -542,3 +542,21 @@
 		c.Check(remembered, qt.IsTrue)
 	})
 }
+
+// TestNewsInLargeFleets guards against the bytes that a fleet of many instances spends on suspects when many endpoints end: each instance passes on a piece
+// of news in a few messages only.
+func TestNewsInLargeFleets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFixture()
+		f.crash("e", f.begin("e", rare))
+		told := 0
+		for n := range 5 * maxTellings {
+			message := &quarantinepb.Suspects{}
+			c.Assert(proto.Unmarshal(f.Message(machine.Member{ID: machine.InstanceID(fmt.Sprint("peer-", n))}), message), qt.IsNil)
+			told += len(message.GetSuspects())
+		}
+		c.Check(told, qt.Equals, maxTellings)
+		time.Sleep(time.Second)
+	})
+}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -24,6 +24,8 @@
 	// sameCrash is how long after a known end of an endpoint a request must have been sent to count as one to its next process. It covers the
 	// time that messages between instances take; an endpoint needs longer to start again.
 	sameCrash = time.Second
+	// maxTellings is the number of messages in which an instance passes on a piece of news. In a large fleet each peer is told by several.
+	maxTellings = 8
 	// maxCrashes is the number of crashes kept for a part.
 	maxCrashes = 48
 )
@@ -50,6 +52,7 @@
 	generations int       // see countGenerations
 	changedAt   time.Time // when this instance learned last what peers may not know
 	sequence    uint64    // of that change among the instance's changes
+	tellings    int       // messages with that change
 	lasting     bool      // see Quarantine.evaluate
 }
 
@@ -132,13 +135,15 @@
 }
 
 // isNews reports whether the last change is to be passed on to peers.
-func (s *suspect) isNews(now time.Time) bool { return now.Sub(s.changedAt) < newsTime }
+func (s *suspect) isNews(now time.Time) bool {
+	return s.tellings < maxTellings && now.Sub(s.changedAt) < newsTime
+}
 
 // expired reports whether the suspect no longer matters. A part that has proved sound stays until peers know, and where it may be
 // blocked for the sake of other services.
 func (s *suspect) expired(now time.Time) bool {
 	if len(s.crashes) == 0 {
-		return !s.isNews(now) && !s.lasting
+		return now.Sub(s.changedAt) >= newsTime && !s.lasting
 	}
 	return now.Sub(s.lastCrash()) > blockTime
 }
--- a/quarantine/topic.go
+++ b/quarantine/topic.go
@@ -82,6 +82,9 @@
 		news = news[:room]
 		sequence = q.suspects[news[room-1]].sequence
 	}
+	for _, key := range news {
+		q.suspects[key].tellings++
+	}
 	for _, key := range append(lasting, news...) {
 		messages = append(messages, q.suspects[key].message(key, now))
 	}
