--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -166,7 +166,7 @@
 }
 
 // crashParts returns the parts that the end of an endpoint makes suspect, at most maxCrashParts. Parts of requests with few of them come first:
-// a prompt with hundreds of parts says less of each. The others are drawn anew for each endpoint.
+// a prompt with hundreds of parts is weaker evidence against each. The others are drawn anew for each endpoint.
 func crashParts(exposed []*Exposure, endpoint uint64) []exposedPart {
 	slices.SortStableFunc(exposed, func(a, b *Exposure) int { return cmp.Compare(len(a.parts), len(b.parts)) })
 	var chosen []exposedPart
@@ -209,7 +209,7 @@
 	q.digestValid = false
 }
 
-// trimSuspects drops the suspects against which least speaks if there are too many, and some more, so that it is seldom needed. The caller holds
+// trimSuspects drops the suspects with the weakest evidence if there are too many, and some more, so that it is seldom needed. The caller holds
 // the lock.
 func (q *Quarantine) trimSuspects() {
 	if len(q.suspects) <= maxSuspects {
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -24,7 +24,7 @@
 	// sameCrash is how long after a known end of an endpoint a request must have been sent to count as one to its next process. It covers the
 	// time that messages between instances take; an endpoint needs longer to start again.
 	sameCrash = time.Second
-	// maxTellings is the number of messages in which an instance passes on a piece of news. In a large fleet each peer is told by several.
+	// maxTellings is the number of messages in which an instance passes on a piece of news. In a large fleet each peer receives it from several.
 	maxTellings = 8
 	// maxCrashes is the number of crashes kept for a part.
 	maxCrashes = 48
@@ -37,7 +37,7 @@
 	endedAt  time.Time
 }
 
-// isSame reports whether two instances, or two requests, tell of the same end of an endpoint.
+// isSame reports whether both are records of the same end of an endpoint.
 func (c crash) isSame(o crash) bool {
 	return c.endpoint == o.endpoint && c.sentAt.Before(o.endedAt.Add(sameCrash)) && o.sentAt.Before(c.endedAt.Add(sameCrash))
 }
@@ -148,7 +148,7 @@
 	return now.Sub(s.lastCrash()) > blockTime
 }
 
-// compareSuspects orders suspects by what speaks against them, those that are kept longest first: the lasting ones, then by the generations that
+// compareSuspects orders suspects by strength of evidence, strongest first: the lasting ones, then by the generations that
 // are missing, then the newest crash first.
 func compareSuspects(a, b *suspect) int {
 	if a.lasting != b.lasting {
--- a/quarantine/topic.go
+++ b/quarantine/topic.go
@@ -34,7 +34,7 @@
 	acknowledged uint64 // this instance's last change that it has
 }
 
-// Message implements link.Topic. A peer gets what this instance has learned within newsTime and the peer has not confirmed. Lasting suspects are
+// Message implements link.Topic. A peer gets changes that it has not acknowledged, of the last newsTime and in maxTellings messages at most. Lasting suspects are
 // sent until both have the same ones, so that a peer that was away or has started learns them, too.
 func (q *Quarantine) Message(to machine.Member) []byte {
 	now := time.Now()
@@ -60,7 +60,7 @@
 	return data
 }
 
-// suspectsFor returns the suspects that a peer may lack, those against which most speaks first, and the change up to which it has all
+// suspectsFor returns the suspects that a peer may lack, those with the strongest evidence first, and the change up to which it has all
 // news with them. The caller holds the lock.
 func (q *Quarantine) suspectsFor(p *peer, now time.Time) (messages []*quarantinepb.Suspect, sequence uint64) {
 	var lasting, news []uint64
